--- /dev/null
+++ b/schema/src/main.rs
@@ -0,0 +1,2 @@
+//! Writes the generated RPC code.
+fn main() {}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,30 @@
+//! Identifiers, as aliases of the types that carry them.
+
+/// Name of an availability zone.
+pub type ZoneId = String;
+/// Name of a rack, unique in its availability zone.
+pub type RackId = String;
+/// Name of a pool of VMs.
+pub type PoolId = String;
+/// Name of a VM.
+pub type VmId = String;
+/// Name of a service.
+pub type ServiceId = String;
+/// Name of a team, the unit of quotas and fair shares.
+pub type TeamId = String;
+/// Name of a maintenance wave.
+pub type WaveId = String;
+/// Name of an entry VM.
+pub type EntryId = String;
+/// Number drawn by an entry at start; a restarted entry draws a new one.
+pub type Incarnation = u64;
+/// Position of a record in a stream of the platform's log, from 0.
+pub type Offset = u64;
+/// Number that grows with each change of a lease's holder.
+pub type Epoch = u64;
+/// Name of an operator's call or an action; repeating it has no further effect.
+pub type OperationId = String;
+/// One try at running a request on an endpoint.
+pub type AttemptId = u128;
+/// Caller's name for a request that must not be repeated.
+pub type OrderKey = String;
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,156 @@
+//! The platform's published protocol: JSON over HTTP/1.1.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `POST /streams/{stream}/records` with [`Append`] | [`Appended`] |
+//! | `GET /streams/{stream}/records?from=&max=&wait_ms=` | [`Page`]; waits up to `wait_ms` for a record |
+//! | `GET /vms` | [`List`] |
+//! | `POST /vms/{vm}/reboot` with [`Action`] | [`Operation`] |
+//! | `GET /operations/{operation}` | [`Operation`]; 404 if never begun |
+//! | `POST /tasks/{task}/{start,checkpoint,throttle,stop,renew}` with [`Task`] | [`Operation`] |
+//! | `GET /usage?zone=` | [`Usage`] list, lagging |
+//!
+//! A record of an append whose `id` the stream already holds (within its retention) is not
+//! appended again: the answer is the first offset. Records below the retention answer 410 with
+//! [`Page::first`] set.
+
+use {
+    crate::id::{Offset, OperationId, RackId, VmId, ZoneId},
+    serde::{Deserialize, Serialize},
+    serde_json::Value,
+    std::net::SocketAddr,
+};
+
+/// A record to append.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Append {
+    /// Name that makes a repeated append idempotent.
+    pub id: String,
+    /// Content.
+    pub data: Value,
+}
+
+/// Where a record was appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// Its offset.
+    pub offset: Offset,
+}
+
+/// A record read back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Entry {
+    /// Position in the stream.
+    pub offset: Offset,
+    /// When the platform appended it, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Content.
+    pub data: Value,
+}
+
+/// Consecutive records of a stream.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Page {
+    /// Lowest offset still kept.
+    pub first: Offset,
+    /// Offset that the next append gets.
+    pub end: Offset,
+    /// Records from the offset asked for.
+    pub records: Vec<Entry>,
+}
+
+/// Health of a VM as the platform sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    /// Runs.
+    Live,
+    /// Will stop soon.
+    Leaving,
+    /// Is being rebooted.
+    Rebooting,
+    /// Stopped for good; its processes have ended.
+    Dead,
+}
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name.
+    pub id: VmId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Rack.
+    pub rack: RackId,
+    /// Where its endpoint accepts connections.
+    pub address: SocketAddr,
+    /// Health.
+    pub health: Health,
+    /// Number of its boots so far.
+    pub boots: u64,
+}
+
+/// The platform's list of VMs, which lags.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct List {
+    /// Time that the list describes, in milliseconds since the Unix epoch.
+    pub as_of_ms: u64,
+    /// VMs.
+    pub vms: Vec<Listed>,
+}
+
+/// An action on a VM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Action {
+    /// Name that makes a repeated action idempotent.
+    pub operation: OperationId,
+}
+
+/// Progress of an action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// Begun, not ended.
+    Running,
+    /// Ended as asked.
+    Done,
+    /// Ended without effect.
+    Failed,
+}
+
+/// An action as the platform knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Operation {
+    /// Its name.
+    pub operation: OperationId,
+    /// How far it is.
+    pub progress: Progress,
+}
+
+/// A task under a lease on a worker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Task {
+    /// Name that makes a repeated action idempotent.
+    pub operation: OperationId,
+    /// Worker that runs the task.
+    pub worker: VmId,
+    /// Lease time from now, in milliseconds.
+    pub lease_ms: u64,
+    /// Processor limit in thousandths of a core.
+    pub millicores: u64,
+}
+
+/// Usage of one task, which lags.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Usage {
+    /// Task.
+    pub task: String,
+    /// Worker.
+    pub worker: VmId,
+    /// Processor use in thousandths of a core.
+    pub millicores: u64,
+    /// Memory use.
+    pub memory_bytes: u64,
+    /// Whether the task ended, and how.
+    pub ended: Option<Progress>,
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
