Extend the state machine to changes, moves, leases, budgets and waves

A change record carries only edited objects with the version that its author saw; a whole declaration is turned into the same edits, so both go through one check that names every fault. A declared change of a VM is a pending move that takes effect only after every serving entry confirmed the drain. Drains are held by causes (operator, move, wave, failure), so that ending one does not end the others. Leases fence records by epoch. Budgets are checked when a drain is applied, so racing controllers cannot exceed them.

Ruled out: letting a declaration drain its moved VMs at once, which would exceed the budget of a pool when several VMs move together; an index of addresses, since one pass over the VMs is only needed when VMs are edited.

--- a/src/id.rs
+++ b/src/id.rs
@@ -28,3 +28,7 @@
 pub type AttemptId = u128;
 /// Caller's name for a request that must not be repeated.
 pub type OrderKey = String;
+/// Kind and name of a declared object, as `vm/a1`.
+pub type ObjectId = String;
+/// Name of a lease that at most one entry holds.
+pub type LeaseId = String;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,19 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
+pub mod budget;
+pub mod change;
+pub mod check;
 pub mod fleet;
+pub mod history;
 pub mod id;
+pub mod lease;
+pub mod moves;
 pub mod platform;
 pub mod record;
 pub mod request;
 pub mod settings;
 pub mod state;
+pub mod step;
+pub mod verdict;
+pub mod wave;
--- a/src/record.rs
+++ b/src/record.rs
@@ -5,8 +5,12 @@
 
 use {
     crate::{
+        change::Change,
         fleet::Declaration,
-        id::{EntryId, Incarnation, Offset, OperationId, OrderKey, VmId, ZoneId},
+        id::{
+            EntryId, Epoch, Incarnation, LeaseId, Offset, OperationId, OrderKey, VmId, WaveId,
+            ZoneId,
+        },
     },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -42,12 +46,17 @@
         /// Offset of the declaration it was made from; none for the first.
         expected: Option<Offset>,
     },
-    /// An entry begins to serve.
+    /// Puts changes of single objects in force, all or none.
+    Change {
+        /// Edits, at most one of each object.
+        changes: Vec<Change>,
+    },
+    /// An entry begins to serve. It routes to endpoints only once it has applied this record.
     Join {
         /// The entry.
         entry: Member,
     },
-    /// An entry's incarnation has ended.
+    /// An entry's incarnation has ended: its processes run no more, by the platform's word.
     Gone {
         /// The entry.
         entry: EntryId,
@@ -70,11 +79,116 @@
         /// Offset of the drain that it confirms.
         drain: Offset,
     },
-    /// A drained VM takes work again.
+    /// A VM that an operator drained takes work again, unless something else holds it drained.
     Return {
         /// The VM.
         vm: VmId,
     },
+    /// A VM that every entry has emptied changes to its declared pool, or leaves the fleet.
+    Moved {
+        /// The VM.
+        vm: VmId,
+        /// Offset of the drain that was confirmed.
+        drain: Offset,
+    },
+    /// An entry asks for a lease that is free or has run out.
+    Acquire {
+        /// The lease.
+        lease: LeaseId,
+        /// The entry.
+        entry: EntryId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Epoch that the entry saw, 0 if the lease was never held.
+        epoch: Epoch,
+        /// Time until the lease runs out, from the record's time.
+        term: Duration,
+    },
+    /// The holder of a lease prolongs it.
+    Renew {
+        /// The lease.
+        lease: LeaseId,
+        /// Epoch in which it is held.
+        epoch: Epoch,
+        /// Time until the lease runs out, from the record's time.
+        term: Duration,
+    },
+    /// The holder of a lease gives it up.
+    Release {
+        /// The lease.
+        lease: LeaseId,
+        /// Epoch in which it is held.
+        epoch: Epoch,
+    },
+    /// Has the effect of `body` only if the lease is still held in that epoch.
+    Fenced {
+        /// The lease.
+        lease: LeaseId,
+        /// Epoch in which the author holds it.
+        epoch: Epoch,
+        /// What is asked.
+        body: Box<Body>,
+    },
+    /// VMs that the platform lists as dead or live again. Fenced only.
+    Health {
+        /// Time that the platform's list describes, since the Unix epoch.
+        as_of: Duration,
+        /// VMs that do not run.
+        lost: Vec<VmId>,
+        /// VMs that run again.
+        found: Vec<VmId>,
+    },
+    /// A declared wave starts over its pool.
+    Begin {
+        /// The wave.
+        wave: WaveId,
+    },
+    /// A wave takes no further VM.
+    Pause {
+        /// The wave.
+        wave: WaveId,
+        /// Why, for operators.
+        why: String,
+    },
+    /// A paused wave goes on; its failures so far are forgiven.
+    Resume {
+        /// The wave.
+        wave: WaveId,
+    },
+    /// A wave ends once the VMs that it holds are done.
+    Cancel {
+        /// The wave.
+        wave: WaveId,
+    },
+    /// A wave's next step on a VM. Fenced only.
+    Step {
+        /// The wave.
+        wave: WaveId,
+        /// Offset of the record that began it.
+        run: Offset,
+        /// The VM.
+        vm: VmId,
+        /// The step.
+        step: Step,
+    },
+}
+
+/// What a wave does to a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Step {
+    /// Drains it in order to reboot it.
+    Take {
+        /// Boots of the VM before.
+        boots: u64,
+    },
+    /// The reboot ended and the VM is live.
+    Done,
+    /// The reboot ended without a live VM; the VM stays drained until an operator returns it.
+    Failed {
+        /// Why, for operators.
+        why: String,
+    },
 }
 
 /// An entry as its peers reach it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,147 +1,292 @@
 //! The state machine that every entry feeds with the records of the fleet's stream.
 //!
 //! `State::apply` is pure: the same records in the same order give the same state and the same
-//! verdicts on every entry. It takes time from the records, never from a clock.
+//! verdicts on every entry. It takes time from the records, never from a clock. A record is accepted
+//! as a whole or leaves nothing behind but its verdict. Records are applied without a gap; one that
+//! was applied before, or whose operation was, has no further effect.
+//!
+//! What each record means stands beside what it changes: `moves`, `lease`, `wave`, `step`, `budget`.
 
 use {
     crate::{
-        fleet::Declaration,
-        id::{EntryId, Offset, OperationId, ServiceId, VmId},
+        budget::{Cause, Ledger},
+        change::{self, Change, Edit, Versions},
+        check,
+        fleet::{Declaration, Service, Vm},
+        history::Trail,
+        id::{EntryId, LeaseId, Offset, OperationId, ServiceId, VmId, WaveId},
+        lease::{Claim, Lease},
         record::{Body, Member, Record},
+        step::{Lost, Target},
+        wave::Run,
     },
-    displaydoc::Display,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
-/// What became of a record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Verdict {
-    /// In force.
-    Accepted,
-    /// Without effect, and why.
-    Rejected(Reason),
-}
-
-/// Why a record was rejected.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Reason {
-    /// declaration was made from version {expected:?}, but {found:?} is in force
-    Stale {
-        /// Version that the author saw.
-        expected: Option<Offset>,
-        /// Version in force.
-        found: Option<Offset>,
-    },
-    /// vm {0:?} is not declared
-    UnknownVm(VmId),
-    /// {0}
-    Invalid(String),
-}
+pub use crate::{
+    moves::{Drain, Joined, Move},
+    verdict::{Reason, Result, Verdict},
+};
 
-/// A VM that takes no new work.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Drain {
-    /// Offset of the record that began it.
-    pub since: Offset,
-    /// Entries that may still hold work on the VM.
-    pub waiting: Vec<EntryId>,
-}
+/// Verdicts that are kept at least, newest first; twice as many at most.
+pub const MIN_VERDICTS: usize = 4096;
 
 /// State at one offset of the fleet's stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct State {
     /// Offset of the next record to apply.
     pub next: Offset,
-    /// Offset of the declaration in force.
+    /// Offset of the last change of the declaration in force.
     pub version: Option<Offset>,
-    /// Declaration in force.
+    /// Declaration in force; VMs with a pending move still as they were.
     pub declaration: Declaration,
+    /// Versions of the declared objects.
+    pub versions: Versions,
     /// Entries that serve, by name.
     pub members: IndexMap<EntryId, Member>,
+    /// When each of them began to serve.
+    pub joined: IndexMap<EntryId, Joined>,
     /// VMs that take no new work.
     pub drains: IndexMap<VmId, Drain>,
-    /// Verdicts of past operations.
+    /// Changes of VMs that wait until the VM is empty.
+    pub moves: IndexMap<VmId, Move>,
+    /// VMs that do not run, by the platform's word.
+    pub lost: IndexMap<VmId, Lost>,
+    /// Time of the platform's newest list that was taken over, since the Unix epoch.
+    pub listed: Duration,
+    /// Leases by name.
+    pub leases: IndexMap<LeaseId, Lease>,
+    /// Last run of each wave.
+    pub waves: IndexMap<WaveId, Run>,
+    /// Unavailability of every service.
+    pub ledger: Ledger,
+    /// What operators asked for.
+    pub history: Trail,
+    /// Verdicts of past operations, the newest last.
     pub verdicts: IndexMap<OperationId, (Offset, Verdict)>,
+    /// Latest time in a record, since the Unix epoch.
+    pub clock: Duration,
+}
+
+/// Where and how a record stands in the stream.
+#[derive(Clone, Copy)]
+pub(crate) struct Context {
+    /// Its offset.
+    pub offset: Offset,
+    /// When it was written, since the Unix epoch.
+    pub at: Duration,
+    /// Whether a lease in force covers it.
+    pub fenced: bool,
 }
 
 impl State {
     /// Applies the record at `offset` and returns its verdict.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
+        let known = self.verdicts.get(&record.operation).map(|(_, verdict)| verdict.clone());
+        if offset != self.next {
+            let gap = Reason::Gap { offset, next: self.next };
+            return known.filter(|_| offset < self.next).unwrap_or(Verdict::Rejected(gap));
+        }
         self.next = offset + 1;
-        if let Some((_, verdict)) = self.verdicts.get(&record.operation) {
-            return verdict.clone();
+        if let Some(verdict) = known {
+            return verdict;
         }
-        let verdict = match self.change(offset, &record.body) {
+        self.clock = self.clock.max(record.at);
+        let context = Context { offset, at: record.at, fenced: false };
+        let verdict = match self.change(context, &record.body) {
             Ok(()) => Verdict::Accepted,
             Err(reason) => Verdict::Rejected(reason),
         };
-        self.verdicts.insert(record.operation.clone(), (offset, verdict.clone()));
+        self.history.keep(offset, record, &verdict);
+        self.remember(offset, record, &verdict);
         verdict
     }
 
-    fn change(&mut self, offset: Offset, body: &Body) -> Result<(), Reason> {
+    /// Passes over the record at `offset`, which cannot be read.
+    pub fn skip(&mut self, offset: Offset) {
+        if offset == self.next {
+            self.next += 1;
+        }
+    }
+
+    fn remember(&mut self, offset: Offset, record: &Record, verdict: &Verdict) {
+        if self.verdicts.len() == 2 * MIN_VERDICTS {
+            self.verdicts.drain(..MIN_VERDICTS);
+        }
+        self.verdicts.insert(record.operation.clone(), (offset, verdict.clone()));
+    }
+
+    fn change(&mut self, context: Context, body: &Body) -> Result {
+        let Context { offset, at, fenced } = context;
         match body {
-            Body::Declare { declaration, expected } => self.declare(offset, declaration, *expected),
-            Body::Join { entry } => {
-                self.members.insert(entry.id.clone(), entry.clone());
-                Ok(())
+            Body::Declare { declaration, expected } => {
+                self.declare(context, declaration, *expected)
             }
-            Body::Gone { entry, incarnation } => {
-                if self.members.get(entry).is_some_and(|m| m.incarnation == *incarnation) {
-                    self.members.shift_remove(entry);
-                    self.drains.values_mut().for_each(|d| d.waiting.retain(|e| e != entry));
-                }
-                Ok(())
+            Body::Change { changes } => self.edit(context, changes),
+            Body::Join { entry } => self.join(offset, entry, at),
+            Body::Gone { entry, incarnation } => self.gone(entry, *incarnation),
+            Body::Drain { vm } => {
+                self.drain(offset, vm, self.drain_cause(vm, fenced)?)?;
+                self.settle(context, vm)
             }
-            Body::Drain { vm } => self.drain(offset, vm),
-            Body::Emptied { vm, entry, drain, .. } => {
-                if let Some(found) = self.drains.get_mut(vm).filter(|d| d.since == *drain) {
-                    found.waiting.retain(|e| e != entry);
-                }
-                Ok(())
+            Body::Emptied { vm, entry, incarnation, drain } => {
+                self.emptied(vm, entry, *incarnation, *drain)
+            }
+            Body::Return { vm } => self.give_back(context, vm),
+            Body::Moved { vm, drain } => {
+                self.moved(vm, *drain)?;
+                self.settle(context, vm)
+            }
+            Body::Acquire { lease, entry, incarnation, epoch, term } => {
+                let (incarnation, epoch, until) = (*incarnation, *epoch, at + *term);
+                self.acquire(Claim { lease, entry, incarnation, epoch, until }, at)
             }
-            Body::Return { vm } => {
-                self.drains.shift_remove(vm);
-                Ok(())
+            Body::Renew { lease, epoch, term } => self.renew(lease, *epoch, at + *term),
+            Body::Release { lease, epoch } => self.release(lease, *epoch),
+            Body::Fenced { lease, epoch, body } => {
+                self.fence(lease, *epoch)?;
+                self.change(Context { fenced: true, ..context }, body)
+            }
+            Body::Begin { wave } => self.begin(wave, offset, at),
+            Body::Pause { wave, why } => self.pause(wave, why),
+            Body::Resume { wave } => self.resume(wave, offset),
+            Body::Cancel { wave } => self.cancel(wave, at),
+            Body::Health { .. } | Body::Step { .. } if !fenced => Err(Reason::Unfenced),
+            Body::Health { as_of, lost, found } => {
+                self.health(context, *as_of, lost, found)?;
+                lost.iter().chain(found).try_for_each(|vm| self.settle(context, vm))
+            }
+            Body::Step { wave, run, vm, step } => {
+                self.step(context, &Target { wave, run: *run, vm }, step)?;
+                self.settle(context, vm)
             }
         }
     }
 
+    /// Brings the ledger up to date with a VM that a record changed.
+    fn settle(&mut self, context: Context, vm: &str) -> Result {
+        self.account(vm, context.offset, context.at);
+        Ok(())
+    }
+
+    fn give_back(&mut self, context: Context, vm: &VmId) -> Result {
+        if !self.declaration.vms.contains_key(vm) {
+            return Err(Reason::UnknownVm(vm.clone()));
+        }
+        self.let_go(vm, &Cause::Operator);
+        self.let_go(vm, &Cause::Failure);
+        self.settle(context, vm)
+    }
+
+    /// Puts a whole declaration in force, as the edits that lead to it.
     fn declare(
         &mut self,
-        offset: Offset,
+        context: Context,
         declaration: &Declaration,
         expected: Option<Offset>,
-    ) -> Result<(), Reason> {
+    ) -> Result {
         if expected != self.version {
             return Err(Reason::Stale { expected, found: self.version });
         }
-        self.version = Some(offset);
-        self.declaration = declaration.clone();
-        Ok(())
+        let changes = change::between(self, declaration);
+        self.edit(context, &changes)
     }
 
-    fn drain(&mut self, offset: Offset, vm: &VmId) -> Result<(), Reason> {
-        if !self.declaration.vms.contains_key(vm) {
-            return Err(Reason::UnknownVm(vm.clone()));
+    fn edit(&mut self, context: Context, changes: &[Change]) -> Result {
+        let conflicts = check::conflicts(self, changes);
+        if !conflicts.0.is_empty() {
+            return Err(Reason::Conflict(conflicts));
+        }
+        let faults = check::faults(self, changes);
+        if !faults.0.is_empty() {
+            return Err(Reason::Faults(faults));
+        }
+        self.version = Some(context.offset);
+        for change in changes {
+            self.put(context, change);
         }
-        let waiting = self.members.keys().cloned().collect();
-        self.drains.insert(vm.clone(), Drain { since: offset, waiting });
         Ok(())
     }
 
+    fn put(&mut self, context: Context, change: &Change) {
+        let declaration = &mut self.declaration;
+        let kept = match change {
+            Change::Pool(e) => set(&mut declaration.pools, e),
+            Change::Service(e) => set(&mut declaration.services, e),
+            Change::Team(e) => set(&mut declaration.teams, e),
+            Change::Wave(e) => {
+                if e.value.is_none() {
+                    self.waves.shift_remove(&e.id);
+                }
+                set(&mut declaration.waves, e)
+            }
+            Change::Vm(e) => self.put_vm(context, e),
+        };
+        match kept {
+            true => self.versions.set(change.object(), context.offset),
+            false => self.versions.remove(&change.object()),
+        }
+    }
+
+    /// Declares a VM. One that is in force changes only once it is empty.
+    fn put_vm(&mut self, context: Context, edit: &Edit<Vm>) -> bool {
+        match (self.declaration.vms.get(&edit.id), &edit.value) {
+            (None, Some(vm)) => _ = self.declaration.vms.insert(edit.id.clone(), vm.clone()),
+            (None, None) => {}
+            (Some(found), Some(vm)) if found == vm => {
+                self.moves.shift_remove(&edit.id);
+                self.let_go(&edit.id, &Cause::Move);
+                self.account(&edit.id, context.offset, context.at);
+            }
+            (Some(_), to) => {
+                let pending = Move { since: context.offset, to: to.clone() };
+                self.moves.insert(edit.id.clone(), pending);
+            }
+        }
+        edit.value.is_some()
+    }
+
     /// Endpoints of a service that take new work.
-    pub fn endpoints(
-        &self,
-        service: &ServiceId,
-    ) -> impl Iterator<Item = (&VmId, &crate::fleet::Vm)> {
+    pub fn endpoints(&self, service: &ServiceId) -> impl Iterator<Item = (&VmId, &Vm)> {
         let pool = self.declaration.services.get(service).map(|s| &s.pool);
         self.declaration
             .vms
             .iter()
             .filter(move |(id, vm)| Some(&vm.pool) == pool && !self.drains.contains_key(*id))
     }
+
+    /// Endpoints of every service that take new work, in one pass over the VMs.
+    pub fn routes(&self) -> IndexMap<&ServiceId, Vec<(&VmId, &Vm)>> {
+        let mut pools: IndexMap<&str, Vec<(&VmId, &Vm)>> = IndexMap::new();
+        for (id, vm) in self.declaration.vms.iter().filter(|(id, _)| !self.drains.contains_key(*id))
+        {
+            pools.entry(&vm.pool).or_default().push((id, vm));
+        }
+        let of = |s: &Service| pools.get(s.pool.as_str()).cloned().unwrap_or_default();
+        self.declaration.services.iter().map(|(id, service)| (id, of(service))).collect()
+    }
+
+    /// What operators declared: the declaration in force with pending moves done.
+    pub fn declared(&self) -> Declaration {
+        let mut declaration = self.declaration.clone();
+        for (id, pending) in &self.moves {
+            match &pending.to {
+                Some(to) => _ = declaration.vms.insert(id.clone(), to.clone()),
+                None => _ = declaration.vms.shift_remove(id),
+            }
+        }
+        declaration
+    }
+}
+
+/// Puts an edit into a map; whether the object is declared then.
+fn set<T: Clone>(map: &mut IndexMap<String, T>, edit: &Edit<T>) -> bool {
+    match &edit.value {
+        Some(value) => _ = map.insert(edit.id.clone(), value.clone()),
+        None => _ = map.shift_remove(&edit.id),
+    }
+    edit.value.is_some()
 }
--- /dev/null
+++ b/src/step.rs
@@ -0,0 +1,199 @@
+//! The steps of a wave on its VMs, the platform's word on VMs, and the pause on failures that come
+//! together.
+
+use {
+    crate::{
+        budget::Cause,
+        id::{Offset, VmId, WaveId},
+        record::Step,
+        state::{Context, State},
+        verdict::{Reason, Result},
+        wave::{Failure, Pause, Run, Taken, refused},
+    },
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// VMs of one rack that fail together before a wave pauses.
+pub const MAX_RACK_FAILURES: u32 = 2;
+/// VMs of one availability zone that fail together before a wave pauses.
+pub const MAX_ZONE_FAILURES: u32 = 3;
+/// Failures this close to each other count as together.
+pub const FAILURE_WINDOW: Duration = Duration::from_secs(3600);
+
+/// A VM that does not run, by the platform's word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lost {
+    /// Offset of the record that says so.
+    pub since: Offset,
+    /// When it was written, since the Unix epoch.
+    pub at: Duration,
+}
+
+/// A wave's VM that a step concerns.
+pub(crate) struct Target<'a> {
+    pub wave: &'a WaveId,
+    pub run: Offset,
+    pub vm: &'a VmId,
+}
+
+impl State {
+    pub(crate) fn step(&mut self, context: Context, target: &Target<'_>, step: &Step) -> Result {
+        if self.running(target.wave)?.began != target.run {
+            return Err(refused(target.wave, "was begun again"));
+        }
+        match step {
+            Step::Take { boots } => self.take(context, target, *boots),
+            Step::Done => self.done(context, target),
+            Step::Failed { why } => self.fail(context, target, why),
+        }
+    }
+
+    fn take(&mut self, context: Context, target: &Target<'_>, boots: u64) -> Result {
+        self.may_take(target)?;
+        self.drain(context.offset, target.vm, Cause::Wave(target.wave.clone()))?;
+        let taken = Taken { since: context.offset, at: context.at, boots };
+        self.running_mut(target.wave)?.active.insert(target.vm.clone(), taken);
+        Ok(())
+    }
+
+    fn may_take(&self, target: &Target<'_>) -> Result {
+        let run = self.running(target.wave)?;
+        let Some(declared) = self.declaration.waves.get(target.wave) else {
+            return Err(Reason::UnknownWave(target.wave.clone()));
+        };
+        let Some(vm) = self.declaration.vms.get(target.vm) else {
+            return Err(Reason::UnknownVm(target.vm.clone()));
+        };
+        if vm.pool != declared.pool {
+            return Err(Reason::OtherPool { vm: target.vm.clone(), pool: declared.pool.clone() });
+        }
+        if let Some(Cause::Wave(wave)) = self.held_by_wave(target.vm) {
+            return Err(Reason::InWave { vm: target.vm.clone(), wave: wave.clone() });
+        }
+        let forbids = |condition: bool, why: &str| match condition {
+            true => Err(refused(target.wave, why)),
+            false => Ok(()),
+        };
+        forbids(run.paused.is_some(), "is paused")?;
+        forbids(run.cancelled, "is cancelled")?;
+        forbids(run.passed(target.vm), "is through with the vm")?;
+        forbids(self.lost.contains_key(target.vm), "takes no vm that does not run")?;
+        forbids(run.active.len() >= declared.max_at_once as usize, "holds its VMs at once already")
+    }
+
+    /// Takes a VM out of the hands of a wave, if nothing can hold work on it.
+    fn leave(&mut self, target: &Target<'_>) -> Result<Taken> {
+        let since = self.drains.get(target.vm).map_or(0, |d| d.since);
+        if !self.running(target.wave)?.active.contains_key(target.vm) {
+            return Err(refused(target.wave, "does not hold the vm"));
+        }
+        self.empty(target.vm, since)?;
+        let taken = self.running_mut(target.wave)?.active.shift_remove(target.vm);
+        taken.ok_or_else(|| refused(target.wave, "does not hold the vm"))
+    }
+
+    fn done(&mut self, context: Context, target: &Target<'_>) -> Result {
+        let taken = self.leave(target)?;
+        let run = self.running_mut(target.wave)?;
+        run.count += 1;
+        run.spent += context.at.saturating_sub(taken.at);
+        run.done.insert(target.vm.clone());
+        self.finish_move(target.vm);
+        self.let_go(target.vm, &Cause::Wave(target.wave.clone()));
+        self.end_wave(target.wave, context.at);
+        Ok(())
+    }
+
+    fn fail(&mut self, context: Context, target: &Target<'_>, why: &str) -> Result {
+        self.leave(target)?;
+        let Context { offset, at, .. } = context;
+        let failure = Failure { vm: target.vm.clone(), offset, at, why: why.into() };
+        self.running_mut(target.wave)?.failures.push(failure);
+        if let Some(drain) = self.drains.get_mut(target.vm) {
+            drain.holds.push(Cause::Failure);
+        }
+        self.let_go(target.vm, &Cause::Wave(target.wave.clone()));
+        self.pause_on_failures();
+        self.end_wave(target.wave, context.at);
+        Ok(())
+    }
+
+    /// Takes over which VMs run, if the platform's list is newer than the last one.
+    pub(crate) fn health(
+        &mut self,
+        context: Context,
+        as_of: Duration,
+        lost: &[VmId],
+        found: &[VmId],
+    ) -> Result {
+        if as_of <= self.listed {
+            return Err(Reason::OldList);
+        }
+        self.listed = as_of;
+        let news = Lost { since: context.offset, at: context.at };
+        for vm in lost.iter().filter(|vm| self.declaration.vms.contains_key(*vm)) {
+            if self.drains.get(vm).is_none_or(|d| !matches!(d.holds.first(), Some(Cause::Wave(_))))
+            {
+                self.lost.entry(vm.clone()).or_insert(news);
+            }
+        }
+        for vm in found {
+            self.lost.shift_remove(vm);
+        }
+        self.pause_on_failures();
+        Ok(())
+    }
+
+    /// Pauses every wave whose VMs fail together.
+    fn pause_on_failures(&mut self) {
+        let waves = self.waves.iter().filter(|(_, r)| r.ended.is_none() && r.paused.is_none());
+        let pauses: Vec<_> =
+            waves.filter_map(|(id, run)| Some((id.clone(), self.trouble(id, run)?))).collect();
+        for (wave, pause) in pauses {
+            if let Some(run) = self.waves.get_mut(&wave) {
+                run.paused = Some(pause);
+            }
+        }
+    }
+
+    /// Failures in a wave's pool that are reason to pause it.
+    fn trouble(&self, wave: &WaveId, run: &Run) -> Option<Pause> {
+        let declared = self.declaration.waves.get(wave)?;
+        let failed = self.failed(&declared.pool, run);
+        let mut racks: IndexMap<_, u32> = IndexMap::new();
+        let mut zones: IndexMap<_, u32> = IndexMap::new();
+        for vm in failed.iter().filter_map(|id| self.declaration.vms.get(*id)) {
+            *racks.entry((&vm.zone, &vm.rack)).or_default() += 1;
+            *zones.entry(&vm.zone).or_default() += 1;
+        }
+        if let Some(((zone, rack), failed)) =
+            racks.into_iter().find(|(_, n)| *n >= MAX_RACK_FAILURES)
+        {
+            return Some(Pause::Rack { zone: zone.clone(), rack: rack.clone(), failed });
+        }
+        if let Some((zone, failed)) = zones.into_iter().find(|(_, n)| *n >= MAX_ZONE_FAILURES) {
+            return Some(Pause::Zone { zone: zone.clone(), failed });
+        }
+        let failed = failed.len() as u32;
+        let services: Vec<_> =
+            self.services_on(&declared.pool).map(|(id, _)| id.as_str()).collect();
+        let services = services.join(", ");
+        (failed >= declared.max_failures).then_some(Pause::Service { services, failed })
+    }
+
+    /// VMs of a pool that failed lately: in the run since it last began to count, or on their own.
+    fn failed<'a>(&'a self, pool: &'a str, run: &'a Run) -> Vec<&'a VmId> {
+        let since = self.clock.saturating_sub(FAILURE_WINDOW);
+        let counts = |offset: Offset, at: Duration| offset > run.counted && at >= since;
+        let rebooted = run.failures.iter().filter(|f| counts(f.offset, f.at)).map(|f| &f.vm);
+        let lost = self.lost.iter().filter(|(_, lost)| counts(lost.since, lost.at));
+        let lost = lost.map(|(id, _)| id).filter(|id| {
+            let here = self.declaration.vms.get(*id).is_some_and(|vm| vm.pool == pool);
+            here && !run.failures.iter().any(|f| f.vm == **id)
+        });
+        rebooted.chain(lost).collect()
+    }
+}
--- /dev/null
+++ b/src/wave.rs
@@ -0,0 +1,225 @@
+//! Maintenance waves: each VM of a pool is drained, rebooted and returned once.
+//!
+//! The run of a wave is part of the state. Its limits are kept by the state machine, whoever writes
+//! the records: VMs held at once, budgets, and a pause by itself when failures come together. A VM
+//! that a wave has taken leaves it only by `done` or `failed`, after its reboot has ended; so a
+//! reboot that is asked for late, by a controller that was paused, never meets a VM with work.
+
+use {
+    crate::{
+        fleet::{Vm, Wave},
+        id::{Offset, OperationId, RackId, VmId, WaveId, ZoneId},
+        state::State,
+        verdict::{Reason, Result},
+    },
+    displaydoc::Display,
+    indexmap::{IndexMap, IndexSet},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Time of one VM in a wave, until a run has measured its own.
+pub const STEP_ESTIMATE: Duration = Duration::from_secs(600);
+
+/// A VM that a wave holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Taken {
+    /// Offset of the record that took it.
+    pub since: Offset,
+    /// When, since the Unix epoch.
+    pub at: Duration,
+    /// Boots of the VM before.
+    pub boots: u64,
+}
+
+/// A VM whose reboot failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Failure {
+    /// The VM.
+    pub vm: VmId,
+    /// Offset of the record that says so.
+    pub offset: Offset,
+    /// When, since the Unix epoch.
+    pub at: Duration,
+    /// Why, for operators.
+    pub why: String,
+}
+
+/// Why a wave takes no further VM.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Pause {
+    /// an operator paused it: {0}
+    Operator(String),
+    /// {failed} VMs of its pool failed, which serves {services}
+    Service {
+        /// Services on the pool.
+        services: String,
+        /// VMs that failed.
+        failed: u32,
+    },
+    /// {failed} VMs failed in rack {rack:?} of availability zone {zone:?}
+    Rack {
+        /// The availability zone.
+        zone: ZoneId,
+        /// The rack.
+        rack: RackId,
+        /// VMs that failed.
+        failed: u32,
+    },
+    /// {failed} VMs failed in availability zone {zone:?}
+    Zone {
+        /// The availability zone.
+        zone: ZoneId,
+        /// VMs that failed.
+        failed: u32,
+    },
+}
+
+/// A wave that was begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Run {
+    /// Offset of the record that began it.
+    pub began: Offset,
+    /// When, since the Unix epoch.
+    pub at: Duration,
+    /// Offset from which failures count: the begin or the last resume.
+    pub counted: Offset,
+    /// VMs that it holds.
+    pub active: IndexMap<VmId, Taken>,
+    /// VMs that are done; emptied when the run ends.
+    pub done: IndexSet<VmId>,
+    /// Number of VMs done.
+    pub count: u32,
+    /// Time that the VMs done took together.
+    pub spent: Duration,
+    /// VMs that failed.
+    pub failures: Vec<Failure>,
+    /// Why it takes no further VM.
+    pub paused: Option<Pause>,
+    /// Whether an operator cancelled it.
+    pub cancelled: bool,
+    /// When it ended, since the Unix epoch.
+    pub ended: Option<Duration>,
+}
+
+impl Run {
+    fn new(began: Offset, at: Duration) -> Self {
+        Self {
+            began,
+            at,
+            counted: began,
+            active: IndexMap::new(),
+            done: IndexSet::new(),
+            count: 0,
+            spent: Duration::ZERO,
+            failures: Vec::new(),
+            paused: None,
+            cancelled: false,
+            ended: None,
+        }
+    }
+
+    /// Whether the run is through with a VM.
+    pub fn passed(&self, vm: &str) -> bool {
+        self.done.contains(vm) || self.failures.iter().any(|f| f.vm == vm)
+    }
+
+    /// Mean time of a VM in the run.
+    pub fn mean(&self) -> Duration {
+        self.spent.checked_div(self.count).unwrap_or(STEP_ESTIMATE)
+    }
+}
+
+/// Name of the platform's action that reboots a VM for a wave: the same for every controller.
+pub fn reboot(wave: &WaveId, taken: &Taken, vm: &VmId) -> OperationId {
+    format!("reboot/{wave}/{}/{vm}", taken.since)
+}
+
+/// Time that a wave over `vms` VMs takes with `at_once` in maintenance for `step` each.
+pub fn duration(vms: u32, at_once: u32, step: Duration) -> Duration {
+    step * vms.div_ceil(at_once.max(1))
+}
+
+impl State {
+    /// Time until a run ends if nothing fails; none if it is paused or has ended.
+    pub fn remaining(&self, wave: &WaveId) -> Option<Duration> {
+        let run = self.waves.get(wave).filter(|r| r.ended.is_none() && r.paused.is_none())?;
+        let declared = self.declaration.waves.get(wave)?;
+        let left = self.left(declared, run).count() as u32;
+        let tightest =
+            self.services_on(&declared.pool).map(|(_, s)| s.budget.max_unavailable).min();
+        let at_once = declared.max_at_once.min(tightest.unwrap_or(u32::MAX));
+        Some(duration(left, at_once, run.mean()))
+    }
+
+    /// VMs of a wave's pool that its run is not through with.
+    pub fn left<'a>(
+        &'a self,
+        wave: &'a Wave,
+        run: &'a Run,
+    ) -> impl Iterator<Item = (&'a VmId, &'a Vm)> {
+        let vms = self.declaration.vms.iter();
+        vms.filter(move |(id, vm)| vm.pool == wave.pool && !run.passed(id))
+    }
+
+    pub(crate) fn begin(&mut self, wave: &WaveId, offset: Offset, at: Duration) -> Result {
+        if !self.declaration.waves.contains_key(wave) {
+            return Err(Reason::UnknownWave(wave.clone()));
+        }
+        if self.running(wave).is_ok() {
+            return Err(refused(wave, "runs already"));
+        }
+        self.waves.insert(wave.clone(), Run::new(offset, at));
+        self.end_wave(wave, at);
+        Ok(())
+    }
+
+    pub(crate) fn running(&self, wave: &WaveId) -> Result<&Run> {
+        let run = self.waves.get(wave).filter(|r| r.ended.is_none());
+        run.ok_or_else(|| refused(wave, "does not run"))
+    }
+
+    pub(crate) fn running_mut(&mut self, wave: &WaveId) -> Result<&mut Run> {
+        let run = self.waves.get_mut(wave).filter(|r| r.ended.is_none());
+        run.ok_or_else(|| refused(wave, "does not run"))
+    }
+
+    pub(crate) fn pause(&mut self, wave: &WaveId, why: &str) -> Result {
+        self.running_mut(wave)?.paused = Some(Pause::Operator(why.into()));
+        Ok(())
+    }
+
+    pub(crate) fn resume(&mut self, wave: &WaveId, offset: Offset) -> Result {
+        let run = self.running_mut(wave)?;
+        run.paused = None;
+        run.counted = offset;
+        Ok(())
+    }
+
+    pub(crate) fn cancel(&mut self, wave: &WaveId, at: Duration) -> Result {
+        self.running_mut(wave)?.cancelled = true;
+        self.end_wave(wave, at);
+        Ok(())
+    }
+
+    /// Ends a run that holds no VM and has none left to take.
+    pub(crate) fn end_wave(&mut self, wave: &WaveId, at: Duration) {
+        let Ok(run) = self.running(wave) else { return };
+        let Some(declared) = self.declaration.waves.get(wave) else { return };
+        let over =
+            run.active.is_empty() && (run.cancelled || self.left(declared, run).next().is_none());
+        if let Some(run) = self.waves.get_mut(wave).filter(|_| over) {
+            run.ended = Some(at);
+            run.done = IndexSet::new();
+        }
+    }
+}
+
+/// Rejects a step that the wave does not allow.
+pub(crate) fn refused(wave: &WaveId, why: &str) -> Reason {
+    Reason::Wave { wave: wave.clone(), why: why.into() }
+}
