Add the controller that drives waves and moves

Cause: waves and pending moves need one driver that survives pauses and hand-overs without doubling a reboot.

The controller is a pure decision over state, list, known actions and time. It acts only while its lease runs, names reboots after the state, and reads the progress of a reboot before repeating it. The run of a wave, its limits and its pause on failures that come together are in the state machine, so they hold for any number of controllers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod change;
 pub mod check;
+pub mod controller;
 pub mod fleet;
 pub mod history;
 pub mod id;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -60,6 +60,14 @@
         self.state.apply(offset, &record)
     }
 
+    /// Appends and applies a record as it is, unless its operation is in the log already.
+    pub fn push(&mut self, record: Record) {
+        if self.records.iter().all(|r| r.operation != record.operation) {
+            self.state.apply(self.records.len() as Offset, &record);
+            self.records.push(record);
+        }
+    }
+
     /// Appends a record under the control lease in its present epoch.
     pub fn fenced(&mut self, body: Body) -> Verdict {
         let epoch = self.state.epoch(lease::CONTROL);
@@ -112,7 +120,7 @@
 
 /// VM number `index` of a pool, in zone `a` or `b` by turns of four and two to a rack.
 pub fn vm(pool: &str, index: u8) -> Vm {
-    let zone = if (index / 4) % 2 == 0 { "a" } else { "b" };
+    let zone = if (index / 4).is_multiple_of(2) { "a" } else { "b" };
     let rack = format!("{zone}{}", index / 2);
     let address = ([10, 1, pool.len() as u8, index], 80).into();
     Vm { pool: pool.into(), zone: zone.into(), rack, address }
--- /dev/null
+++ b/tests/wave_controller.rs
@@ -0,0 +1,365 @@
+//! Waves as controllers drive them, against a small fake of the platform.
+
+use {
+    carobhitch::{
+        controller::{Action, Controller, Known, TERM, View},
+        fleet::{Declaration, Vm},
+        id::{OperationId, VmId},
+        lease::CONTROL,
+        platform::{Health, List, Listed, Progress},
+        record::{Body, Record},
+        state::State,
+        wave::Pause,
+    },
+    fleet::{Log, START, accepted, declaration, vm},
+    indexmap::IndexMap,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+mod fleet;
+
+const SEED: u64 = 5;
+const REBOOT: Duration = Duration::from_secs(20);
+const LIST_LAG: Duration = Duration::from_secs(5);
+
+/// An entry's controller with what its entry knows.
+struct Driver {
+    controller: Controller,
+    operations: IndexMap<OperationId, Known>,
+    /// While set, the entry sees and does nothing.
+    paused: bool,
+    /// Actions decided before the pause, done after it.
+    delayed: Vec<Action>,
+}
+
+/// A fleet with a fake platform, its entries and their controllers.
+struct World {
+    log: Log,
+    now: Duration,
+    drivers: IndexMap<String, Driver>,
+    reboots: IndexMap<OperationId, (VmId, Duration)>,
+    broken: Vec<VmId>,
+    dead: Vec<VmId>,
+    loss: f64,
+    lag: Duration,
+    random: SmallRng,
+}
+
+impl World {
+    fn new(declaration: Declaration) -> Self {
+        let mut log = Log::new(declaration, &["e", "f"]);
+        accepted(log.add(Body::Begin { wave: "w".into() }));
+        let driver = |entry: &str| Driver {
+            controller: Controller::new(entry.into(), 1),
+            operations: IndexMap::new(),
+            paused: false,
+            delayed: Vec::new(),
+        };
+        Self {
+            now: START + log.now,
+            log,
+            drivers: ["e", "f"].map(|e| (e.to_owned(), driver(e))).into_iter().collect(),
+            reboots: IndexMap::new(),
+            broken: Vec::new(),
+            dead: Vec::new(),
+            loss: 0.0,
+            lag: LIST_LAG,
+            random: SmallRng::seed_from_u64(SEED),
+        }
+    }
+
+    /// Boots of a VM that have ended by `at`.
+    fn boots(&self, vm: &str, at: Duration) -> u64 {
+        let ended = |(id, begun): &&(VmId, Duration)| id == vm && *begun + REBOOT <= at;
+        1 + self.reboots.values().filter(ended).count() as u64
+    }
+
+    fn list(&self) -> List {
+        let at = self.now - self.lag;
+        let listed = |(id, vm): (&VmId, &Vm)| {
+            let begun = self.reboots.values().any(|(v, t)| v == id && *t <= at && at < *t + REBOOT);
+            let health = match (self.dead.contains(id), begun) {
+                (true, _) => Health::Dead,
+                (_, true) => Health::Rebooting,
+                _ => Health::Live,
+            };
+            let boots = self.boots(id, at);
+            let (zone, rack, address) = (vm.zone.clone(), vm.rack.clone(), vm.address);
+            Listed { id: id.clone(), zone, rack, address, health, boots }
+        };
+        let vms = self.log.state.declaration.vms.iter().map(listed).collect();
+        List { as_of_ms: at.as_millis() as u64, vms }
+    }
+
+    fn progress(&self, operation: &str) -> Option<Progress> {
+        let (vm, begun) = self.reboots.get(operation)?;
+        Some(match (self.broken.contains(vm), self.now >= *begun + REBOOT) {
+            (true, _) => Progress::Failed,
+            (_, true) => Progress::Done,
+            (_, false) => Progress::Running,
+        })
+    }
+
+    /// A reboot must find the VM drained and empty, unless it was done before.
+    fn reboot(&mut self, vm: VmId, operation: OperationId) {
+        if self.reboots.contains_key(&operation) {
+            return;
+        }
+        let drain = self.log.state.drains.get(&vm);
+        assert!(drain.is_some_and(|d| d.waiting.is_empty()), "{vm} is rebooted with work on it");
+        self.reboots.insert(operation, (vm, self.now));
+    }
+
+    fn act(&mut self, entry: &str, action: Action) {
+        let lost_before = self.random.random_bool(self.loss);
+        let lost_after = self.random.random_bool(self.loss);
+        let operation = match action {
+            Action::Append(record) => {
+                if !lost_before {
+                    self.log.push(*record);
+                }
+                return;
+            }
+            Action::Reboot { vm, operation } => {
+                if !lost_before {
+                    self.reboot(vm, operation.clone());
+                }
+                operation
+            }
+            Action::Read { operation } => operation,
+        };
+        if !lost_before && !lost_after {
+            let known = Known { progress: self.progress(&operation), at: self.now };
+            self.drivers[entry].operations.insert(operation, known);
+        }
+    }
+
+    fn empty(&mut self) {
+        let waiting: Vec<_> = self
+            .log
+            .state
+            .drains
+            .iter()
+            .flat_map(|(vm, d)| d.waiting.iter().map(|e| (vm.clone(), e.clone(), d.since)))
+            .filter(|(_, entry, _)| !self.drivers[entry].paused)
+            .collect();
+        for (vm, entry, drain) in waiting {
+            let operation = format!("emptied/{vm}/{entry}/{drain}");
+            let body = Body::Emptied { vm, entry: entry.clone(), incarnation: 1, drain };
+            self.log.push(Record { operation, author: entry, at: self.now, body });
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += Duration::from_secs(1);
+        let (list, state) = (self.list(), self.log.state.clone());
+        for entry in self.drivers.keys().cloned().collect::<Vec<_>>() {
+            let driver = &mut self.drivers[&entry];
+            if driver.paused {
+                continue;
+            }
+            let view = View {
+                state: &state,
+                list: Some(&list),
+                operations: &driver.operations,
+                now: self.now,
+            };
+            let mut actions = std::mem::take(&mut driver.delayed);
+            actions.extend(driver.controller.tick(view));
+            actions.into_iter().for_each(|action| self.act(&entry, action));
+        }
+        self.empty();
+        let budget = &self.log.state.declaration.services["s"].budget;
+        let down = self.log.state.unavailable("p").count();
+        assert!(down <= budget.max_unavailable as usize + self.dead.len(), "{down} unavailable");
+    }
+
+    /// Ticks until the condition holds; the ticks that it took.
+    fn until(&mut self, condition: impl Fn(&State) -> bool) -> u32 {
+        for tick in 0..5000 {
+            if condition(&self.log.state) {
+                return tick;
+            }
+            self.tick();
+        }
+        panic!("not reached: {:?}", self.log.state.waves);
+    }
+
+    /// Every VM of the wave's pool was rebooted once.
+    fn check_once(&self) {
+        for vm in self.log.state.declaration.vms.keys().filter(|vm| vm.starts_with('p')) {
+            let times = self.reboots.values().filter(|(v, _)| v == vm).count();
+            assert_eq!(times, 1, "{vm} was rebooted {times} times");
+        }
+    }
+}
+
+fn ended(state: &State) -> bool {
+    state.waves["w"].ended.is_some()
+}
+
+fn holder(state: &State) -> Option<String> {
+    state.leases.get(CONTROL)?.holder.clone()
+}
+
+#[test]
+fn a_wave_reboots_every_vm_once_within_the_budget() {
+    let mut world = World::new(declaration(10, 2));
+    world.until(ended);
+    world.check_once();
+    assert!(world.log.state.drains.is_empty());
+    let run = &world.log.state.waves["w"];
+    assert_eq!(run.count, 10);
+}
+
+#[test]
+fn lost_answers_double_no_reboot() {
+    let mut world = World::new(declaration(10, 2));
+    world.loss = 0.3;
+    world.until(ended);
+    world.check_once();
+}
+
+#[test]
+fn a_wave_takes_zone_by_zone_rack_by_rack_and_empty_vms_first() {
+    let mut world = World::new(declaration(8, 1));
+    accepted(world.log.add(Body::Drain { vm: "p5".into() }));
+    world.now = START + world.log.now;
+    world.empty();
+    world.until(|s| s.waves["w"].done.contains("p5"));
+    accepted(world.log.add(Body::Return { vm: "p5".into() }));
+    world.until(ended);
+    let order: Vec<_> = world.reboots.values().map(|(vm, _)| vm.as_str()).collect();
+    assert_eq!(order, ["p5", "p0", "p1", "p2", "p3", "p4", "p6", "p7"]);
+}
+
+#[test]
+fn a_wave_goes_on_under_another_controller_without_doubling_a_reboot() {
+    for pause in 1..60 {
+        let mut world = World::new(declaration(6, 2));
+        for _ in 0..pause {
+            world.tick();
+        }
+        let first = holder(&world.log.state).unwrap_or("e".into());
+        let incarnation = 1;
+        world.drivers[&first].paused = true;
+        world.tick();
+        let gone = Body::Gone { entry: first.clone(), incarnation };
+        world.log.now = world.now - START;
+        accepted(world.log.add(gone));
+        world.until(ended);
+        assert_ne!(holder(&world.log.state), Some(first));
+        world.check_once();
+    }
+}
+
+#[test]
+fn a_controller_paused_amid_its_actions_does_no_harm_when_it_wakes() {
+    for pause in 1..60 {
+        let mut world = World::new(declaration(6, 2));
+        for _ in 0..pause {
+            world.tick();
+        }
+        let Some(first) = holder(&world.log.state) else { continue };
+        let (list, state) = (world.list(), world.log.state.clone());
+        let driver = &mut world.drivers[&first];
+        let view = View {
+            state: &state,
+            list: Some(&list),
+            operations: &driver.operations,
+            now: world.now + Duration::from_secs(1),
+        };
+        driver.delayed = driver.controller.tick(view);
+        driver.paused = true;
+        for _ in 0..2 * TERM.as_secs() {
+            world.tick();
+        }
+        world.drivers[&first].paused = false;
+        world.until(ended);
+        world.check_once();
+    }
+}
+
+#[test]
+fn a_vm_is_done_only_when_a_list_from_after_its_reboot_shows_it_live() {
+    let mut world = World::new(declaration(2, 1));
+    world.lag = 2 * REBOOT;
+    world.until(|s| !s.waves["w"].done.is_empty());
+    let (_, begun) = &world.reboots[0];
+    assert!(world.now >= *begun + REBOOT + world.lag);
+}
+
+#[test]
+fn a_controller_does_nothing_after_its_lease_ran_out() {
+    let mut world = World::new(declaration(6, 2));
+    world.until(|s| holder(s).is_some());
+    world.tick();
+    let first = holder(&world.log.state).unwrap();
+    let (list, state) = (world.list(), world.log.state.clone());
+    let driver = &mut world.drivers[&first];
+    let now = world.now + 2 * TERM;
+    let view = View { state: &state, list: Some(&list), operations: &driver.operations, now };
+    let actions = driver.controller.tick(view);
+    let only_acquires =
+        |a: &Action| matches!(a, Action::Append(r) if matches!(r.body, Body::Acquire { .. }));
+    assert!(actions.iter().all(only_acquires), "{actions:?}");
+}
+
+#[test]
+fn reboots_that_fail_in_one_rack_pause_the_wave_and_resuming_goes_on() {
+    let mut world = World::new(declaration(8, 3));
+    world.broken = vec!["p0".into(), "p1".into()];
+    world.until(|s| s.waves["w"].paused.is_some());
+    let pause = world.log.state.waves["w"].paused.clone().unwrap();
+    assert_eq!(pause.to_string(), r#"2 VMs failed in rack "a0" of availability zone "a""#);
+    for _ in 0..100 {
+        world.tick();
+    }
+    let held = world.log.state.waves["w"].active.len() + world.log.state.waves["w"].count as usize;
+    world.log.now = world.now - START;
+    accepted(world.log.add(Body::Resume { wave: "w".into() }));
+    world.until(ended);
+    let run = &world.log.state.waves["w"];
+    assert!(held < 8 && run.count == 6 && run.failures.len() == 2);
+    assert!(world.log.state.drains.contains_key("p0"), "a failed vm stays drained");
+}
+
+#[test]
+fn vms_lost_during_a_wave_pause_it_and_spend_its_budget() {
+    let mut world = World::new(declaration(8, 2));
+    for _ in 0..8 {
+        world.tick();
+    }
+    world.dead = vec!["p4".into(), "p6".into()];
+    world.until(|s| s.lost.len() == 2);
+    let pause = world.log.state.waves["w"].paused.clone();
+    assert!(matches!(pause, Some(Pause::Service { failed: 2, .. })), "{pause:?}");
+    world.log.now = world.now - START;
+    accepted(world.log.add(Body::Resume { wave: "w".into() }));
+    world.until(|s| s.waves["w"].active.is_empty());
+    let before = world.reboots.len();
+    for _ in 0..100 {
+        world.tick();
+    }
+    assert_eq!(world.reboots.len(), before, "the lost VMs have spent the budget");
+    world.dead.clear();
+    world.until(ended);
+    world.check_once();
+}
+
+#[test]
+fn declared_moves_are_carried_out_within_the_budget() {
+    let mut world = World::new(declaration(6, 2));
+    accepted(world.log.add(Body::Cancel { wave: "w".into() }));
+    for index in 0..3 {
+        let mut to = vm("p", index);
+        to.pool = "spare".into();
+        accepted(world.log.edit_vm(&format!("p{index}"), Some(to)));
+    }
+    world.now = START + world.log.now;
+    world.until(|s| s.moves.is_empty());
+    let inside = |v: &&Vm| v.pool == "spare";
+    assert_eq!(world.log.state.declaration.vms.values().filter(inside).count(), 4);
+    assert!(world.log.state.drains.is_empty());
+}
