--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record;
 pub mod request;
 pub mod settings;
+pub mod snapshot;
 pub mod state;
 pub mod step;
 pub mod verdict;
