Add the entry daemon: engine, server, exchanges and supervisor tree

Cause: nothing served a request yet. The engine decides without input or output; hyper serves callers and reaches endpoints, since oxhttp has neither a graceful stop, keep-alive on its client, nor a way to abandon a call; oxhttp stays on the platform's side, where calls are short and blocking. Ruled out for now: sharing slots by demand and claims for orders, which replace the static shares next.

--- /dev/null
+++ b/src/bin/carobhitch-entry/app.rs
@@ -0,0 +1,34 @@
+//! Runs what the command line asks for.
+
+use {
+    crate::config,
+    carobhitch::daemon,
+    clap::ArgMatches,
+    simplelog::{ConfigBuilder, LevelFilter, SimpleLogger},
+};
+
+/// Exit status for a failure while running.
+const FAILED: u8 = 1;
+/// Exit status for bad use or a bad file.
+const BAD_USE: u8 = 2;
+
+/// Why the daemon ends with an error.
+pub(crate) struct Failure {
+    /// One line for the operator.
+    pub(crate) text: String,
+    /// Exit status.
+    pub(crate) status: u8,
+}
+
+/// Checks the settings, or runs the entry.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let config = config::load(matches).map_err(|text| Failure { text, status: BAD_USE })?;
+    if config.check {
+        println!("settings are valid");
+        return Ok(());
+    }
+    let level = config.settings.log.parse().unwrap_or(LevelFilter::Info);
+    // A logger that is already set keeps working.
+    let _ = SimpleLogger::init(level, ConfigBuilder::new().build());
+    daemon::run(config.settings).map_err(|e| Failure { text: e.to_string(), status: FAILED })
+}
--- a/src/bin/carobhitch-entry/main.rs
+++ b/src/bin/carobhitch-entry/main.rs
@@ -1,2 +1,18 @@
-//! bin
-fn main() {}
+//! The daemon on an entry VM.
+
+mod app;
+mod clap_app;
+mod config;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = clap_app::build().get_matches();
+    match app::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("carobhitch-entry: {}", failure.text);
+            ExitCode::from(failure.status)
+        }
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,151 @@
+//! Client of the platform's service, over blocking HTTP/1.1.
+//!
+//! Every call opens a connection of its own, so a connection that has gone silent costs one timeout
+//! and no later call. A call that timed out may have taken effect: callers repeat it with the same id.
+
+use {
+    crate::{
+        id::{Offset, OperationId, VmId},
+        platform::{Action, Append, Appended, List, Operation, Page},
+    },
+    displaydoc::Display,
+    oxhttp::model::{Body, Method, Request, StatusCode, header::CONTENT_TYPE},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, result, time::Duration},
+};
+
+/// Time allowed for connecting and for each read or write.
+const IO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a read of a stream waits for a new record.
+pub const READ_WAIT: Duration = Duration::from_secs(1);
+
+/// Why a call to the platform failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {step} at {peer}: {source}
+    Io {
+        /// What was attempted.
+        step: String,
+        /// The platform's address.
+        peer: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// {step} at {peer}: answered {status}
+    Status {
+        /// What was attempted.
+        step: String,
+        /// The platform's address.
+        peer: SocketAddr,
+        /// Status of the answer.
+        status: u16,
+    },
+    /// {step} at {peer}: records below {first} are gone
+    Trimmed {
+        /// What was attempted.
+        step: String,
+        /// The platform's address.
+        peer: SocketAddr,
+        /// Lowest offset still kept.
+        first: Offset,
+    },
+    /// {step} at {peer}: bad answer: {source}
+    Decode {
+        /// What was attempted.
+        step: String,
+        /// The platform's address.
+        peer: SocketAddr,
+        /// Cause.
+        source: serde_json::Error,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Result of a call to the platform.
+pub type Result<T> = result::Result<T, Error>;
+
+/// Connection settings of the platform's service.
+pub struct Client {
+    http: oxhttp::Client,
+    peer: SocketAddr,
+}
+
+impl Client {
+    /// Prepares calls to the platform at `peer`.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self { http: oxhttp::Client::new().with_global_timeout(IO_TIMEOUT), peer }
+    }
+
+    /// Appends a record; repeating it with the same id has no further effect.
+    pub fn append(&self, stream: &str, record: &Append) -> Result<Appended> {
+        let step = format!("append {} to log stream {stream}", record.id);
+        self.post(step, &format!("/streams/{stream}/records"), record)
+    }
+
+    /// Reads records from `from`, waiting for the first up to [`READ_WAIT`].
+    pub fn read(&self, stream: &str, from: Offset, max: usize) -> Result<Page> {
+        let step = format!("read log stream {stream} from {from}");
+        let wait = READ_WAIT.as_millis();
+        let path = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait}");
+        self.call(step, Method::GET, &path, Body::empty())
+    }
+
+    /// Reads the list of VMs.
+    pub fn list(&self) -> Result<List> {
+        self.call(String::from("list VMs"), Method::GET, "/vms", Body::empty())
+    }
+
+    /// Reboots a VM; repeating it with the same operation has no further effect.
+    pub fn reboot(&self, vm: &VmId, operation: &OperationId) -> Result<Operation> {
+        let step = format!("reboot VM {vm} as {operation}");
+        self.post(step, &format!("/vms/{vm}/reboot"), &Action { operation: operation.clone() })
+    }
+
+    /// Reads how far an action is.
+    pub fn operation(&self, operation: &OperationId) -> Result<Operation> {
+        let step = format!("read operation {operation}");
+        self.call(step, Method::GET, &format!("/operations/{operation}"), Body::empty())
+    }
+
+    fn post<T: DeserializeOwned>(
+        &self,
+        step: String,
+        path: &str,
+        content: &impl Serialize,
+    ) -> Result<T> {
+        let text = match serde_json::to_vec(content) {
+            Ok(text) => text,
+            Err(source) => return Err(Error::Decode { step, peer: self.peer, source }),
+        };
+        self.call(step, Method::POST, path, Body::from(text))
+    }
+
+    fn call<T: DeserializeOwned>(
+        &self,
+        step: String,
+        method: Method,
+        path: &str,
+        body: Body,
+    ) -> Result<T> {
+        let peer = self.peer;
+        let fail = |step: &str, source| Error::Io { step: step.to_string(), peer, source };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{peer}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(body)
+            .map_err(|e| fail(&step, std::io::Error::other(e)))?;
+        let response = self.http.request(request).map_err(|e| fail(&step, e))?;
+        let status = response.status();
+        let text = response.into_body().to_vec().map_err(|e| fail(&step, e))?;
+        if status == StatusCode::GONE {
+            let first = serde_json::from_slice::<Page>(&text).map_or(0, |page| page.first);
+            return Err(Error::Trimmed { step, peer, first });
+        }
+        if !status.is_success() {
+            return Err(Error::Status { step, peer, status: status.as_u16() });
+        }
+        serde_json::from_slice(&text).map_err(|source| Error::Decode { step, peer, source })
+    }
+}
--- /dev/null
+++ b/src/supervise.rs
@@ -0,0 +1,216 @@
+//! A tree of supervised threads.
+//!
+//! A part that fails or panics is started again after a pause that doubles. A part that fails
+//! [`MAX_RESTARTS`] times within [`WINDOW`], or whose loss can't be mended, ends the whole tree: the
+//! other parts are asked to stop, last started first, and the tree returns the first failure.
+
+use {
+    crossbeam::channel::{Receiver, Sender, bounded, unbounded},
+    displaydoc::Display,
+    log::{info, warn},
+    std::{
+        collections::VecDeque,
+        panic::{AssertUnwindSafe, catch_unwind},
+        result,
+        sync::Arc,
+        thread::{Builder, JoinHandle},
+        time::{Duration, Instant},
+    },
+};
+
+/// Failures within [`WINDOW`] after which a part is given up.
+pub const MAX_RESTARTS: usize = 5;
+/// Time over which failures are counted.
+pub const WINDOW: Duration = Duration::from_secs(30);
+/// Pause before the first restart.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before a restart.
+const LAST_PAUSE: Duration = Duration::from_secs(5);
+
+/// Why a part, or the tree, ended.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// part {part} failed: {cause}
+    Failed {
+        /// Name of the part.
+        part: String,
+        /// Cause.
+        cause: String,
+    },
+    /// part {part} failed {times} times, last: {cause}
+    GivenUp {
+        /// Name of the part.
+        part: String,
+        /// Failures counted.
+        times: usize,
+        /// Last cause.
+        cause: String,
+    },
+    /// start part {part}: {cause}
+    Start {
+        /// Name of the part.
+        part: String,
+        /// Cause.
+        cause: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Result of a part or of the tree.
+pub type Result<T> = result::Result<T, Error>;
+
+/// Tells a part that it should stop.
+#[derive(Clone)]
+pub struct Stop {
+    receiver: Receiver<()>,
+}
+
+impl Stop {
+    /// Whether the part should stop.
+    pub fn asked(&self) -> bool {
+        matches!(self.receiver.try_recv(), Err(crossbeam::channel::TryRecvError::Disconnected))
+    }
+
+    /// Waits up to `pause`; true if the part should stop.
+    pub fn wait(&self, pause: Duration) -> bool {
+        matches!(
+            self.receiver.recv_timeout(pause),
+            Err(crossbeam::channel::RecvTimeoutError::Disconnected)
+        )
+    }
+
+    /// Channel that is disconnected when the part should stop.
+    pub fn channel(&self) -> &Receiver<()> {
+        &self.receiver
+    }
+}
+
+/// What follows a part's failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Start it again: it keeps nothing that would be missed.
+    Restart,
+    /// End the tree: what it held in memory is lost with it.
+    Escalate,
+}
+
+/// Body of a part: ends well if it was asked to stop, otherwise tells why it failed.
+pub type Run = Arc<dyn Fn(&Stop) -> result::Result<(), String> + Send + Sync>;
+
+/// One part of the tree.
+pub struct Part {
+    /// Name, also of its thread.
+    pub name: &'static str,
+    /// What follows its failure.
+    pub policy: Policy,
+    /// Runs until it is asked to stop, or fails.
+    pub run: Run,
+}
+
+struct Running {
+    name: &'static str,
+    stop: Option<Sender<()>>,
+    thread: JoinHandle<()>,
+}
+
+/// A started tree.
+pub struct Tree {
+    running: Vec<Running>,
+    ends: Receiver<Result<&'static str>>,
+}
+
+impl Tree {
+    /// Starts the parts in order.
+    pub fn start(parts: Vec<Part>) -> Result<Self> {
+        let (report, ends) = unbounded();
+        let mut tree = Self { running: Vec::new(), ends };
+        for part in parts {
+            match spawn(part, report.clone()) {
+                Ok(running) => tree.running.push(running),
+                Err(error) => {
+                    tree.stop();
+                    return Err(error);
+                }
+            }
+        }
+        Ok(tree)
+    }
+
+    /// Waits until a part ends, then stops the others; the error is the first failure.
+    pub fn join(mut self) -> Result<()> {
+        let first = self.ends.recv();
+        self.stop();
+        match first {
+            Ok(Ok(name)) => {
+                info!("supervise: Part {name} ended.");
+                Ok(())
+            }
+            Ok(Err(error)) => Err(error),
+            Err(_) => Ok(()),
+        }
+    }
+
+    fn stop(&mut self) {
+        while let Some(mut last) = self.running.pop() {
+            drop(last.stop.take());
+            if last.thread.join().is_err() {
+                warn!("supervise: Thread of part {} panicked.", last.name);
+            }
+        }
+    }
+}
+
+fn spawn(part: Part, report: Sender<Result<&'static str>>) -> Result<Running> {
+    let (sender, receiver) = bounded(0);
+    let stop = Stop { receiver };
+    let name = part.name;
+    let thread = Builder::new()
+        .name(name.to_string())
+        .spawn(move || {
+            // The receiver is gone only if the tree has already ended.
+            let _ = report.send(keep_running(&part, &stop));
+        })
+        .map_err(|e| Error::Start { part: name.to_string(), cause: e.to_string() })?;
+    Ok(Running { name, stop: Some(sender), thread })
+}
+
+fn keep_running(part: &Part, stop: &Stop) -> Result<&'static str> {
+    let mut failures = VecDeque::new();
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let Err(cause) = run_once(part, stop) else {
+            return Ok(part.name);
+        };
+        let named = part.name.to_string();
+        if part.policy == Policy::Escalate {
+            return Err(Error::Failed { part: named, cause });
+        }
+        let now = Instant::now();
+        failures.push_back(now);
+        while failures.front().is_some_and(|t| now.duration_since(*t) > WINDOW) {
+            failures.pop_front();
+        }
+        if failures.len() == 1 {
+            pause = FIRST_PAUSE;
+        }
+        if failures.len() >= MAX_RESTARTS {
+            return Err(Error::GivenUp { part: named, times: failures.len(), cause });
+        }
+        warn!("supervise: Part {named} failed: {cause}. Restarts in {pause:?}.");
+        if stop.wait(pause) {
+            return Ok(part.name);
+        }
+        pause = (pause * 2).min(LAST_PAUSE);
+    }
+}
+
+fn run_once(part: &Part, stop: &Stop) -> result::Result<(), String> {
+    catch_unwind(AssertUnwindSafe(|| (part.run)(stop))).unwrap_or_else(|panic| {
+        let text = panic
+            .downcast_ref::<&str>()
+            .map(|s| s.to_string())
+            .or_else(|| panic.downcast_ref::<String>().cloned());
+        Err(format!("panicked: {}", text.unwrap_or_default()))
+    })
+}
