Add a stand-in of the platform

Log streams with offsets, idempotent appends, retention and long polls; a lagging list of VMs with reboots; tasks under leases; faults switched while it runs. oxhttp's server was ruled out: it can't report the port chosen by the kernel and answers every request, so hyper serves on a runtime in one thread.

--- /dev/null
+++ b/standin/src/bin/carobhitch-load/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Stand-ins.
+//! Small stand-ins for the platform, the endpoints and the callers.
+//!
+//! They take the place of what carobhitch talks to, in tests and on a developer's machine, and can
+//! be given faults while they run. Nothing here is part of the product.
+
+pub mod client;
+pub mod fault;
+pub mod machine;
+pub mod payload;
+pub mod platform;
+pub mod server;
+pub mod stream;
+pub mod task;
--- /dev/null
+++ b/standin/src/payload.rs
@@ -0,0 +1,60 @@
+//! Body of an answer, which can be made to end too early.
+
+use {
+    bytes::Bytes,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        io::{Error, ErrorKind},
+        pin::Pin,
+        task::{Context, Poll},
+    },
+};
+
+/// Body of an answer.
+#[derive(Debug, Default)]
+pub struct Payload {
+    data: Option<Bytes>,
+    missing_bytes: u64,
+}
+
+impl Payload {
+    /// Sends all of `data`.
+    pub fn whole(data: impl Into<Bytes>) -> Self {
+        Self { data: Some(data.into()), missing_bytes: 0 }
+    }
+
+    /// Announces all of `data`, sends the first half of it and breaks the connection.
+    pub fn cut(data: impl Into<Bytes>) -> Self {
+        let data = data.into();
+        let half = data.len() / 2;
+        let missing_bytes = (data.len() - half) as u64;
+        Self { data: Some(data.slice(..half)), missing_bytes }
+    }
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(data) = self.data.take().filter(|d| !d.is_empty()) {
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+        if self.missing_bytes > 0 {
+            return Poll::Ready(Some(Err(Error::from(ErrorKind::ConnectionReset))));
+        }
+        Poll::Ready(None)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.missing_bytes == 0 && self.data.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let data_bytes = self.data.as_ref().map_or(0, |d| d.len() as u64);
+        SizeHint::with_exact(data_bytes + self.missing_bytes)
+    }
+}
