Add a stand-in of an endpoint

Slots, connections, a ledger of the orders that it ran, reboots, and faults: silence on open connections, late, crossed and cut answers, failing, doubling, leaving.

--- a/standin/src/bin/carobhitch-runner/main.rs
+++ b/standin/src/bin/carobhitch-runner/main.rs
@@ -1,2 +1,49 @@
-//! Stub.
-fn main() {}
+//! Stands in for an endpoint.
+
+mod clap_app;
+
+use {
+    carobhitch_standin::runner::{self, Config},
+    clap::ArgMatches,
+    log::LevelFilter,
+    simplelog::{ColorChoice, TermLogger, TerminalMode},
+    std::{error::Error, net::SocketAddr, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    match run(&clap_app::matches()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("carobhitch-runner: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let config = simplelog::Config::default();
+    TermLogger::init(LevelFilter::Info, config, TerminalMode::Stderr, ColorChoice::Never)?;
+    let runner = runner::spawn(read(matches)?)?;
+    println!("listening on {}", runner.public.address);
+    println!("control on {}", runner.control.address);
+    runner.public.join();
+    Ok(())
+}
+
+fn read(matches: &ArgMatches) -> Result<Config, Box<dyn Error>> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let number = |name: &str| matches.get_one::<u32>(name).copied().unwrap_or_default();
+    let address = |name: &str| matches.get_one::<SocketAddr>(name).copied();
+    Ok(Config {
+        id: text("id"),
+        service: text("service"),
+        zone: text("zone"),
+        rack: text("rack"),
+        listen: address("listen").ok_or("no address")?,
+        control: address("control").ok_or("no address")?,
+        slots: number("slots"),
+        connections: number("connections") as usize,
+        platform: address("platform"),
+        faults: serde_json::from_str(&text("faults"))?,
+    })
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod client;
 pub mod fault;
+pub mod identity;
 pub mod machine;
 pub mod payload;
 pub mod platform;
+pub mod runner;
 pub mod server;
 pub mod stream;
 pub mod task;
