Add links between entries and the table of members

Cause: entries must know of each other's life and exchange messages. A silent entry is only suspected; an incarnation counts as gone on proof alone (refused connection, another incarnation, platform's list, log), so a cut or a pause never passes its slots on. Not measured yet.

--- a/src/client.rs
+++ b/src/client.rs
@@ -16,7 +16,7 @@
 
 /// Time allowed for connecting and for each read or write.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time that a read of a stream waits for a new record.
+/// Time that a read of a stream waits for a new record once the reader has caught up.
 pub const READ_WAIT: Duration = Duration::from_secs(1);
 
 /// Why a call to the platform failed.
@@ -83,10 +83,10 @@
         self.post(step, &format!("/streams/{stream}/records"), record)
     }
 
-    /// Reads records from `from`, waiting for the first up to [`READ_WAIT`].
-    pub fn read(&self, stream: &str, from: Offset, max: usize) -> Result<Page> {
+    /// Reads records from `from`, waiting for the first up to `wait`.
+    pub fn read(&self, stream: &str, from: Offset, max: usize, wait: Duration) -> Result<Page> {
         let step = format!("read log stream {stream} from {from}");
-        let wait = READ_WAIT.as_millis();
+        let wait = wait.as_millis();
         let path = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait}");
         self.call(step, Method::GET, &path, Body::empty())
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -252,11 +252,13 @@
     let shared = shared.clone();
     let run = move |stop: &Stop| {
         let mut from = shared.status().next;
+        let mut wait = Duration::ZERO;
         let stream = Stream::Fleet;
         while !stop.asked() {
-            let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS) {
+            let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
                 Ok(page) => {
                     from = page.records.last().map_or(from, |last| last.offset + 1);
+                    wait = if from >= page.end { client::READ_WAIT } else { Duration::ZERO };
                     Event::Read { stream, page }
                 }
                 Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod exchange;
 pub mod fleet;
 pub mod id;
+pub mod link;
+pub mod member;
 pub mod platform;
 pub mod record;
 pub mod request;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,330 @@
+//! Links between entries: one `h2` connection for each direction, frames encoded by `bincode`.
+//!
+//! The entry that connects opens one stream and sends its frames in the request's body; the other
+//! answers with a frame for each heartbeat. A connection on which a heartbeat stays unanswered for
+//! [`SILENCE`] is closed and a new one is opened: connections go silent for good while new ones
+//! work. Messages are dropped when the peer can't be reached; their senders repeat what matters.
+
+use {
+    crate::{
+        event::{Contact, Event},
+        id::{EntryId, Incarnation},
+        wire::{self, Frame, Message},
+    },
+    bytes::BytesMut,
+    crossbeam::channel::Sender,
+    displaydoc::Display,
+    h2::{RecvStream, SendStream, client, server},
+    hyper::{Request, Response},
+    log::debug,
+    std::{
+        collections::HashMap,
+        io::ErrorKind,
+        net::SocketAddr,
+        result,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Time allowed for opening a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without an answer to a heartbeat after which a connection is given up.
+pub const SILENCE: Duration = Duration::from_millis(1500);
+/// Pause after a failed connection.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Messages that wait for a link, at most; further ones are dropped.
+const QUEUE_MESSAGES: usize = 1024;
+/// Time without a message after which a link is closed.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Why a link failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {step} with {peer}: {source}
+    Http {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the other entry.
+        peer: SocketAddr,
+        /// Cause.
+        source: h2::Error,
+    },
+    /// {step} with {peer}: {source}
+    Frame {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the other entry.
+        peer: SocketAddr,
+        /// Cause.
+        source: wire::Error,
+    },
+    /// {step} with {peer}: no answer
+    Silent {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the other entry.
+        peer: SocketAddr,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Result of an operation on a link.
+pub type Result<T> = result::Result<T, Error>;
+
+/// What every link of this entry needs.
+pub struct Local {
+    /// Name of this entry.
+    pub id: EntryId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Where received messages go.
+    pub events: Sender<Event>,
+    /// Bytes sent and received on links.
+    pub bytes: AtomicU64,
+}
+
+impl Local {
+    fn frame(&self, message: Message) -> Frame {
+        Frame { from: self.id.clone(), incarnation: self.incarnation, message }
+    }
+
+    fn tell(&self, event: Event) {
+        // The engine is gone only while the whole process ends.
+        let _ = self.events.send(event);
+    }
+
+    fn count(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// Links to other entries, opened when there is something to send.
+pub struct Links {
+    local: Arc<Local>,
+    open: HashMap<SocketAddr, mpsc::Sender<Message>>,
+}
+
+impl Links {
+    /// Begins without a link.
+    pub fn new(local: Arc<Local>) -> Self {
+        Self { local, open: HashMap::new() }
+    }
+
+    /// Sends a message, or drops it if too many wait already.
+    pub fn send(&mut self, peer: SocketAddr, message: Message) {
+        let link = match self.open.get(&peer).filter(|link| !link.is_closed()) {
+            Some(link) => link,
+            None => {
+                let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
+                tokio::spawn(keep(self.local.clone(), peer, receiver));
+                self.open.entry(peer).insert_entry(sender).into_mut()
+            }
+        };
+        if link.try_send(message).is_err() {
+            debug!("link: A message to {peer} was dropped.");
+        }
+    }
+}
+
+/// Keeps one link open while there are messages for it.
+async fn keep(local: Arc<Local>, peer: SocketAddr, mut messages: mpsc::Receiver<Message>) {
+    loop {
+        let contact = match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
+            Ok(Ok(socket)) => match send_all(&local, peer, socket, &mut messages).await {
+                Ok(()) => return,
+                Err(error) => {
+                    debug!("link: {error}.");
+                    Contact::Silent
+                }
+            },
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Contact::Refused,
+            _ => Contact::Silent,
+        };
+        local.tell(Event::Linked { peer, contact });
+        sleep(PAUSE).await;
+        // What waited is out of date by now.
+        while messages.try_recv().is_ok() {}
+    }
+}
+
+/// Sends messages until none has come for [`IDLE`]; fails when the connection does.
+async fn send_all(
+    local: &Local,
+    peer: SocketAddr,
+    socket: TcpStream,
+    messages: &mut mpsc::Receiver<Message>,
+) -> Result<()> {
+    // A socket that refuses the option still works.
+    let _ = socket.set_nodelay(true);
+    let http = |step| move |source| Error::Http { step, peer, source };
+    let shake = timeout(CONNECT_TIMEOUT, client::handshake(socket)).await;
+    let (sender, connection) =
+        shake.map_err(|_| Error::Silent { step: "open link", peer })?.map_err(http("open link"))?;
+    let _connection = Task(tokio::spawn(async move {
+        // Its failure also ends the streams' own calls, which report it.
+        let _ = connection.await;
+    }));
+    let mut sender = sender.ready().await.map_err(http("open stream"))?;
+    let (answer, mut stream) =
+        sender.send_request(Request::new(()), false).map_err(http("open stream"))?;
+    let answer = timeout(SILENCE, answer).await;
+    let mut answers = answer
+        .map_err(|_| Error::Silent { step: "open stream", peer })?
+        .map_err(http("open stream"))?
+        .into_body();
+    let mut buffer = BytesMut::new();
+    let mut unanswered: Option<Instant> = None;
+    loop {
+        let limit = unanswered.map_or_else(|| Instant::now() + IDLE, |since| since + SILENCE);
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                if matches!(message, Message::Beat(_)) {
+                    unanswered.get_or_insert_with(Instant::now);
+                }
+                send(local, peer, &mut stream, message)?;
+            }
+            frames = receive(local, peer, &mut answers, &mut buffer) => {
+                let Some(frames) = frames? else {
+                    return Err(Error::Silent { step: "read answers", peer });
+                };
+                for frame in frames {
+                    unanswered = None;
+                    let contact = Contact::Answered { id: frame.from, incarnation: frame.incarnation };
+                    local.tell(Event::Linked { peer, contact });
+                }
+            }
+            _ = tokio::time::sleep_until(limit) => {
+                if unanswered.is_none() {
+                    return Ok(());
+                }
+                return Err(Error::Silent { step: "await answer to heartbeat", peer });
+            }
+        }
+    }
+}
+
+/// A task that ends when this is dropped.
+struct Task(tokio::task::JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn send(
+    local: &Local,
+    peer: SocketAddr,
+    stream: &mut SendStream<bytes::Bytes>,
+    message: Message,
+) -> Result<()> {
+    let step = "send message";
+    let bytes = wire::encode(&local.frame(message)).map_err(|source| Error::Frame {
+        step,
+        peer,
+        source,
+    })?;
+    local.count(bytes.len());
+    stream.send_data(bytes, false).map_err(|source| Error::Http { step, peer, source })
+}
+
+/// Frames that have arrived whole; none at the stream's end.
+async fn receive(
+    local: &Local,
+    peer: SocketAddr,
+    stream: &mut RecvStream,
+    buffer: &mut BytesMut,
+) -> Result<Option<Vec<Frame>>> {
+    let step = "receive message";
+    let Some(data) = stream.data().await else {
+        return Ok(None);
+    };
+    let data = data.map_err(|source| Error::Http { step, peer, source })?;
+    local.count(data.len());
+    // The stream has ended if its window can't be opened, which the next read reports.
+    let _ = stream.flow_control().release_capacity(data.len());
+    buffer.extend_from_slice(&data);
+    let mut frames = Vec::new();
+    while let Some(frame) =
+        wire::decode(buffer).map_err(|source| Error::Frame { step, peer, source })?
+    {
+        frames.push(frame);
+    }
+    Ok(Some(frames))
+}
+
+/// Accepts links of other entries; ends with its task.
+pub async fn listen(listener: TcpListener, local: Arc<Local>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, peer)) => {
+                let _ = socket.set_nodelay(true);
+                let local = local.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = accept(local, peer, socket).await {
+                        debug!("link: {error}.");
+                    }
+                });
+            }
+            Err(error) => {
+                debug!("link: Accept failed: {error}.");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept(local: Arc<Local>, peer: SocketAddr, socket: TcpStream) -> Result<()> {
+    let http = |step| move |source| Error::Http { step, peer, source };
+    let shake = timeout(CONNECT_TIMEOUT, server::handshake(socket)).await;
+    let mut connection = shake
+        .map_err(|_| Error::Silent { step: "accept link", peer })?
+        .map_err(http("accept link"))?;
+    while let Some(stream) = connection.accept().await {
+        let (request, mut respond) = stream.map_err(http("accept stream"))?;
+        let answers =
+            respond.send_response(Response::new(()), false).map_err(http("accept stream"))?;
+        let local = local.clone();
+        tokio::spawn(async move {
+            if let Err(error) = receive_all(&local, peer, request.into_body(), answers).await {
+                debug!("link: {error}.");
+            }
+        });
+    }
+    Ok(())
+}
+
+async fn receive_all(
+    local: &Local,
+    peer: SocketAddr,
+    mut stream: RecvStream,
+    mut answers: SendStream<bytes::Bytes>,
+) -> Result<()> {
+    let mut buffer = BytesMut::new();
+    loop {
+        let frames = timeout(IDLE * 2, receive(local, peer, &mut stream, &mut buffer)).await;
+        let frames = frames.map_err(|_| Error::Silent { step: "receive message", peer })??;
+        let Some(frames) = frames else {
+            return Ok(());
+        };
+        for frame in frames {
+            if let Message::Beat(beat) = &frame.message {
+                let sequence = beat.sequence;
+                send(local, peer, &mut answers, Message::Ack { sequence })?;
+            }
+            let Frame { from, incarnation, message } = frame;
+            local.tell(Event::Message { from, incarnation, message });
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -50,6 +50,11 @@
 pub enum Message {
     /// Heartbeat.
     Beat(Beat),
+    /// Answer to a heartbeat, on the link that brought it.
+    Ack {
+        /// Number of the heartbeat.
+        sequence: u64,
+    },
     /// Asks for records or a state from an offset.
     Fetch {
         /// First offset that the sender lacks.
