Serve operators' calls by gRPC from a committed schema

Operators need reviewable, repeatable calls that any gRPC client can make. The declaration travels as JSON, the rest typed; verdicts as gRPC errors were ruled out, because a client could not tell a refusal from a lost answer (docs/design/operator-rpc.md).

Moves, waves and burn answer unimplemented until the state records them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod platform;
 pub mod record;
 pub mod request;
+pub mod rpc;
 pub mod settings;
 pub mod state;
--- /dev/null
+++ b/src/rpc/client.rs
@@ -0,0 +1,112 @@
+//! Calls an entry, and the next one if it gives no answer.
+
+use {
+    super::{Cause, Error, MAX_MESSAGE_BYTES, Result, proto::operator_client::OperatorClient},
+    std::{future::Future, net::SocketAddr, thread, time::Duration},
+    tokio::runtime::Runtime,
+    tonic::{
+        Code, Response, Status,
+        transport::{Channel, Endpoint},
+    },
+};
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Times that each entry is asked.
+const ROUNDS: usize = 2;
+/// Time before the entries are asked again.
+const ROUND_DELAY: Duration = Duration::from_millis(500);
+
+type Stub = OperatorClient<Channel>;
+type Answer<T> = std::result::Result<Response<T>, Status>;
+
+/// Asks entries in turn; blocks the thread.
+pub struct Client {
+    runtime: Runtime,
+    entries: Vec<SocketAddr>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client of these entries that waits up to `timeout` for each answer.
+    pub fn new(entries: Vec<SocketAddr>, timeout: Duration) -> Result<Self> {
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| {
+                Error {
+                    step: "start runtime",
+                    peer: String::from("this process"),
+                    cause: Cause::Unavailable(e.to_string()),
+                }
+            })?;
+        Ok(Self { runtime, entries, timeout })
+    }
+
+    /// Calls the first entry that answers.
+    ///
+    /// The call is repeated after an error that leaves its outcome open, so it must be idempotent.
+    pub fn call<T, F>(&self, step: &'static str, call: impl Fn(Stub) -> F) -> Result<T>
+    where
+        F: Future<Output = Answer<T>>,
+    {
+        let mut last = Error {
+            step,
+            peer: String::from("any entry"),
+            cause: Cause::Invalid(String::from("no entry is named")),
+        };
+        for round in 0..ROUNDS {
+            if round > 0 {
+                thread::sleep(ROUND_DELAY);
+            }
+            for entry in &self.entries {
+                match self.runtime.block_on(self.ask(*entry, &call)) {
+                    Ok(answer) => return Ok(answer),
+                    Err(status) => last = error(step, *entry, &status),
+                }
+                if matches!(last.cause, Cause::Invalid(_)) {
+                    return Err(last);
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn ask<T, F>(
+        &self,
+        entry: SocketAddr,
+        call: impl Fn(Stub) -> F,
+    ) -> std::result::Result<T, Status>
+    where
+        F: Future<Output = Answer<T>>,
+    {
+        let endpoint = Endpoint::from_shared(format!("http://{entry}"))
+            .map_err(|e| Status::invalid_argument(e.to_string()))?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(self.timeout);
+        let channel = endpoint.connect().await.map_err(|e| Status::unavailable(text(&e)))?;
+        let stub = OperatorClient::new(channel)
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        Ok(call(stub).await?.into_inner())
+    }
+}
+
+fn error(step: &'static str, entry: SocketAddr, status: &Status) -> Error {
+    let message = String::from(status.message());
+    let cause = match status.code() {
+        Code::Unavailable => Cause::Unavailable(message),
+        Code::InvalidArgument | Code::Unimplemented | Code::OutOfRange => Cause::Invalid(message),
+        _ => Cause::Unknown(message),
+    };
+    Error { step, peer: entry.to_string(), cause }
+}
+
+/// Text of an error and of what caused it.
+fn text(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = cause.to_string();
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/rpc/server.rs
@@ -0,0 +1,234 @@
+//! Serves operators' calls, health and reflection on one thread.
+
+use {
+    super::{
+        Cause, Error, Gate, MAX_MESSAGE_BYTES, Result,
+        proto::{
+            self,
+            operator_server::{Operator, OperatorServer},
+        },
+        reply,
+    },
+    crate::{
+        fleet::Declaration,
+        record::{Body, Record},
+    },
+    std::{
+        future::Future,
+        net::TcpListener,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::oneshot,
+    tonic::{
+        Request, Response, Status,
+        transport::{Server, server::TcpIncoming},
+    },
+    tonic_health::server::HealthReporter,
+};
+
+/// Time after which a call without a verdict is answered as unknown.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two probes of an idle connection.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after `stop` for the calls in progress.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two looks at the entry's readiness.
+const READY_INTERVAL: Duration = Duration::from_millis(200);
+/// Calls at once on one connection.
+const MAX_CALLS: u32 = 64;
+/// Longest operation id or author.
+const MAX_NAME_BYTES: usize = 256;
+
+type Answer<T> = std::result::Result<Response<T>, Status>;
+
+/// Serves calls on a runtime of its own until `stop` resolves; blocks the thread.
+pub fn run(
+    listener: TcpListener,
+    gate: Gate,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| local("start runtime", &gate.entry, &e))?;
+    runtime.block_on(serve(listener, gate, stop))
+}
+
+/// Serves calls until `stop` resolves; calls in progress have [`STOP_TIMEOUT`] to finish.
+pub async fn serve(
+    listener: TcpListener,
+    gate: Gate,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<()> {
+    let gate = Arc::new(gate);
+    let entry = gate.entry.clone();
+    let incoming = incoming(listener).map_err(|e| local("listen for operators", &entry, &e))?;
+    let (reporter, health) = tonic_health::server::health_reporter();
+    let watch = tokio::spawn(report(reporter.clone(), gate.clone()));
+    let reflection = tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(proto::DESCRIPTOR)
+        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
+        .build_v1()
+        .map_err(|e| local("read schema", &entry, &e))?;
+    let (stopping, stopped) = oneshot::channel();
+    let serving = builder()
+        .add_service(health)
+        .add_service(reflection)
+        .add_service(operator(gate))
+        .serve_with_incoming_shutdown(incoming, async move {
+            stop.await;
+            watch.abort();
+            reporter.set_not_serving::<OperatorServer<Service>>().await;
+            stopping.send(()).ok();
+        });
+    let bound = async move {
+        stopped.await.ok();
+        tokio::time::sleep(STOP_TIMEOUT).await;
+    };
+    tokio::select! {
+        served = serving => served.map_err(|e| local("serve operators", &entry, &e)),
+        () = bound => Ok(()),
+    }
+}
+
+fn builder() -> Server {
+    Server::builder()
+        .timeout(CALL_TIMEOUT)
+        .http2_keepalive_interval(Some(PROBE_INTERVAL))
+        .http2_keepalive_timeout(Some(PROBE_TIMEOUT))
+        .max_concurrent_streams(MAX_CALLS)
+}
+
+fn operator(gate: Arc<Gate>) -> OperatorServer<Service> {
+    OperatorServer::new(Service { gate })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
+
+fn incoming(listener: TcpListener) -> std::io::Result<TcpIncoming> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    Ok(TcpIncoming::from(listener).with_nodelay(Some(true)))
+}
+
+fn local(step: &'static str, entry: &str, cause: &impl std::fmt::Display) -> Error {
+    Error { step, peer: String::from(entry), cause: Cause::Unavailable(cause.to_string()) }
+}
+
+/// Keeps the health service in step with the entry's readiness.
+async fn report(reporter: HealthReporter, gate: Arc<Gate>) {
+    let mut before = None;
+    loop {
+        let ready = (gate.ready)();
+        if before != Some(ready) {
+            before = Some(ready);
+            match ready {
+                true => reporter.set_serving::<OperatorServer<Service>>().await,
+                false => reporter.set_not_serving::<OperatorServer<Service>>().await,
+            }
+        }
+        tokio::time::sleep(READY_INTERVAL).await;
+    }
+}
+
+struct Service {
+    gate: Arc<Gate>,
+}
+
+impl Service {
+    async fn submit(&self, call: Option<proto::Call>, body: Body) -> Answer<proto::Outcome> {
+        let record = record(call, body)?;
+        let (offset, verdict) = (self.gate.submit)(record).await?;
+        Ok(Response::new(reply::outcome(offset, &verdict)))
+    }
+}
+
+fn record(call: Option<proto::Call>, body: Body) -> std::result::Result<Record, Status> {
+    let call = call.unwrap_or_default();
+    for (name, value) in [("operation", &call.operation), ("author", &call.author)] {
+        if value.is_empty() || value.len() > MAX_NAME_BYTES {
+            let wanted = format!("call.{name} must have 1 to {MAX_NAME_BYTES} bytes");
+            return Err(Status::invalid_argument(wanted));
+        }
+    }
+    let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Ok(Record { operation: call.operation, author: call.author, at, body })
+}
+
+impl From<Error> for Status {
+    fn from(error: Error) -> Self {
+        let text = |message: String| format!("{} at {}: {message}", error.step, error.peer);
+        match error.cause {
+            Cause::Unavailable(message) => Self::unavailable(text(message)),
+            Cause::Unknown(message) => Self::deadline_exceeded(text(message)),
+            Cause::Invalid(message) => Self::invalid_argument(text(message)),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Service {
+    async fn apply(&self, request: Request<proto::ApplyRequest>) -> Answer<proto::Outcome> {
+        let request = request.into_inner();
+        let declaration: Declaration = serde_json::from_slice(&request.declaration)
+            .map_err(|e| Status::invalid_argument(format!("read declaration: {e}")))?;
+        let declaration = Box::new(declaration);
+        let body = Body::Declare { declaration, expected: request.expected };
+        self.submit(request.call, body).await
+    }
+
+    async fn drain(&self, request: Request<proto::DrainRequest>) -> Answer<proto::Outcome> {
+        let proto::DrainRequest { call, vm } = request.into_inner();
+        self.submit(call, Body::Drain { vm }).await
+    }
+
+    async fn r#return(&self, request: Request<proto::ReturnRequest>) -> Answer<proto::Outcome> {
+        let proto::ReturnRequest { call, vm } = request.into_inner();
+        self.submit(call, Body::Return { vm }).await
+    }
+
+    async fn r#move(&self, _: Request<proto::MoveRequest>) -> Answer<proto::Outcome> {
+        Err(Status::unimplemented("moves are not recorded yet"))
+    }
+
+    async fn start_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        Err(Status::unimplemented("waves are not recorded yet"))
+    }
+
+    async fn pause_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        Err(Status::unimplemented("waves are not recorded yet"))
+    }
+
+    async fn resume_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        Err(Status::unimplemented("waves are not recorded yet"))
+    }
+
+    async fn status(&self, _: Request<proto::StatusRequest>) -> Answer<proto::StatusReply> {
+        Ok(Response::new(reply::status(&(self.gate.view)(), (self.gate.entries)())))
+    }
+
+    async fn declaration(
+        &self,
+        _: Request<proto::DeclarationRequest>,
+    ) -> Answer<proto::DeclarationReply> {
+        let state = (self.gate.view)();
+        let declaration = serde_json::to_vec(&state.declaration)
+            .map_err(|e| Status::internal(format!("write declaration: {e}")))?;
+        Ok(Response::new(proto::DeclarationReply { declaration, version: state.version }))
+    }
+
+    async fn history(
+        &self,
+        request: Request<proto::HistoryRequest>,
+    ) -> Answer<proto::HistoryReply> {
+        let request = request.into_inner();
+        Ok(Response::new(reply::history(&(self.gate.view)(), &request)))
+    }
+
+    async fn burn(&self, _: Request<proto::BurnRequest>) -> Answer<proto::BurnReply> {
+        Err(Status::unimplemented("unavailability is not recorded yet"))
+    }
+}
--- /dev/null
+++ b/tests/rpc.rs
@@ -0,0 +1,229 @@
+//! Operators' calls against an entry made of one state behind a lock.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    carobhitch::{
+        fleet::{Declaration, Pool, Vm},
+        record::{Body, Record},
+        rpc::{self, Client, Gate, proto},
+        state::{State, Verdict},
+    },
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+    tonic::{Code, Request, transport::Channel},
+    tonic_health::pb::{HealthCheckRequest, health_client::HealthClient},
+    tonic_reflection::pb::v1::{
+        ServerReflectionRequest, server_reflection_client::ServerReflectionClient,
+        server_reflection_request::MessageRequest, server_reflection_response::MessageResponse,
+    },
+};
+
+/// Answers lost after the change took effect, and the records seen.
+#[derive(Default)]
+struct Log {
+    state: State,
+    lose: usize,
+    records: Vec<Record>,
+}
+
+struct Entry {
+    address: SocketAddr,
+    log: Arc<Mutex<Log>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<rpc::Result<()>>>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.stop.take().unwrap().send(()).unwrap();
+        self.thread.take().unwrap().join().unwrap().unwrap();
+    }
+}
+
+fn submit(log: &Mutex<Log>, record: Record) -> rpc::Result<(u64, Verdict)> {
+    let mut log = log.lock().unwrap();
+    let offset = log.state.next;
+    let verdict = log.state.apply(offset, &record);
+    let decided = log.state.verdicts[&record.operation].0;
+    log.records.push(record);
+    if log.lose > 0 {
+        log.lose -= 1;
+        let cause = rpc::Cause::Unknown(String::from("answer lost"));
+        return Err(rpc::Error { step: "append record", peer: String::from("log"), cause });
+    }
+    Ok((decided, verdict))
+}
+
+fn gate(log: Arc<Mutex<Log>>) -> Gate {
+    let seen = log.clone();
+    Gate {
+        entry: String::from("entry-a"),
+        submit: Box::new(move |record| {
+            let decision = submit(&log, record);
+            Box::pin(async move { decision })
+        }),
+        view: Box::new(move || Arc::new(seen.lock().unwrap().state.clone())),
+        entries: Box::new(|| {
+            vec![rpc::EntryStatus {
+                id: String::from("entry-a"),
+                zone: String::from("zone-a"),
+                incarnation: 7,
+                version: Some(0),
+                next: 1,
+                age: Duration::from_millis(5),
+                health: rpc::Health::Ready,
+            }]
+        }),
+        ready: Box::new(|| true),
+    }
+}
+
+fn start(lose: usize) -> Entry {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let log = Arc::new(Mutex::new(Log { lose, ..Default::default() }));
+    let gate = gate(log.clone());
+    let (stop, stopped) = oneshot::channel::<()>();
+    let thread = thread::spawn(move || {
+        rpc::run(listener, gate, async move {
+            stopped.await.ok();
+        })
+    });
+    Entry { address, log, stop: Some(stop), thread: Some(thread) }
+}
+
+fn client(entries: &[SocketAddr]) -> Client {
+    Client::new(entries.to_vec(), Duration::from_secs(10)).unwrap()
+}
+
+fn call(operation: &str) -> Option<proto::Call> {
+    Some(proto::Call { operation: String::from(operation), author: String::from("astrid") })
+}
+
+fn declaration() -> Declaration {
+    let mut declaration = Declaration::default();
+    declaration.pools.insert(String::from("desk"), Pool::default());
+    let vm = Vm {
+        pool: String::from("desk"),
+        zone: String::from("zone-a"),
+        rack: String::from("rack-1"),
+        address: "127.0.0.1:9".parse().unwrap(),
+    };
+    declaration.vms.insert(String::from("vm-1"), vm);
+    declaration
+}
+
+fn apply(client: &Client, operation: &str, expected: Option<u64>) -> proto::Outcome {
+    let declaration = serde_json::to_vec(&declaration()).unwrap();
+    let request = proto::ApplyRequest { call: call(operation), declaration, expected };
+    client
+        .call("apply declaration", |mut stub| {
+            let request = request.clone();
+            async move { stub.apply(request).await }
+        })
+        .unwrap()
+}
+
+fn drain(client: &Client, operation: &str, vm: &str) -> rpc::Result<proto::Outcome> {
+    let request = proto::DrainRequest { call: call(operation), vm: String::from(vm) };
+    client.call("drain vm", |mut stub| {
+        let request = request.clone();
+        async move { stub.drain(request).await }
+    })
+}
+
+#[test]
+fn a_repeated_operation_returns_the_first_verdict() {
+    let entry = start(0);
+    let client = client(&[entry.address]);
+    let first = apply(&client, "one", None);
+    assert!(first.accepted);
+    assert_eq!(apply(&client, "one", None), first);
+    let racing = apply(&client, "two", None);
+    assert!(!racing.accepted);
+    assert!(racing.reason.contains("declaration was made from version"), "{}", racing.reason);
+}
+
+#[test]
+fn a_change_whose_answer_was_lost_is_repeated_and_made_once() {
+    let entry = start(1);
+    let outcome = apply(&client(&[entry.address]), "one", None);
+    assert!(outcome.accepted);
+    let log = entry.log.lock().unwrap();
+    assert_eq!(log.records.len(), 2);
+    assert!(log.records.iter().all(|r| matches!(r.body, Body::Declare { .. })));
+    assert_eq!(log.state.verdicts.len(), 1);
+}
+
+#[test]
+fn a_dead_entry_is_passed_over() {
+    let unused = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = unused.local_addr().unwrap();
+    drop(unused);
+    let entry = start(0);
+    assert!(apply(&client(&[dead, entry.address]), "one", None).accepted);
+}
+
+#[test]
+fn a_rejected_drain_says_why() {
+    let entry = start(0);
+    let client = client(&[entry.address]);
+    apply(&client, "one", None);
+    assert!(drain(&client, "two", "vm-1").unwrap().accepted);
+    let outcome = drain(&client, "three", "vm-9").unwrap();
+    assert_eq!((outcome.accepted, outcome.reason.contains("vm-9")), (false, true));
+    let status =
+        client.call("status", |mut s| async move { s.status(proto::StatusRequest {}).await });
+    let status = status.unwrap();
+    assert_eq!(status.drains.len(), 1);
+    assert_eq!(status.entries[0].incarnation, 7);
+}
+
+#[test]
+fn a_call_without_an_operation_id_is_invalid() {
+    let entry = start(0);
+    let error = drain(&client(&[entry.address]), "", "vm-1").unwrap_err();
+    assert_eq!(error.peer, entry.address.to_string());
+    assert!(matches!(error.cause, rpc::Cause::Invalid(_)), "{error}");
+}
+
+async fn channel(address: SocketAddr) -> Channel {
+    Channel::from_shared(format!("http://{address}")).unwrap().connect().await.unwrap()
+}
+
+#[test]
+fn health_and_reflection_are_on() {
+    let entry = start(0);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(look(entry.address));
+}
+
+async fn look(address: SocketAddr) {
+    let channel = channel(address).await;
+    let name = "carobhitch.v1.Operator";
+    let request = HealthCheckRequest { service: String::from(name) };
+    let mut health = HealthClient::new(channel.clone());
+    let answer = loop {
+        match health.check(request.clone()).await {
+            Err(status) if status.code() == Code::NotFound => tokio::task::yield_now().await,
+            answer => break answer.unwrap().into_inner(),
+        }
+    };
+    assert_eq!(answer.status, 1);
+    let request = ServerReflectionRequest {
+        host: String::new(),
+        message_request: Some(MessageRequest::ListServices(String::new())),
+    };
+    let request = Request::new(tokio_stream::iter([request]));
+    let mut reflection = ServerReflectionClient::new(channel);
+    let mut answers = reflection.server_reflection_info(request).await.unwrap().into_inner();
+    let answer = answers.message().await.unwrap().unwrap().message_response.unwrap();
+    let MessageResponse::ListServicesResponse(list) = answer else { panic!("{answer:?}") };
+    assert!(list.service.iter().any(|s| s.name == name));
+}
