Check settings as a whole and report every fault

Reading by serde stops at the first fault, so an operator would mend a file one start at a time. A reader walks the table and notes each fault instead. serde_ignored was ruled out: it finds unknown keys but still stops at the first bad value.

A list of seeds may hold the entry's own link, so that one list serves every entry; any other address used twice is refused.

--- /dev/null
+++ b/src/fault.rs
@@ -0,0 +1,288 @@
+//! Faults of a file, found all at once.
+//!
+//! A [`Reader`] walks one table of a TOML file. A missing, unknown or bad key is noted as a
+//! [`Fault`] and read as a stand-in value, so that the walk goes on; the value that was built is
+//! used only if no fault was noted.
+
+use {
+    displaydoc::Display,
+    indexmap::{IndexMap, IndexSet},
+    std::{fmt, fs, net::SocketAddr, ops::RangeInclusive, path::Path},
+    toml::Value,
+};
+
+/// Longest name.
+const MAX_NAME_BYTES: usize = 64;
+/// Likeness from which a known key is suggested for an unknown one, from 0 to 1.
+const MIN_LIKENESS: f64 = 0.7;
+/// What an address must be.
+const ADDRESS: &str = "an IP number and a port, such as 127.0.0.1:7000";
+
+/// Outcome of reading a file: the value, or every fault.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+/// One fault of a file.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[displaydoc("{file}: {key} {found}: {wanted}")]
+pub struct Fault {
+    /// File that has it.
+    pub file: String,
+    /// Key, with the tables that hold it, or position.
+    pub key: String,
+    /// What is there.
+    pub found: Found,
+    /// What would be right.
+    pub wanted: String,
+}
+
+/// What a file has at a faulty key.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Found {
+    /// = {0}
+    Value(String),
+    /// is missing
+    Missing,
+    /// is unknown
+    Unknown,
+    /// stands twice
+    Twice,
+    /// can not be read
+    Unreadable,
+}
+
+/// Reads a file as one TOML table.
+pub fn load(path: &Path) -> Result<(String, toml::Table)> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text).map(|table| (file, table)),
+        Err(error) => Err(vec![Fault {
+            key: String::from("file"),
+            found: Found::Unreadable,
+            wanted: error.to_string(),
+            file,
+        }]),
+    }
+}
+
+/// Parses text as one TOML table.
+pub fn parse(file: &str, text: &str) -> Result<toml::Table> {
+    text.parse::<toml::Table>().map_err(|error| {
+        let start = error.span().map_or(0, |span| span.start);
+        let line = text.get(..start).unwrap_or_default().matches('\n').count() + 1;
+        vec![Fault {
+            file: String::from(file),
+            key: format!("line {line}"),
+            found: Found::Unreadable,
+            wanted: error.message().replace('\n', ", "),
+        }]
+    })
+}
+
+/// Walks one table and notes its faults.
+pub struct Reader<'a> {
+    file: &'a str,
+    path: String,
+    table: &'a toml::Table,
+    known: IndexSet<&'static str>,
+    /// Holds any names instead of known keys.
+    open: bool,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    /// A reader of a file's outermost table.
+    pub fn new(file: &'a str, table: &'a toml::Table) -> Self {
+        let (known, faults) = (IndexSet::new(), Vec::new());
+        Self { file, path: String::new(), table, known, open: false, faults }
+    }
+
+    /// Notes a fault of a key of this table.
+    pub fn fault(&mut self, key: &str, found: Found, wanted: impl Into<String>) {
+        let file = String::from(self.file);
+        self.faults.push(Fault { file, key: self.path(key), found, wanted: wanted.into() });
+    }
+
+    /// Notes a bad value of a key of this table.
+    pub fn bad(&mut self, key: &str, value: &impl fmt::Display, wanted: impl Into<String>) {
+        self.fault(key, Found::Value(value.to_string()), wanted);
+    }
+
+    fn path(&self, key: &str) -> String {
+        match self.path.as_str() {
+            "" => String::from(key),
+            path => format!("{path}.{key}"),
+        }
+    }
+
+    fn get(&mut self, key: &'static str) -> Option<&'a Value> {
+        self.known.insert(key);
+        self.table.get(key)
+    }
+
+    /// Reads an optional value that `read` understands.
+    pub fn option<T>(
+        &mut self,
+        key: &'static str,
+        wanted: &str,
+        read: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.get(key)?;
+        let found = read(value);
+        if found.is_none() {
+            self.bad(key, value, format!("must be {wanted}"));
+        }
+        found
+    }
+
+    /// Reads a required value that `read` understands.
+    pub fn required<T>(
+        &mut self,
+        key: &'static str,
+        wanted: &str,
+        read: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        if self.get(key).is_none() {
+            self.fault(key, Found::Missing, format!("must be {wanted}"));
+        }
+        self.option(key, wanted, read)
+    }
+
+    /// Reads a required name.
+    pub fn name(&mut self, key: &'static str) -> String {
+        self.required(key, &name_wanted(), |v| v.as_str().filter(|n| is_name(n)).map(String::from))
+            .unwrap_or_default()
+    }
+
+    /// Reads a whole number in `range`.
+    pub fn number(&mut self, key: &'static str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        let wanted = format!("a whole number from {} to {}", range.start(), range.end());
+        let read = |value: &Value| {
+            let number = u64::try_from(value.as_integer()?).ok()?;
+            range.contains(&number).then_some(number)
+        };
+        self.option(key, &wanted, read).unwrap_or(default)
+    }
+
+    /// Reads a whole number in `range` that fits into 32 bits.
+    pub fn count(&mut self, key: &'static str, range: RangeInclusive<u32>, default: u32) -> u32 {
+        let wide = u64::from(*range.start())..=u64::from(*range.end());
+        u32::try_from(self.number(key, wide, u64::from(default))).unwrap_or(default)
+    }
+
+    /// Reads `true` or `false`.
+    pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
+        self.option(key, "true or false", Value::as_bool).unwrap_or(default)
+    }
+
+    /// Reads a required address.
+    pub fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.required(key, ADDRESS, address)
+    }
+
+    /// Reads an optional address.
+    pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.option(key, ADDRESS, address)
+    }
+
+    /// Reads a list of addresses.
+    pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        let wanted = format!("a list of addresses, each {ADDRESS}");
+        let read = |value: &Value| value.as_array()?.iter().map(address).collect();
+        self.option(key, &wanted, read).unwrap_or_default()
+    }
+
+    /// Reads a table by `read`; an absent one is read as empty.
+    pub fn section<T>(&mut self, key: &'static str, read: impl Fn(&mut Reader<'_>) -> T) -> T {
+        let empty = toml::Table::new();
+        let table = match self.get(key) {
+            None => &empty,
+            Some(Value::Table(table)) => table,
+            Some(value) => {
+                self.bad(key, value, format!("must be a table, [{}]", self.path(key)));
+                &empty
+            }
+        };
+        self.walk(key, table, read)
+    }
+
+    /// Reads a table whose keys are names, each with a table that `read` understands.
+    pub fn each<T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(&mut Reader<'_>) -> T,
+    ) -> IndexMap<String, T> {
+        self.section(key, |reader| {
+            let table = reader.table;
+            reader.open = true;
+            table.iter().filter_map(|(name, value)| reader.item(name, value, &read)).collect()
+        })
+    }
+
+    fn item<T>(
+        &mut self,
+        name: &str,
+        value: &Value,
+        read: impl Fn(&mut Reader<'_>) -> T,
+    ) -> Option<(String, T)> {
+        if !is_name(name) {
+            self.fault(name, Found::Unknown, format!("the name must be {}", name_wanted()));
+        }
+        match value {
+            Value::Table(table) => Some((String::from(name), self.walk(name, table, read))),
+            value => {
+                self.bad(name, value, format!("must be a table, [{}]", self.path(name)));
+                None
+            }
+        }
+    }
+
+    fn walk<T>(
+        &mut self,
+        key: &str,
+        table: &toml::Table,
+        read: impl Fn(&mut Reader<'_>) -> T,
+    ) -> T {
+        let mut reader = Reader { path: self.path(key), ..Reader::new(self.file, table) };
+        let value = read(&mut reader);
+        self.faults.extend(reader.finish());
+        value
+    }
+
+    /// Every fault, after all known keys were read.
+    pub fn finish(mut self) -> Vec<Fault> {
+        if self.open {
+            return self.faults;
+        }
+        for key in self.table.keys().filter(|key| !self.known.contains(key.as_str())) {
+            let file = String::from(self.file);
+            let wanted = self.suggestion(key);
+            self.faults.push(Fault { file, key: self.path(key), found: Found::Unknown, wanted });
+        }
+        self.faults
+    }
+
+    fn suggestion(&self, key: &str) -> String {
+        let likeness = |known: &&&str| strsim::jaro_winkler(key, known);
+        let nearest = self.known.iter().max_by(|a, b| likeness(a).total_cmp(&likeness(b)));
+        match nearest.filter(|known| likeness(known) >= MIN_LIKENESS) {
+            Some(known) => format!("did you mean {known:?}?"),
+            None => {
+                format!("must be one of {}", Vec::from_iter(self.known.iter().copied()).join(", "))
+            }
+        }
+    }
+}
+
+fn address(value: &Value) -> Option<SocketAddr> {
+    value.as_str()?.parse().ok()
+}
+
+/// Whether text may name an object: it appears in URLs, metrics and log lines as it is.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(allowed)
+}
+
+fn name_wanted() -> String {
+    format!("1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'")
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,11 +1,34 @@
 //! Settings of an entry, read from one TOML file.
+//!
+//! The file is checked as a whole before anything starts: every fault is reported with its key,
+//! what is there and what would be right.
 
 use {
-    crate::id::{EntryId, ZoneId},
+    crate::{
+        fault::{self, Found, Reader},
+        id::{EntryId, ZoneId},
+    },
+    indexmap::IndexMap,
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::Path,
+    },
 };
 
+/// Levels of log lines, the fewest lines first.
+pub const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+/// Upper bound of `body_bytes`.
+const MAX_BODY_BYTES: u64 = 1 << 30;
+/// Upper bound of `connections`.
+const MAX_CONNECTIONS: u32 = 65_536;
+/// Milliseconds in an hour.
+const HOUR_MS: u64 = 3_600_000;
+/// Milliseconds in a day.
+const DAY_MS: u64 = 24 * HOUR_MS;
+/// Stands for an address that could not be read.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Settings of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,3 +93,108 @@
         }
     }
 }
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> fault::Result<Self> {
+        let (file, table) = fault::load(path)?;
+        Self::read(&file, &table)
+    }
+
+    /// Checks text; `file` names it in faults.
+    pub fn parse(file: &str, text: &str) -> fault::Result<Self> {
+        Self::read(file, &fault::parse(file, text)?)
+    }
+
+    fn read(file: &str, table: &toml::Table) -> fault::Result<Self> {
+        let mut reader = Reader::new(file, table);
+        let mut addresses = Addresses::default();
+        let settings = Self {
+            id: reader.name("id"),
+            zone: reader.name("zone"),
+            callers: addresses.listener(&mut reader, "callers"),
+            link: addresses.reachable(&mut reader, "link"),
+            rpc: addresses.reachable(&mut reader, "rpc"),
+            platform: addresses.peer(&mut reader, "platform"),
+            metrics: reader.optional_address("metrics"),
+            log: level(&mut reader),
+            seeds: addresses.seeds(&mut reader),
+            limits: reader.section("limits", Limits::read),
+        };
+        let faults = reader.finish();
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+    }
+}
+
+fn level(reader: &mut Reader<'_>) -> String {
+    let wanted = format!("one of {}", LEVELS.join(", "));
+    let read = |value: &toml::Value| {
+        value.as_str().filter(|level| LEVELS.contains(level)).map(String::from)
+    };
+    reader.option("log", &wanted, read).unwrap_or_else(default_log)
+}
+
+/// Addresses read so far, each with the key that named it.
+#[derive(Default)]
+struct Addresses(IndexMap<SocketAddr, &'static str>);
+
+impl Addresses {
+    fn listener(&mut self, reader: &mut Reader<'_>, key: &'static str) -> SocketAddr {
+        let Some(address) = reader.address(key) else { return NOWHERE };
+        if address.port() != 0 {
+            self.claim(reader, key, address);
+        }
+        address
+    }
+
+    /// A listener that peers reach at the address in the settings.
+    fn reachable(&mut self, reader: &mut Reader<'_>, key: &'static str) -> SocketAddr {
+        let address = self.listener(reader, key);
+        if address != NOWHERE && address.ip().is_unspecified() {
+            let wanted = "must be an IP number at which the other entries reach this one";
+            reader.bad(key, &address, wanted);
+        }
+        address
+    }
+
+    fn peer(&mut self, reader: &mut Reader<'_>, key: &'static str) -> SocketAddr {
+        let Some(address) = reader.address(key) else { return NOWHERE };
+        if address.port() == 0 || address.ip().is_unspecified() {
+            reader.bad(key, &address, "must be an IP number and a port that can be connected to");
+        }
+        self.claim(reader, key, address);
+        address
+    }
+
+    /// Links of entries; one list may serve all of them, so this entry's own link may be in it.
+    fn seeds(&mut self, reader: &mut Reader<'_>) -> Vec<SocketAddr> {
+        let seeds = reader.addresses("seeds");
+        for seed in &seeds {
+            if self.0.get(seed) != Some(&"link") {
+                self.claim(reader, "seeds", *seed);
+            }
+        }
+        seeds
+    }
+
+    fn claim(&mut self, reader: &mut Reader<'_>, key: &'static str, address: SocketAddr) {
+        if let Some(other) = self.0.insert(address, key) {
+            let wanted = format!("must differ from every other address; {other} has it too");
+            reader.fault(key, Found::Value(address.to_string()), wanted);
+        }
+    }
+}
+
+impl Limits {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let default = Self::default();
+        Self {
+            body_bytes: reader.number("body_bytes", 1..=MAX_BODY_BYTES, default.body_bytes),
+            connections: reader.count("connections", 1..=MAX_CONNECTIONS, default.connections),
+            head_ms: reader.number("head_ms", 1..=HOUR_MS, default.head_ms),
+            idle_ms: reader.number("idle_ms", 1..=HOUR_MS, default.idle_ms),
+            deadline_ms: reader.number("deadline_ms", 1..=DAY_MS, default.deadline_ms),
+            stop_ms: reader.number("stop_ms", 0..=HOUR_MS, default.stop_ms),
+        }
+    }
+}
