--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,19 @@
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
 pub mod fault;
+pub mod client;
+pub mod daemon;
+pub mod engine;
+pub mod event;
+pub mod exchange;
 pub mod fleet;
 pub mod id;
 pub mod platform;
 pub mod record;
 pub mod request;
 pub mod rpc;
+pub mod server;
 pub mod settings;
 pub mod state;
+pub mod supervise;
+pub mod wire;
