--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
+pub mod fault;
 pub mod client;
 pub mod daemon;
 pub mod engine;
@@ -15,6 +16,7 @@
 pub mod platform;
 pub mod record;
 pub mod request;
+pub mod rpc;
 pub mod server;
 pub mod settings;
 pub mod state;
