Connect the engine to links, members and operators' calls

Cause: the engine followed the log alone and no operator could reach it. It now beats to its peers, records proven ends, fetches a state from a peer while the log can't be read, confirms drains and answers operators' calls with the verdict read back.

--- a/src/bin/carobhitch-entry/app.rs
+++ b/src/bin/carobhitch-entry/app.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::config,
-    carobhitch::daemon,
+    carobhitch::{daemon, fault},
     clap::ArgMatches,
     simplelog::{ConfigBuilder, LevelFilter, SimpleLogger},
 };
@@ -20,9 +20,14 @@
     pub(crate) status: u8,
 }
 
+fn bad_file(faults: &[fault::Fault]) -> Failure {
+    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    Failure { text: lines.join("\n"), status: BAD_USE }
+}
+
 /// Checks the settings, or runs the entry.
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), Failure> {
-    let config = config::load(matches).map_err(|text| Failure { text, status: BAD_USE })?;
+    let config = config::load(matches).map_err(|faults| bad_file(&faults))?;
     if config.check {
         println!("settings are valid");
         return Ok(());
--- a/src/bin/carobhitch-entry/config.rs
+++ b/src/bin/carobhitch-entry/config.rs
@@ -1,6 +1,10 @@
 //! Matches and settings file in, one checked struct out.
 
-use {carobhitch::settings::Settings, clap::ArgMatches, std::path::PathBuf};
+use {
+    carobhitch::{fault, settings::Settings},
+    clap::ArgMatches,
+    std::path::PathBuf,
+};
 
 /// Everything the daemon is told at start.
 pub(crate) struct Config {
@@ -10,10 +14,9 @@
     pub(crate) check: bool,
 }
 
-/// Reads the settings file that the command line names.
-pub(crate) fn load(matches: &ArgMatches) -> Result<Config, String> {
+/// Reads the settings file that the command line names; reports every fault in it.
+pub(crate) fn load(matches: &ArgMatches) -> fault::Result<Config> {
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let settings = toml::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let settings = Settings::load(&path)?;
     Ok(Config { settings, check: matches.get_flag("check") })
 }
--- a/src/bin/carobhitch-entry/main.rs
+++ b/src/bin/carobhitch-entry/main.rs
@@ -11,7 +11,9 @@
     match app::run(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("carobhitch-entry: {}", failure.text);
+            for line in failure.text.lines() {
+                eprintln!("carobhitch-entry: {line}");
+            }
             ExitCode::from(failure.status)
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,9 +3,10 @@
 //! | thread | does |
 //! |---|---|
 //! | `engine` | decides; owns every request in progress and the agreed state |
-//! | `io` | one single-threaded runtime: callers, endpoints, links, operators' calls |
-//! | `follow` | reads the fleet's records |
+//! | `io` | one single-threaded runtime: callers, endpoints, links to other entries |
+//! | `rpc` | operators' calls |
 //! | `append` | appends records |
+//! | `follow` | reads the fleet's records |
 //! | `list` | reads the platform's list of VMs |
 //!
 //! The loss of `engine` or `io` ends the process: requests in progress live in their memory. The
@@ -16,11 +17,15 @@
         client::{self, Client},
         engine::{self, Engine, Shared},
         event::{Action, Event, Stream},
+        link::{self, Links, Local},
+        operator::{self, Calls},
         platform::Append,
         record::Member,
+        rpc,
         server::{self, Server, Step},
         settings::Settings,
         supervise::{self, Part, Policy, Stop, Tree},
+        wire,
     },
     crossbeam::{
         channel::{Receiver, Sender, unbounded},
@@ -28,15 +33,24 @@
     },
     displaydoc::Display,
     log::{debug, info, warn},
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
     std::{
+        net::SocketAddr,
         result,
         sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, sync::watch},
+    tokio::{
+        net::TcpListener,
+        runtime::{Builder, Runtime},
+        sync::{mpsc, watch},
+    },
 };
 
 /// Time between two looks at what the passing of time asks for.
@@ -64,52 +78,54 @@
 /// Result of running the daemon.
 pub type Result<T> = result::Result<T, Error>;
 
-/// Channels between the threads.
-struct Channels {
+/// A message on its way to another entry.
+type Outgoing = (SocketAddr, wire::Message);
+
+/// What the parts share.
+struct Daemon {
+    settings: Settings,
+    me: Member,
     events: Sender<Event>,
     inbox: Receiver<Event>,
     appends: Sender<(Stream, Append)>,
     append_inbox: Receiver<(Stream, Append)>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    outgoing_inbox: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
     stopping: watch::Sender<bool>,
     unfinished: AtomicBool,
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+    calls: Arc<Calls>,
 }
 
 /// Runs an entry until a planned stop or a failure that can't be mended.
 pub fn run(settings: Settings) -> Result<()> {
-    let (events, inbox) = unbounded();
-    let (appends, append_inbox) = unbounded();
-    let (stopping, _) = watch::channel(false);
-    let unfinished = AtomicBool::new(false);
-    let channels =
-        Arc::new(Channels { events, inbox, appends, append_inbox, stopping, unfinished });
-    catch_signals(&channels)?;
-    let shared = Arc::new(Shared::default());
-    let settings = Arc::new(settings);
-    let server =
-        Arc::new(Server::new(channels.events.clone(), settings.limits.clone(), shared.clone()));
+    let daemon = Arc::new(Daemon::new(settings));
+    catch_signals(daemon.events.clone())?;
+    let settings = &daemon.settings;
     info!("daemon: Entry {} starts in availability zone {}.", settings.id, settings.zone);
+    let part = |name, policy, run: fn(&Daemon, &Stop) -> result::Result<(), String>| {
+        let daemon = daemon.clone();
+        Part { name, policy, run: Arc::new(move |stop| run(&daemon, stop)) }
+    };
     let parts = vec![
-        engine_part(&settings, &channels, &shared, &server),
-        io_part(&settings, &channels, &server),
-        append_part(&settings, &channels),
-        follow_part(&settings, &channels, &shared),
-        list_part(&settings, &channels),
+        part("engine", Policy::Escalate, run_engine),
+        part("io", Policy::Escalate, run_io),
+        part("rpc", Policy::Restart, run_rpc),
+        part("append", Policy::Restart, run_append),
+        part("follow", Policy::Restart, run_follow),
+        part("list", Policy::Restart, run_list),
     ];
     Tree::start(parts).and_then(Tree::join).map_err(Error::Part)?;
-    if channels.unfinished.load(Ordering::Relaxed) {
-        return Err(Error::Unfinished(server.open()));
+    if daemon.unfinished.load(Ordering::Relaxed) {
+        return Err(Error::Unfinished(daemon.server.open()));
     }
     info!("daemon: Entry {} has stopped.", settings.id);
     Ok(())
 }
 
-fn catch_signals(channels: &Arc<Channels>) -> Result<()> {
-    use signal_hook::{
-        consts::{SIGINT, SIGTERM},
-        iterator::Signals,
-    };
+fn catch_signals(events: Sender<Event>) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Signal)?;
-    let events = channels.events.clone();
     std::thread::spawn(move || {
         for _ in signals.forever() {
             // The engine is gone only while the whole process ends.
@@ -119,15 +135,13 @@
     Ok(())
 }
 
-fn engine_part(
-    settings: &Arc<Settings>,
-    channels: &Arc<Channels>,
-    shared: &Arc<Shared>,
-    server: &Arc<Server>,
-) -> Part {
-    let (settings, channels) = (settings.clone(), channels.clone());
-    let (shared, server) = (shared.clone(), server.clone());
-    let run = move |stop: &Stop| {
+impl Daemon {
+    fn new(settings: Settings) -> Self {
+        let (events, inbox) = unbounded();
+        let (appends, append_inbox) = unbounded();
+        let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared::default());
+        let limits = settings.limits.clone();
         let me = Member {
             id: settings.id.clone(),
             incarnation: rand::random(),
@@ -135,84 +149,133 @@
             link: settings.link,
             rpc: settings.rpc,
         };
-        let mut engine = Engine::new(me, shared.clone());
-        let mut deadline = None;
-        let ticks = crossbeam::channel::tick(TICK);
-        loop {
-            let actions = select! {
-                recv(channels.inbox) -> event => match event {
-                    Ok(event) => {
-                        if matches!(event, Event::Stop) && deadline.is_none() {
-                            let limit = Duration::from_millis(settings.limits.stop_ms);
-                            deadline = Some(Instant::now() + limit);
-                            channels.stopping.send_replace(true);
-                        }
-                        engine.handle(Instant::now(), event)
-                    }
-                    Err(_) => return Ok(()),
-                },
-                recv(ticks) -> _ => engine.tick(Instant::now()),
-                recv(stop.channel()) -> _ => return Ok(()),
-            };
-            let mut stopped = false;
-            for action in actions {
-                stopped |= act(action, &channels, &server);
+        Self {
+            me,
+            server: Arc::new(Server::new(events.clone(), limits, shared.clone())),
+            settings,
+            events,
+            inbox,
+            appends,
+            append_inbox,
+            outgoing,
+            outgoing_inbox: Mutex::new(Some(outgoing_inbox)),
+            stopping: watch::channel(false).0,
+            unfinished: AtomicBool::new(false),
+            shared,
+            calls: Arc::default(),
+        }
+    }
+
+    /// Reports to the engine.
+    fn tell(&self, event: Event) {
+        // The engine is gone only while the whole process ends.
+        let _ = self.events.send(event);
+    }
+
+    /// Carries out an action; true once everything in progress has ended.
+    fn act(&self, action: Action) -> bool {
+        match action {
+            Action::Run { id, attempt, address, until, .. } => {
+                self.server.step(id, Step::Run { attempt, address, until });
             }
-            if stopped && server.open() == 0 {
-                return Ok(());
+            Action::Finish { id, finish } => self.server.step(id, Step::Finish(finish)),
+            Action::Append { stream, record } => {
+                // Both ends of the channel are kept by the daemon itself.
+                let _ = self.appends.send((stream, record));
             }
-            if deadline.is_some_and(|at| Instant::now() >= at) {
-                channels.unfinished.store(true, Ordering::Relaxed);
-                return Ok(());
+            Action::Reply { call, verdict } => self.calls.reply(call, verdict),
+            Action::Send { link, message, .. } => {
+                // The io part is gone only while the whole process ends.
+                let _ = self.outgoing.send((link, message));
             }
+            Action::Stopped => return true,
+            Action::Reboot { .. } => debug!("daemon: No part carries out {action:?}."),
         }
-    };
-    Part { name: "engine", policy: Policy::Escalate, run: Arc::new(run) }
+        false
+    }
 }
 
-/// Carries out an action; true once everything in progress has ended.
-fn act(action: Action, channels: &Channels, server: &Server) -> bool {
-    match action {
-        Action::Run { id, attempt, address, until, .. } => {
-            server.step(id, Step::Run { attempt, address, until });
+fn run_engine(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let seeds = daemon.settings.seeds.clone();
+    let mut engine = Engine::new(daemon.me.clone(), seeds, daemon.shared.clone());
+    let mut deadline = None;
+    let ticks = crossbeam::channel::tick(TICK);
+    loop {
+        let actions = select! {
+            recv(daemon.inbox) -> event => {
+                let event = event.map_err(|e| e.to_string())?;
+                if matches!(event, Event::Stop) && deadline.is_none() {
+                    let limit = Duration::from_millis(daemon.settings.limits.stop_ms);
+                    deadline = Some(Instant::now() + limit);
+                    daemon.stopping.send_replace(true);
+                }
+                engine.handle(Instant::now(), event)
+            }
+            recv(ticks) -> _ => engine.tick(Instant::now()),
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let mut stopped = false;
+        for action in actions {
+            stopped |= daemon.act(action);
+        }
+        if stopped && daemon.server.open() == 0 {
+            return Ok(());
         }
-        Action::Finish { id, finish } => server.step(id, Step::Finish(finish)),
-        Action::Append { stream, record } => {
-            // The appender's channel lives as long as the channels themselves.
-            let _ = channels.appends.send((stream, record));
+        if deadline.is_some_and(|at| Instant::now() >= at) {
+            daemon.unfinished.store(true, Ordering::Relaxed);
+            return Ok(());
         }
-        Action::Stopped => return true,
-        other => debug!("daemon: No part carries out {other:?}."),
     }
-    false
 }
 
-fn io_part(settings: &Arc<Settings>, channels: &Arc<Channels>, server: &Arc<Server>) -> Part {
-    let (settings, channels, server) = (settings.clone(), channels.clone(), server.clone());
-    let run = move |stop: &Stop| {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(|e| format!("start the runtime: {e}"))?;
-        let ended = runtime.block_on(async {
-            let listener = TcpListener::bind(settings.callers)
-                .await
-                .map_err(|e| format!("listen for callers at {}: {e}", settings.callers))?;
-            info!("server: Accepts callers at {}.", settings.callers);
-            let serve = server::serve(listener, server.clone(), channels.stopping.subscribe());
-            tokio::select! {
-                served = serve => served.map_err(|e| format!("serve callers: {e}")),
-                _ = asked(stop) => Ok(()),
-            }
+fn run_io(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let runtime = runtime()?;
+    let ended = runtime.block_on(async {
+        let callers = listen("callers", daemon.settings.callers).await?;
+        let links = listen("links", daemon.settings.link).await?;
+        let local = Arc::new(Local {
+            id: daemon.me.id.clone(),
+            incarnation: daemon.me.incarnation,
+            events: daemon.events.clone(),
+            bytes: AtomicU64::new(0),
         });
-        // Connections that are still open end with the process.
-        runtime.shutdown_background();
-        ended?;
-        // The engine ends the tree once it has seen every request end.
-        while !stop.wait(TICK) {}
-        Ok(())
-    };
-    Part { name: "io", policy: Policy::Escalate, run: Arc::new(run) }
+        tokio::spawn(link::listen(links, local.clone()));
+        let inbox = daemon.outgoing_inbox.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(inbox) = inbox {
+            tokio::spawn(send_messages(Links::new(local), inbox));
+        }
+        info!("server: Accepts callers at {}.", daemon.settings.callers);
+        let serve = server::serve(callers, daemon.server.clone(), daemon.stopping.subscribe());
+        let served = async {
+            let served = serve.await;
+            // Links stay open until the engine ends the tree.
+            asked(stop).await;
+            served
+        };
+        tokio::select! {
+            served = served => served.map_err(|e| format!("serve callers: {e}")),
+            () = asked(stop) => Ok(()),
+        }
+    });
+    // Connections that are still open end with the process.
+    runtime.shutdown_background();
+    ended
+}
+
+async fn send_messages(mut links: Links, mut inbox: mpsc::UnboundedReceiver<Outgoing>) {
+    while let Some((link, message)) = inbox.recv().await {
+        links.send(link, message);
+    }
+}
+
+fn runtime() -> result::Result<Runtime, String> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("start the runtime: {e}"))
+}
+
+async fn listen(who: &str, address: SocketAddr) -> result::Result<TcpListener, String> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| format!("listen for {who} at {address}: {e}"))
 }
 
 async fn asked(stop: &Stop) {
@@ -221,77 +284,74 @@
     }
 }
 
-fn append_part(settings: &Arc<Settings>, channels: &Arc<Channels>) -> Part {
-    let (client, channels) = (Client::new(settings.platform), channels.clone());
-    let run = move |stop: &Stop| {
-        loop {
-            let (stream, record) = select! {
-                recv(channels.append_inbox) -> next => match next {
-                    Ok(next) => next,
-                    Err(_) => return Ok(()),
-                },
-                recv(stop.channel()) -> _ => return Ok(()),
-            };
-            let offset = match client.append(engine::stream_name(stream), &record) {
-                Ok(appended) => Some(appended.offset),
-                Err(error) => {
-                    warn!("append: {error}.");
-                    stop.wait(PAUSE);
-                    None
-                }
-            };
-            // The engine is gone only while the whole process ends.
-            let _ = channels.events.send(Event::Appended { stream, id: record.id, offset });
-        }
-    };
-    Part { name: "append", policy: Policy::Restart, run: Arc::new(run) }
+fn run_rpc(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let address = daemon.settings.rpc;
+    let listener = std::net::TcpListener::bind(address)
+        .map_err(|e| format!("listen for operators at {address}: {e}"))?;
+    let (entry, events) = (daemon.me.id.clone(), daemon.events.clone());
+    let gate = operator::gate(entry, events, daemon.calls.clone(), daemon.shared.clone());
+    let stop = stop.clone();
+    let stopped = async move { asked(&stop).await };
+    rpc::run(listener, gate, stopped).map_err(|e| e.to_string())
 }
 
-fn follow_part(settings: &Arc<Settings>, channels: &Arc<Channels>, shared: &Arc<Shared>) -> Part {
-    let (client, channels) = (Client::new(settings.platform), channels.clone());
-    let shared = shared.clone();
-    let run = move |stop: &Stop| {
-        let mut from = shared.status().next;
-        let mut wait = Duration::ZERO;
-        let stream = Stream::Fleet;
-        while !stop.asked() {
-            let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
-                Ok(page) => {
-                    from = page.records.last().map_or(from, |last| last.offset + 1);
-                    wait = if from >= page.end { client::READ_WAIT } else { Duration::ZERO };
-                    Event::Read { stream, page }
-                }
-                Err(error) => {
-                    warn!("follow: {error}.");
-                    stop.wait(PAUSE);
-                    let first = match error {
-                        client::Error::Trimmed { first, .. } => Some(first),
-                        _ => None,
-                    };
-                    Event::Unread { stream, first }
-                }
-            };
-            // The engine is gone only while the whole process ends.
-            let _ = channels.events.send(event);
-        }
-        Ok(())
-    };
-    Part { name: "follow", policy: Policy::Restart, run: Arc::new(run) }
+fn run_append(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    loop {
+        let (stream, record) = select! {
+            recv(daemon.append_inbox) -> next => next.map_err(|e| e.to_string())?,
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let offset = match client.append(engine::stream_name(stream), &record) {
+            Ok(appended) => Some(appended.offset),
+            Err(error) => {
+                warn!("append: {error}.");
+                stop.wait(PAUSE);
+                None
+            }
+        };
+        daemon.tell(Event::Appended { stream, id: record.id, offset });
+    }
 }
 
-fn list_part(settings: &Arc<Settings>, channels: &Arc<Channels>) -> Part {
-    let (client, channels) = (Client::new(settings.platform), channels.clone());
-    let run = move |stop: &Stop| {
-        while !stop.wait(LIST_INTERVAL) {
-            match client.list() {
-                Ok(list) => {
-                    // The engine is gone only while the whole process ends.
-                    let _ = channels.events.send(Event::Listed(list));
-                }
-                Err(error) => warn!("list: {error}."),
+fn run_follow(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    let stream = Stream::Fleet;
+    let mut from = daemon.shared.state().next;
+    let mut wait = Duration::ZERO;
+    while !stop.asked() {
+        let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
+            Ok(page) => {
+                from = page.records.last().map_or(from, |last| last.offset + 1);
+                wait = if from >= page.end { client::READ_WAIT } else { Duration::ZERO };
+                Event::Read { stream, page }
+            }
+            Err(error) => {
+                warn!("follow: {error}.");
+                stop.wait(PAUSE);
+                from = from.max(daemon.shared.state().next);
+                Event::Unread { stream, first: trimmed(&error) }
             }
+        };
+        daemon.tell(event);
+    }
+    Ok(())
+}
+
+fn trimmed(error: &client::Error) -> Option<crate::id::Offset> {
+    match error {
+        client::Error::Trimmed { first, .. } => Some(*first),
+        _ => None,
+    }
+}
+
+fn run_list(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    while !stop.wait(LIST_INTERVAL) {
+        match client.list() {
+            Ok(list) => daemon.tell(Event::Listed(list)),
+            Err(error) => warn!("list: {error}."),
         }
-        Ok(())
-    };
-    Part { name: "list", policy: Policy::Restart, run: Arc::new(run) }
+    }
+    Ok(())
 }
--- /dev/null
+++ b/src/engine/facts.rs
@@ -0,0 +1,176 @@
+//! Agreed facts: records read from the log, records to append, operators' calls.
+
+use {
+    super::Engine,
+    crate::{
+        event::{Action, CallId, Stream},
+        id::{EntryId, Incarnation, Offset},
+        platform::{Append, Page},
+        record::{Body, Record},
+        state::State,
+    },
+    log::{info, warn},
+    std::{
+        sync::{Arc, PoisonError},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Time after which an unanswered append is repeated.
+const REPEAT: Duration = Duration::from_secs(1);
+
+/// A record that is not yet known to be in the log.
+pub(super) struct Pending {
+    append: Append,
+    sent: Option<Instant>,
+}
+
+impl Engine {
+    pub(super) fn read(&mut self, now: Instant, page: Page) {
+        self.unread = false;
+        let mut changed = false;
+        for entry in &page.records {
+            match serde_json::from_value::<Record>(entry.data.clone()) {
+                Ok(record) => changed |= self.apply(entry.offset, &record),
+                Err(error) => warn!("engine: Record {} is unreadable: {error}.", entry.offset),
+            }
+        }
+        if changed {
+            self.learn_members(now);
+        }
+        let next = self.shared.state().next;
+        if next >= page.end && !self.joined_once() {
+            info!("engine: Caught up with the log at offset {next}.");
+            self.sourced = true;
+            self.join();
+            self.repeat(now);
+        }
+    }
+
+    /// Applies a record unless it is in the state already; true if it was applied.
+    fn apply(&mut self, offset: Offset, record: &Record) -> bool {
+        let verdict = {
+            let mut state = self.shared.state.write().unwrap_or_else(PoisonError::into_inner);
+            if offset < state.next {
+                return false;
+            }
+            Arc::make_mut(&mut state).apply(offset, record)
+        };
+        self.pending.shift_remove(&record.operation);
+        if let Some(call) = self.calls.remove(&record.operation) {
+            self.actions.push(Action::Reply { call, verdict: Some((offset, verdict)) });
+        }
+        true
+    }
+
+    /// Puts a newer state from a peer in force.
+    pub(super) fn replace(&mut self, now: Instant, state: State) {
+        let next = state.next;
+        {
+            let mut own = self.shared.state.write().unwrap_or_else(PoisonError::into_inner);
+            if next <= own.next {
+                return;
+            }
+            *own = Arc::new(state);
+        }
+        info!("engine: Took the state at offset {next} from a peer.");
+        self.sourced = true;
+        self.learn_members(now);
+    }
+
+    pub(super) fn unread(&mut self, stream: Stream, first: Option<Offset>) {
+        if stream == Stream::Fleet {
+            self.unread = true;
+        }
+        if let Some(first) = first {
+            warn!("engine: The log holds records from {first} on only.");
+        }
+    }
+
+    fn joined_once(&self) -> bool {
+        let state = self.shared.state();
+        let own = state.members.get(&self.me.id);
+        own.is_some_and(|m| m.incarnation == self.me.incarnation)
+            || self.pending.contains_key(&self.join_operation())
+            || self.stopping
+    }
+
+    fn join_operation(&self) -> String {
+        format!("join-{}-{:016x}", self.me.id, self.me.incarnation)
+    }
+
+    fn join(&mut self) {
+        let body = Body::Join { entry: self.me.clone() };
+        self.propose(self.join_operation(), body);
+    }
+
+    /// Records that an incarnation has ended.
+    pub(super) fn record_gone(&mut self, entry: EntryId, incarnation: Incarnation) {
+        let operation = format!("gone-{entry}-{incarnation:016x}");
+        self.propose(operation, Body::Gone { entry, incarnation });
+    }
+
+    /// Confirms the drains of VMs on which this entry holds no work.
+    pub(super) fn confirm_drains(&mut self) {
+        let state = self.shared.state();
+        for (vm, drain) in &state.drains {
+            let asked = drain.waiting.contains(&self.me.id);
+            if !asked || self.in_use.get(vm).copied().unwrap_or(0) > 0 {
+                continue;
+            }
+            let incarnation = self.me.incarnation;
+            let since = drain.since;
+            let operation = format!("emptied-{vm}-{since}-{}-{incarnation:016x}", self.me.id);
+            let (vm, entry) = (vm.clone(), self.me.id.clone());
+            self.propose(operation, Body::Emptied { vm, entry, incarnation, drain: since });
+        }
+    }
+
+    pub(super) fn called(&mut self, call: CallId, record: Record) {
+        let known = self.shared.state().verdicts.get(&record.operation).cloned();
+        if known.is_some() {
+            return self.actions.push(Action::Reply { call, verdict: known });
+        }
+        self.calls.insert(record.operation.clone(), call);
+        self.append(record);
+    }
+
+    fn propose(&mut self, operation: String, body: Body) {
+        if self.pending.contains_key(&operation) {
+            return;
+        }
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.append(Record { operation, author: self.me.id.clone(), at, body });
+    }
+
+    fn append(&mut self, record: Record) {
+        let id = record.operation.clone();
+        match serde_json::to_value(&record) {
+            Ok(data) => {
+                let append = Append { id: id.clone(), data };
+                self.pending.insert(id, Pending { append, sent: None });
+            }
+            Err(error) => warn!("engine: Record {id} can't be encoded: {error}."),
+        }
+    }
+
+    /// Sends each pending record that was not sent, or not answered in time.
+    pub(super) fn repeat(&mut self, now: Instant) {
+        for pending in self.pending.values_mut() {
+            if pending.sent.is_none_or(|at| now.duration_since(at) >= REPEAT) {
+                pending.sent = Some(now);
+                let record = pending.append.clone();
+                self.actions.push(Action::Append { stream: Stream::Fleet, record });
+            }
+        }
+    }
+
+    pub(super) fn appended(&mut self, id: &str, offset: Option<Offset>) {
+        if offset.is_some() {
+            return;
+        }
+        if let Some(pending) = self.pending.get_mut(id) {
+            pending.sent = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,259 @@
+//! The engine: every decision of an entry, fed with events and answering with actions.
+//!
+//! It owns the requests in progress and the agreed state, takes the time as an argument and does no
+//! input or output, so the same code runs in a daemon, in a test and in a measurement.
+
+mod facts;
+mod peers;
+mod requests;
+
+use {
+    crate::{
+        event::{Action, CallId, Event, RequestId, Stream},
+        id::{EntryId, Incarnation, Offset, OperationId, VmId, ZoneId},
+        member,
+        record::{FLEET_STREAM, Member, ORDERS_STREAM},
+        state::State,
+    },
+    indexmap::IndexMap,
+    log::info,
+    requests::Flight,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{HashMap, VecDeque},
+        net::SocketAddr,
+        sync::{
+            Arc, PoisonError, RwLock,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that a planned stop waits for the record of the entry's own end.
+const FAREWELL: Duration = Duration::from_secs(1);
+
+/// What the entry tells about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name.
+    pub id: EntryId,
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Version of the declaration in force here.
+    pub version: Option<Offset>,
+    /// Offset of the next fleet record to apply.
+    pub next: Offset,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Other entries, as it sees them.
+    pub peers: IndexMap<EntryId, Sight>,
+}
+
+/// What an entry knows of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sight {
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Whether it is there.
+    pub health: member::Health,
+    /// Version of the declaration in force there.
+    pub version: Option<Offset>,
+    /// Offset of the next record that it will apply.
+    pub next: Offset,
+    /// Milliseconds since it was heard.
+    pub age_ms: u64,
+}
+
+/// What the engine shows to the threads that answer questions about it.
+#[derive(Debug, Default)]
+pub struct Shared {
+    ready: AtomicBool,
+    status: RwLock<Status>,
+    state: RwLock<Arc<State>>,
+}
+
+impl Shared {
+    /// Whether callers are served.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// The entry's account of itself.
+    pub fn status(&self) -> Status {
+        self.status.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The agreed state as applied here.
+    pub fn state(&self) -> Arc<State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// Decisions of one entry.
+pub struct Engine {
+    me: Member,
+    shared: Arc<Shared>,
+    seeds: Vec<SocketAddr>,
+    peers: member::Table,
+    flights: HashMap<RequestId, Flight>,
+    queues: IndexMap<String, VecDeque<RequestId>>,
+    in_use: HashMap<VmId, u32>,
+    calls: HashMap<OperationId, CallId>,
+    pending: IndexMap<OperationId, facts::Pending>,
+    attempts: u64,
+    beats: u64,
+    sourced: bool,
+    unread: bool,
+    fetched: Option<Instant>,
+    shown: Option<Instant>,
+    stopping: bool,
+    farewell: Option<Instant>,
+    actions: Vec<Action>,
+}
+
+impl Engine {
+    /// Begins with nothing known; `seeds` are links of other entries that may have a state.
+    pub fn new(me: Member, seeds: Vec<SocketAddr>, shared: Arc<Shared>) -> Self {
+        let peers = member::Table::new(me.zone.clone());
+        Self {
+            me,
+            shared,
+            seeds,
+            peers,
+            flights: HashMap::new(),
+            queues: IndexMap::new(),
+            in_use: HashMap::new(),
+            calls: HashMap::new(),
+            pending: IndexMap::new(),
+            attempts: 0,
+            beats: 0,
+            sourced: false,
+            unread: false,
+            fetched: None,
+            shown: None,
+            stopping: false,
+            farewell: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Decides on an event.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Arrived { id, request, repeatable, .. } => {
+                self.arrived(now, id, request, repeatable)
+            }
+            Event::Cancelled { id } => self.cancelled(id),
+            Event::Ended { id, attempt, end } => self.ended(now, id, attempt, end),
+            Event::Read { stream: Stream::Fleet, page } => self.read(now, page),
+            Event::Read { stream: Stream::Orders, .. } => {}
+            Event::Unread { stream, first } => self.unread(stream, first),
+            Event::Appended { id, offset, .. } => self.appended(&id, offset),
+            Event::Called { call, record } => self.called(call, record),
+            Event::Message { from, incarnation, message } => {
+                self.message(now, from, incarnation, message)
+            }
+            Event::Linked { peer, contact } => self.linked(now, peer, contact),
+            Event::Listed(_) | Event::Operated { .. } => {}
+            Event::Stop => self.stop(),
+        }
+        self.dispatch(now);
+        self.settle(now)
+    }
+
+    /// Decides on what the passing of time asks for.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.expire(now);
+        self.repeat(now);
+        self.confirm_drains();
+        self.beat(now);
+        self.fetch(now);
+        self.dispatch(now);
+        self.settle(now)
+    }
+
+    fn settle(&mut self, now: Instant) -> Vec<Action> {
+        let ready = self.ready();
+        let changed = self.shared.ready.swap(ready, Ordering::Relaxed) != ready;
+        let stale = self.shown.is_none_or(|at| now.duration_since(at) >= SHOW_INTERVAL);
+        if changed || stale {
+            self.show(now, ready);
+        }
+        if self.stopping && self.flights.is_empty() {
+            self.part(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn ready(&self) -> bool {
+        let state = self.shared.state();
+        let own = state.members.get(&self.me.id);
+        let joined = own.is_some_and(|m| m.incarnation == self.me.incarnation);
+        // During an outage of the log a state from a peer is enough to serve.
+        self.sourced && (joined || self.unread) && !self.stopping
+    }
+
+    fn show(&mut self, now: Instant, ready: bool) {
+        self.shown = Some(now);
+        let state = self.shared.state();
+        let peers = self.peers.list(now).map(|(peer, health)| {
+            let beat = peer.beat.as_ref();
+            let sight = Sight {
+                incarnation: peer.member.incarnation,
+                zone: peer.member.zone.clone(),
+                health,
+                version: beat.and_then(|b| b.version),
+                next: beat.map_or(0, |b| b.next),
+                age_ms: now.duration_since(peer.heard).as_millis() as u64,
+            };
+            (peer.member.id.clone(), sight)
+        });
+        let status = Status {
+            id: self.me.id.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.me.zone.clone(),
+            version: state.version,
+            next: state.next,
+            ready,
+            peers: peers.collect(),
+        };
+        *self.shared.status.write().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    fn stop(&mut self) {
+        info!("engine: Stops with {} requests in progress.", self.flights.len());
+        self.stopping = true;
+    }
+
+    /// Records the entry's end, then reports that everything has ended.
+    fn part(&mut self, now: Instant) {
+        let since = match self.farewell {
+            Some(since) => since,
+            None => {
+                self.farewell = Some(now);
+                self.record_gone(self.me.id.clone(), self.me.incarnation);
+                self.repeat(now);
+                now
+            }
+        };
+        if self.pending.is_empty() || now.duration_since(since) >= FAREWELL {
+            self.actions.push(Action::Stopped);
+        }
+    }
+}
+
+/// Time between two accounts of the entry.
+const SHOW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Name of the log's stream.
+pub fn stream_name(stream: Stream) -> &'static str {
+    match stream {
+        Stream::Fleet => FLEET_STREAM,
+        Stream::Orders => ORDERS_STREAM,
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,7 @@
     bytes::{BufMut, Bytes, BytesMut},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::result,
+    std::{net::SocketAddr, result},
 };
 
 /// Longest frame in bytes; a snapshot of the state at full size fits.
@@ -59,6 +59,8 @@
     Fetch {
         /// First offset that the sender lacks.
         from: Offset,
+        /// Where the sender accepts links.
+        link: SocketAddr,
     },
     /// A whole state, newer than what was asked for.
     State(Box<State>),
