--- /dev/null
+++ b/standin/src/caller.rs
@@ -0,0 +1,209 @@
+//! One request as a caller sees it: tries through several entries until one answer is final.
+//!
+//! A try that found no entry, or whose connection broke, is repeated through another entry, with
+//! the same key for an order. So is one that was answered `not-run`, after the time asked for, and
+//! an order whose outcome is unknown.
+
+use {
+    crate::identity::Work,
+    carobhitch::{
+        id::{OrderKey, TeamId},
+        request::{
+            CLASS_HEADER, Class, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, Outcome, TEAM_HEADER,
+        },
+    },
+    oxhttp::{
+        Client,
+        model::{Body, Method, Request, Response},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        io::{Error, ErrorKind},
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that a caller waits for an answer past its deadline.
+const GRACE: Duration = Duration::from_secs(3);
+/// Time between two tries, if the answer names none.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time between two tries, at most.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
+/// A request to make.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Team that asks.
+    pub team: TeamId,
+    /// Kind.
+    pub class: Class,
+    /// What is asked.
+    pub work: Work,
+    /// Key of an order.
+    pub key: Option<OrderKey>,
+    /// Time from arrival until the answer is of no use.
+    pub deadline: Duration,
+    /// Time after which the first try is given up as if its answer was lost.
+    pub impatience: Option<Duration>,
+}
+
+/// What one try came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Try {
+    /// The whole answer to this request.
+    Whole,
+    /// Another body than this request's.
+    Wrong,
+    /// The entry says what became of it, and it is not done.
+    Told(Outcome, Duration),
+    /// The caller gave up by itself.
+    Abandoned,
+    /// No answer within the deadline.
+    Late,
+    /// No connection; nothing was sent.
+    Unreached,
+    /// The connection broke after the request was sent.
+    Broken,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// Got its whole answer.
+    Answered,
+    /// Ran and failed.
+    Failed,
+    /// Was refused as not run.
+    Refused,
+    /// May have run.
+    Unknown,
+    /// Got no answer at all.
+    Lost,
+    /// Got another answer than its own, or part of it.
+    Cut,
+}
+
+/// A request that ended.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// How it ended.
+    pub end: End,
+    /// Tries, with the entry of each.
+    pub tries: Vec<(SocketAddr, Try)>,
+    /// Time from the first try to the end.
+    pub latency: Duration,
+}
+
+impl Story {
+    /// Every answer was that it had not run.
+    pub fn never_ran(&self) -> bool {
+        let not_run = |t: &Try| matches!(t, Try::Told(Outcome::NotRun, _) | Try::Unreached);
+        self.end == End::Refused && self.tries.iter().all(|(_, t)| not_run(t))
+    }
+}
+
+/// Makes a request through `entries` in turn, with up to `tries` tries.
+pub fn ask(ask: &Ask, entries: impl Iterator<Item = SocketAddr>, tries: usize) -> Story {
+    let begun = Instant::now();
+    let mut story = Story { end: End::Lost, tries: Vec::new(), latency: Duration::ZERO };
+    for entry in entries.take(tries) {
+        let outcome = attempt(ask, entry, story.tries.is_empty());
+        story.tries.push((entry, outcome));
+        if is_final(ask, outcome) {
+            break;
+        }
+        thread::sleep(pause(outcome));
+    }
+    story.latency = begun.elapsed();
+    story.end = conclude(&story.tries);
+    story
+}
+
+fn is_final(ask: &Ask, outcome: Try) -> bool {
+    match outcome {
+        Try::Whole | Try::Wrong | Try::Told(Outcome::Done | Outcome::Failed, _) => true,
+        Try::Told(Outcome::Unknown, _) => ask.class != Class::Order,
+        _ => false,
+    }
+}
+
+fn pause(outcome: Try) -> Duration {
+    match outcome {
+        Try::Told(_, wait) => wait.clamp(PAUSE, MAX_PAUSE),
+        _ => PAUSE,
+    }
+}
+
+/// The last answer counts; a break or a silence after it tells nothing new.
+fn conclude(tries: &[(SocketAddr, Try)]) -> End {
+    let ends = tries.iter().rev().filter_map(|(_, outcome)| match outcome {
+        Try::Whole => Some(End::Answered),
+        Try::Wrong => Some(End::Cut),
+        Try::Told(Outcome::Failed, _) => Some(End::Failed),
+        Try::Told(Outcome::NotRun, _) => Some(End::Refused),
+        Try::Told(_, _) => Some(End::Unknown),
+        Try::Abandoned | Try::Late | Try::Unreached | Try::Broken => None,
+    });
+    ends.into_iter().next().unwrap_or(End::Lost)
+}
+
+fn attempt(ask: &Ask, entry: SocketAddr, first: bool) -> Try {
+    let impatience = ask.impatience.filter(|_| first);
+    let patience = impatience.unwrap_or(ask.deadline + GRACE);
+    let Ok(request) = request(ask, entry) else { return Try::Unreached };
+    let result = Client::new().with_global_timeout(patience).request(request);
+    match result.and_then(|response| judge(ask, response)) {
+        Ok(outcome) => outcome,
+        Err(error) => match error.kind() {
+            ErrorKind::ConnectionRefused => Try::Unreached,
+            ErrorKind::TimedOut | ErrorKind::WouldBlock if impatience.is_some() => Try::Abandoned,
+            ErrorKind::TimedOut | ErrorKind::WouldBlock => Try::Late,
+            _ => Try::Broken,
+        },
+    }
+}
+
+fn request(ask: &Ask, entry: SocketAddr) -> Result<Request<Body>, Error> {
+    let class = match ask.class {
+        Class::Quick => "quick",
+        Class::Watch => "watch",
+        Class::Order => "order",
+    };
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{entry}{}", ask.work.path()))
+        .header(TEAM_HEADER, &ask.team)
+        .header(CLASS_HEADER, class)
+        .header(DEADLINE_HEADER, ask.deadline.as_millis().to_string());
+    if let Some(key) = &ask.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    request.body(Body::from(ask.work.request_body())).map_err(Error::other)
+}
+
+fn judge(ask: &Ask, response: Response<Body>) -> Result<Try, Error> {
+    let header = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
+    let outcome = match header(OUTCOME_HEADER) {
+        Some("done") => Outcome::Done,
+        Some("failed") => Outcome::Failed,
+        Some("not-run") => Outcome::NotRun,
+        None if response.status().is_success() => Outcome::Done,
+        Some(_) | None => Outcome::Unknown,
+    };
+    let wait = header("retry-after").and_then(|v| v.parse().ok()).unwrap_or(0);
+    if outcome != Outcome::Done {
+        return Ok(Try::Told(outcome, Duration::from_secs(wait)));
+    }
+    let body = response.into_body().to_vec()?;
+    let expected = ask.work.answer_body();
+    if body == expected {
+        Ok(Try::Whole)
+    } else if expected.starts_with(&body) {
+        Ok(Try::Broken)
+    } else {
+        Ok(Try::Wrong)
+    }
+}
--- a/standin/src/payload.rs
+++ b/standin/src/payload.rs
@@ -15,12 +15,13 @@
 pub struct Payload {
     data: Option<Bytes>,
     missing_bytes: u64,
+    flushed: bool,
 }
 
 impl Payload {
     /// Sends all of `data`.
     pub fn whole(data: impl Into<Bytes>) -> Self {
-        Self { data: Some(data.into()), missing_bytes: 0 }
+        Self { data: Some(data.into()), missing_bytes: 0, flushed: false }
     }
 
     /// Announces all of `data`, sends the first half of it and breaks the connection.
@@ -28,7 +29,7 @@
         let data = data.into();
         let half = data.len() / 2;
         let missing_bytes = (data.len() - half) as u64;
-        Self { data: Some(data.slice(..half)), missing_bytes }
+        Self { data: Some(data.slice(..half)), missing_bytes, flushed: false }
     }
 }
 
@@ -38,12 +39,18 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Some(data) = self.data.take().filter(|d| !d.is_empty()) {
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         if self.missing_bytes > 0 {
+            if !self.flushed {
+                // Being pending once makes the server send what it has before the break.
+                self.flushed = true;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             return Poll::Ready(Some(Err(Error::from(ErrorKind::ConnectionReset))));
         }
         Poll::Ready(None)
--- /dev/null
+++ b/standin/src/tally.rs
@@ -0,0 +1,200 @@
+//! What became of the requests of a run, and the table of it.
+
+use {
+    crate::{
+        caller::{Ask, End, Story, Try},
+        runner::Ledger,
+    },
+    carobhitch::{id::OrderKey, request::Class},
+    hdrhistogram::Histogram,
+    indexmap::{IndexMap, IndexSet},
+    serde::{Deserialize, Serialize},
+    std::{fmt, net::SocketAddr},
+};
+
+/// Digits of the latencies kept.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Requests of one class.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Row {
+    /// Requests made.
+    pub sent: u64,
+    /// Got their whole answer.
+    pub answered: u64,
+    /// Ran and failed.
+    pub failed: u64,
+    /// Were refused as not run.
+    pub refused: u64,
+    /// May have run.
+    pub unknown: u64,
+    /// Got no answer at all.
+    pub lost: u64,
+    /// Got another answer than their own, or were broken off by an entry that was not killed.
+    pub cut: u64,
+    /// Tries beyond the first.
+    pub retries: u64,
+    /// Median latency of the answered.
+    pub p50_ms: f64,
+    /// 99th percentile of the latency of the answered.
+    pub p99_ms: f64,
+    /// Greatest latency of the answered.
+    pub max_ms: f64,
+}
+
+/// What the endpoints' ledgers show about the orders.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Audit {
+    /// Orders that ran more than once.
+    pub doubled: u64,
+    /// Orders that ran although every answer was that they had not.
+    pub false_not_run: u64,
+    /// Orders answered as done that never ran.
+    pub unrun: u64,
+    /// Exchanges at once on one endpoint, at most.
+    pub most_in_flight: u32,
+    /// Connections at once to one endpoint, at most.
+    pub most_connections: usize,
+    /// Requests that endpoints refused because no slot was free.
+    pub refused: u64,
+    /// Requests that reached another service's endpoint.
+    pub misrouted: u64,
+    /// Exchanges broken by a reboot.
+    pub broken: u64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests by class.
+    pub rows: IndexMap<String, Row>,
+    /// Orders in the endpoints' ledgers.
+    pub audit: Audit,
+}
+
+/// Requests so far.
+#[derive(Debug)]
+pub struct Tally {
+    killed: IndexSet<SocketAddr>,
+    rows: IndexMap<String, Row>,
+    latencies: IndexMap<String, Histogram<u64>>,
+    orders: IndexMap<OrderKey, (End, bool)>,
+}
+
+impl Tally {
+    /// Empty tally; connections to the `killed` entries may break.
+    pub fn new(killed: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let killed = killed.into_iter().collect();
+        let rows = ["quick", "watch", "order"].map(|c| (String::from(c), Row::default()));
+        Self {
+            killed,
+            rows: rows.into_iter().collect(),
+            latencies: IndexMap::new(),
+            orders: IndexMap::new(),
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn add(&mut self, ask: &Ask, story: &Story) {
+        let class = match ask.class {
+            Class::Quick => "quick",
+            Class::Watch => "watch",
+            Class::Order => "order",
+        };
+        let row = self.rows.entry(class.into()).or_default();
+        row.sent += 1;
+        row.retries += story.tries.len().saturating_sub(1) as u64;
+        let broken =
+            |(entry, t): &(SocketAddr, Try)| *t == Try::Broken && !self.killed.contains(entry);
+        row.cut += u64::from(story.end == End::Cut || story.tries.iter().any(broken));
+        match story.end {
+            End::Answered => row.answered += 1,
+            End::Failed => row.failed += 1,
+            End::Refused => row.refused += 1,
+            End::Unknown => row.unknown += 1,
+            End::Lost => row.lost += 1,
+            End::Cut => (),
+        }
+        if story.end == End::Answered {
+            let new = || Histogram::new(LATENCY_DIGITS).ok();
+            if !self.latencies.contains_key(class) {
+                self.latencies.extend(new().map(|h| (String::from(class), h)));
+            }
+            if let Some(latencies) = self.latencies.get_mut(class) {
+                latencies.saturating_record(story.latency.as_micros() as u64);
+            }
+        }
+        if let Some(key) = &ask.key {
+            self.orders.insert(key.clone(), (story.end, story.never_ran()));
+        }
+    }
+
+    /// Compares the orders with the endpoints' ledgers.
+    pub fn report(&self, ledgers: &[Ledger]) -> Report {
+        let mut rows = self.rows.clone();
+        let millis = |micros: u64| micros as f64 / 1000.0;
+        for (class, latencies) in &self.latencies {
+            let row = rows.entry(class.clone()).or_default();
+            row.p50_ms = millis(latencies.value_at_quantile(0.5));
+            row.p99_ms = millis(latencies.value_at_quantile(0.99));
+            row.max_ms = millis(latencies.max());
+        }
+        Report { rows, audit: self.audit(ledgers) }
+    }
+
+    fn audit(&self, ledgers: &[Ledger]) -> Audit {
+        let mut runs: IndexMap<&OrderKey, u32> = IndexMap::new();
+        for (key, count) in ledgers.iter().flat_map(|l| &l.runs) {
+            *runs.entry(key).or_default() += count;
+        }
+        let count = |of: &dyn Fn(&Ledger) -> u64| ledgers.iter().map(of).sum();
+        let ran = |key: &OrderKey| runs.contains_key(key);
+        let orders = || self.orders.iter();
+        Audit {
+            doubled: runs.values().filter(|n| **n > 1).count() as u64,
+            false_not_run: orders().filter(|(k, (_, never))| *never && ran(k)).count() as u64,
+            unrun: orders().filter(|(k, (e, _))| *e == End::Answered && !ran(k)).count() as u64,
+            most_in_flight: ledgers.iter().map(|l| l.most_in_flight).max().unwrap_or(0),
+            most_connections: ledgers.iter().map(|l| l.connections.most_open).max().unwrap_or(0),
+            refused: count(&|l| l.refused),
+            misrouted: count(&|l| l.misrouted),
+            broken: count(&|l| l.broken),
+        }
+    }
+}
+
+impl Report {
+    /// Nothing was lost, doubled or cut, and every outcome told was true.
+    pub fn holds(&self) -> bool {
+        let Audit { doubled, false_not_run, unrun, .. } = self.audit;
+        let rows = self.rows.values();
+        rows.map(|r| r.lost + r.cut).sum::<u64>() + doubled + false_not_run + unrun == 0
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let heads = ["class", "sent", "answered", "failed", "not run", "unknown", "lost", "cut"];
+        write!(f, "{:<6}", heads[0])?;
+        heads[1..].iter().try_for_each(|h| write!(f, " {h:>8}"))?;
+        writeln!(f, " {:>8} {:>9} {:>9} {:>9}", "retries", "p50 ms", "p99 ms", "max ms")?;
+        for (class, r) in &self.rows {
+            let counts =
+                [r.sent, r.answered, r.failed, r.refused, r.unknown, r.lost, r.cut, r.retries];
+            write!(f, "{class:<6}")?;
+            counts.iter().try_for_each(|n| write!(f, " {n:>8}"))?;
+            writeln!(f, " {:>9.1} {:>9.1} {:>9.1}", r.p50_ms, r.p99_ms, r.max_ms)?;
+        }
+        let a = &self.audit;
+        writeln!(
+            f,
+            "orders doubled {}, false not run {}, done but never run {}",
+            a.doubled, a.false_not_run, a.unrun
+        )?;
+        write!(
+            f,
+            "endpoints: most exchanges at once {}, most connections {}, refused {}, misrouted {}, broken by reboot {}",
+            a.most_in_flight, a.most_connections, a.refused, a.misrouted, a.broken
+        )
+    }
+}
