--- a/standin/src/tally.rs
+++ b/standin/src/tally.rs
@@ -12,6 +12,8 @@
     std::{fmt, net::SocketAddr},
 };
 
+/// Greatest latency told apart.
+const MAX_LATENCY_MICROS: u64 = 600_000_000;
 /// Digits of the latencies kept.
 const LATENCY_DIGITS: u8 = 3;
 
@@ -116,7 +118,7 @@
             End::Cut => (),
         }
         if story.end == End::Answered {
-            let new = || Histogram::new(LATENCY_DIGITS).ok();
+            let new = || Histogram::new_with_max(MAX_LATENCY_MICROS, LATENCY_DIGITS).ok();
             if !self.latencies.contains_key(class) {
                 self.latencies.extend(new().map(|h| (String::from(class), h)));
             }
