Add admission queues and slot tables

Cause: entries need to know which request starts next, which is refused at once, and which slots of which runner each of them may use.

admit::Queue bounds the wait by the deadline and the learned run time, shares between teams by slot time (start-time fair queueing), and keeps quick calls, watches and orders apart. slot::Table moves slots by demand and brings back those of an ended incarnation by a recount that every incarnation which may still run has answered.

Ruled out while writing: completing a recount under way when a member ends (it may have handed on slots that were not counted), and letting a newcomer hold slots before every member knows it (a grantor's end would hide it).

--- /dev/null
+++ b/src/admit/lane.rs
@@ -0,0 +1,255 @@
+//! The waiting requests of one class, fair between teams.
+//!
+//! Start-time fair queueing: a team's tag is the slot time it was charged, divided by its weight;
+//! the team with the lowest tag goes next. A team that was idle starts at the tag of the last
+//! request that was started, so that it neither saves up nor owes. The expected run time is charged
+//! at the start and corrected at the end.
+
+use {
+    super::{Waiting, run::Run},
+    crate::id::TeamId,
+    indexmap::IndexMap,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// Part of the time between arrival and deadline that the margin for the run takes at most.
+const MAX_MARGIN_PARTS: u32 = 2;
+/// Idle teams that are remembered.
+const MAX_IDLE_TEAMS: usize = 256;
+
+/// What a request is offered at.
+pub(super) struct Offer {
+    pub(super) weight: u32,
+    pub(super) slots: u32,
+    pub(super) idle: bool,
+    pub(super) wait_percent: u32,
+}
+
+#[derive(Default)]
+struct Flow {
+    queue: VecDeque<Waiting>,
+    weight: u32,
+    tag_secs: f64,
+    running: u32,
+}
+
+impl Flow {
+    fn idle(&self) -> bool {
+        self.queue.is_empty() && self.running == 0
+    }
+}
+
+/// The waiting requests of one class.
+pub(super) struct Lane {
+    flows: IndexMap<TeamId, Flow>,
+    run: Run,
+    tag_secs: f64,
+    used_secs: f64,
+    waiting: usize,
+}
+
+impl Lane {
+    pub(super) fn new(first_run: Duration) -> Self {
+        Self {
+            flows: IndexMap::new(),
+            run: Run::new(first_run),
+            tag_secs: 0.0,
+            used_secs: 0.0,
+            waiting: 0,
+        }
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.run.running()
+    }
+
+    pub(super) fn mean(&self) -> Duration {
+        self.run.mean()
+    }
+
+    /// Slot time charged so far.
+    pub(super) fn used(&self) -> f64 {
+        self.used_secs
+    }
+
+    /// Forgets the slot time that the lane left to another one while nothing waited in it.
+    pub(super) fn catch_up(&mut self, used_secs: f64) {
+        if self.waiting == 0 {
+            self.used_secs = self.used_secs.max(used_secs);
+        }
+    }
+
+    pub(super) fn oldest(&self) -> Option<Instant> {
+        self.flows.values().filter_map(|f| f.queue.front()).map(|w| w.arrived).min()
+    }
+
+    /// Accepts the request, or gives the projected wait that its deadline does not allow.
+    pub(super) fn offer(
+        &mut self,
+        now: Instant,
+        waiting: Waiting,
+        offer: Offer,
+    ) -> Result<(), Duration> {
+        let expected = self.run.expected(now);
+        let pace = self.pace(&waiting.team, offer.weight, offer.slots, expected);
+        let queue = self.flows.get(&waiting.team).map(|f| &f.queue);
+        let position =
+            queue.map_or(0, |q| q.partition_point(|other| other.deadline <= waiting.deadline));
+        if !(offer.idle && self.waiting == 0) {
+            let wait = pace.wait(position, self.waiting);
+            let allowed = self.latest(&waiting).saturating_duration_since(now);
+            if wait > allowed * offer.wait_percent / 100 {
+                return Err(wait);
+            }
+            let delays_others = queue.into_iter().flatten().skip(position).enumerate();
+            let mut delays_others = delays_others.filter(|(index, other)| {
+                now + pace.wait(position + index + 1, self.waiting + 1) > self.latest(other)
+            });
+            if delays_others.next().is_some() {
+                return Err(wait);
+            }
+        }
+        self.insert(position, waiting, offer.weight);
+        Ok(())
+    }
+
+    fn insert(&mut self, position: usize, waiting: Waiting, weight: u32) {
+        if self.flows.len() > MAX_IDLE_TEAMS {
+            let tag_secs = self.tag_secs;
+            self.flows.retain(|_, f| !f.idle() || f.tag_secs > tag_secs);
+        }
+        let flow = self.flows.entry(waiting.team.clone()).or_default();
+        flow.weight = weight;
+        flow.queue.insert(position, waiting);
+        self.waiting += 1;
+    }
+
+    /// Hands out the next request, the slot time charged, and whether it still ends in time.
+    pub(super) fn take(&mut self, now: Instant) -> Option<(Waiting, Duration, bool)> {
+        let charged = self.run.expected(now);
+        let tag_secs = self.tag_secs;
+        let start = |f: &Flow| f.tag_secs.max(tag_secs);
+        let flow = self
+            .flows
+            .values_mut()
+            .filter(|f| !f.queue.is_empty())
+            .min_by(|a, b| start(a).total_cmp(&start(b)))?;
+        let waiting = flow.queue.pop_front()?;
+        self.waiting -= 1;
+        if now > latest(&waiting, self.run.margin()) {
+            return Some((waiting, charged, false));
+        }
+        self.tag_secs = start(flow);
+        flow.tag_secs = self.tag_secs + charged.as_secs_f64() / f64::from(flow.weight);
+        flow.running += 1;
+        self.used_secs += charged.as_secs_f64();
+        self.run.start(now);
+        Some((waiting, charged, true))
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        team: &TeamId,
+        started: Instant,
+        took: Duration,
+        charged: Duration,
+    ) {
+        self.run.finish(started, took);
+        let error_secs = took.as_secs_f64() - charged.as_secs_f64();
+        self.used_secs += error_secs;
+        if let Some(flow) = self.flows.get_mut(team) {
+            flow.running = flow.running.saturating_sub(1);
+            flow.tag_secs += error_secs / f64::from(flow.weight);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: u64) -> bool {
+        for flow in self.flows.values_mut() {
+            if let Some(position) = flow.queue.iter().position(|w| w.id == id) {
+                flow.queue.remove(position);
+                self.waiting -= 1;
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Removes the requests that would be late even if the lane drained `speedup` times as fast
+    /// as projected, each with its projected wait.
+    pub(super) fn expire(
+        &mut self,
+        now: Instant,
+        slots: u32,
+        speedup: u32,
+    ) -> Vec<(Waiting, Duration)> {
+        let mut expired = Vec::new();
+        if self.waiting == 0 {
+            return expired;
+        }
+        let expected = self.run.expected(now);
+        let margin = self.run.margin();
+        for index in 0..self.flows.len() {
+            let (team, weight) = match self.flows.get_index(index) {
+                Some((team, flow)) if !flow.queue.is_empty() => (team.clone(), flow.weight),
+                _ => continue,
+            };
+            let pace = self.pace(&team, weight, slots, expected);
+            let waiting = self.waiting;
+            let mut kept = 0;
+            self.flows[index].queue.retain(|request| {
+                let wait = pace.wait(kept, waiting);
+                if now + wait / speedup > latest(request, margin) {
+                    expired.push((request.clone(), wait));
+                    return false;
+                }
+                kept += 1;
+                true
+            });
+        }
+        self.waiting -= expired.len();
+        expired
+    }
+
+    fn latest(&self, waiting: &Waiting) -> Instant {
+        latest(waiting, self.run.margin())
+    }
+
+    fn pace(&self, team: &TeamId, weight: u32, slots: u32, expected: Duration) -> Pace {
+        let others: u32 = self
+            .flows
+            .iter()
+            .filter(|(other, flow)| *other != team && !flow.queue.is_empty())
+            .map(|(_, flow)| flow.weight)
+            .sum();
+        Pace { start_secs: expected.as_secs_f64() / f64::from(slots.max(1)), weight, others }
+    }
+}
+
+/// How fast a team's requests start.
+struct Pace {
+    start_secs: f64,
+    weight: u32,
+    others: u32,
+}
+
+impl Pace {
+    /// Projected wait at a position of the team's queue, while `waiting` requests of all teams wait.
+    fn wait(&self, position: usize, waiting: usize) -> Duration {
+        let share = f64::from(self.weight) / f64::from(self.weight + self.others);
+        let starts = ((position + 1) as f64 / share).min((waiting + 1) as f64);
+        Duration::from_secs_f64(self.start_secs * starts)
+    }
+}
+
+/// Latest start at which a request most likely ends before its deadline.
+fn latest(waiting: &Waiting, margin: Duration) -> Instant {
+    let whole = waiting.deadline.saturating_duration_since(waiting.arrived);
+    waiting.deadline - margin.min(whole / MAX_MARGIN_PARTS)
+}
--- /dev/null
+++ b/src/admit/mod.rs
@@ -0,0 +1,311 @@
+//! Decides which request waits, which starts next and which is refused.
+//!
+//! A [`Queue`] holds the requests of one service on one entry. A request is accepted only if its
+//! projected start leaves time to finish before its deadline, so the queue is bounded by deadlines
+//! and not by length. Quick calls and orders share the slots by the time they use; watches, which
+//! hold a slot for long, are guaranteed a small share and capped at a larger one. Within a class,
+//! teams share by weight, measured in slot time, and each team's requests go by deadline.
+//!
+//! Every [`Refusal`] concerns a request that was never handed out by [`Queue::take`], so that
+//! "not run" is certain.
+
+mod lane;
+mod run;
+
+use {
+    crate::{id::TeamId, request::Class},
+    displaydoc::Display,
+    indexmap::IndexMap,
+    lane::Lane,
+    std::time::{Duration, Instant},
+};
+
+/// Outcome of an offer.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Shortest time that a refused caller is asked to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Longest time that a refused caller is asked to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Drain rate over the projected one at which a waiting request is still thought able to start.
+const GIVE_UP_SPEEDUP: u32 = 2;
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// Number of the request, unique on the entry.
+    pub id: u64,
+    /// Team that asks.
+    pub team: TeamId,
+    /// Kind.
+    pub class: Class,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When the caller has no use for the answer any more.
+    pub deadline: Instant,
+}
+
+/// A request that certainly did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[displaydoc("admit request: {reason}, retry after {retry_after:?}")]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller may come back.
+    pub retry_after: Duration,
+}
+
+impl std::error::Error for Refusal {}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Reason {
+    /// it cannot finish before its deadline
+    Overload,
+    /// its deadline has passed
+    Late,
+    /// no endpoint takes work
+    NoEndpoint,
+}
+
+/// Slots that the entry can count on for a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Supply {
+    /// Number of slots.
+    pub slots: u32,
+}
+
+/// Limits of a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Percentage of the slots that watches get even while other requests wait.
+    pub watch_floor_percent: u32,
+    /// Percentage of the slots that watches hold at most.
+    pub watch_cap_percent: u32,
+    /// Percentage of the time left to a request that it may be projected to wait.
+    pub wait_percent: u32,
+    /// Expected run time of a class before one was measured.
+    pub first_run: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            watch_floor_percent: 25,
+            watch_cap_percent: 50,
+            wait_percent: 50,
+            first_run: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A request that was handed out and holds a slot.
+struct Running {
+    team: TeamId,
+    class: Class,
+    started: Instant,
+    charged: Duration,
+}
+
+/// Requests of one service that wait on one entry.
+pub struct Queue {
+    limits: Limits,
+    supply: Supply,
+    weights: IndexMap<TeamId, u32>,
+    quick: Lane,
+    watch: Lane,
+    order: Lane,
+    running: IndexMap<u64, Running>,
+    given_up: Vec<(Waiting, Refusal)>,
+}
+
+impl Queue {
+    /// An empty queue.
+    pub fn new(limits: Limits) -> Self {
+        let lane = || Lane::new(limits.first_run);
+        Self {
+            quick: lane(),
+            watch: lane(),
+            order: lane(),
+            limits,
+            supply: Supply::default(),
+            weights: IndexMap::new(),
+            running: IndexMap::new(),
+            given_up: Vec::new(),
+        }
+    }
+
+    /// Sets a team's share relative to the other teams; 1 if never set.
+    pub fn set_weight(&mut self, team: &TeamId, weight: u32) {
+        self.weights.insert(team.clone(), weight.max(1));
+    }
+
+    /// Sets the slots that the entry can count on from now on.
+    pub fn set_supply(&mut self, supply: Supply) {
+        self.supply = supply;
+    }
+
+    /// Accepts a request, or refuses it at once if it cannot finish before its deadline.
+    pub fn offer(&mut self, now: Instant, waiting: Waiting, supply: Supply) -> Result<()> {
+        self.supply = supply;
+        if supply.slots == 0 {
+            return Err(refusal(Reason::NoEndpoint, MIN_RETRY_AFTER, waiting.id));
+        }
+        if waiting.deadline <= now {
+            return Err(refusal(Reason::Late, Duration::ZERO, waiting.id));
+        }
+        let slots = self.slots_for(waiting.class);
+        let idle = self.idle_for(waiting.class);
+        let weight = self.weight(&waiting.team);
+        let wait_percent = self.limits.wait_percent;
+        let used_secs = self.quick.used().max(self.order.used());
+        let lane = self.lane_mut(waiting.class);
+        lane.catch_up(used_secs);
+        let id = waiting.id;
+        lane.offer(now, waiting, lane::Offer { weight, slots, idle, wait_percent })
+            .map_err(|wait| refusal(Reason::Overload, wait, id))
+    }
+
+    /// Hands out the request that should start next; the caller of this method holds a slot for it.
+    pub fn take(&mut self, now: Instant) -> Option<Waiting> {
+        loop {
+            let class = self.next_class()?;
+            let (waiting, charged, in_time) = self.lane_mut(class).take(now)?;
+            if !in_time {
+                self.given_up.push(give_up(waiting, Duration::ZERO));
+                continue;
+            }
+            let running = Running { team: waiting.team.clone(), class, started: now, charged };
+            self.running.insert(waiting.id, running);
+            return Some(waiting);
+        }
+    }
+
+    /// Tells that a request that was handed out holds its slot no longer.
+    pub fn finish(&mut self, now: Instant, id: u64) {
+        if let Some(done) = self.running.swap_remove(&id) {
+            let took = now.saturating_duration_since(done.started);
+            self.lane_mut(done.class).finish(&done.team, done.started, took, done.charged);
+        }
+    }
+
+    /// Removes a waiting request whose caller went away; false if it does not wait.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        [Class::Quick, Class::Order, Class::Watch]
+            .into_iter()
+            .any(|class| self.lane_mut(class).cancel(id))
+    }
+
+    /// Removes the waiting requests that cannot finish before their deadlines any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<(Waiting, Refusal)> {
+        let mut expired = std::mem::take(&mut self.given_up);
+        for class in [Class::Quick, Class::Order, Class::Watch] {
+            let slots = self.slots_for(class);
+            let lane = self.lane_mut(class);
+            let late = lane.expire(now, slots, GIVE_UP_SPEEDUP);
+            expired.extend(late.into_iter().map(|(waiting, wait)| give_up(waiting, wait)));
+        }
+        expired
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.quick.waiting() + self.watch.waiting() + self.order.waiting()
+    }
+
+    /// Requests that would start now if slots were free; watches at their cap are left out.
+    pub fn ready(&self) -> usize {
+        let watches = self.watch_cap().saturating_sub(self.watch.running()) as usize;
+        self.quick.waiting() + self.order.waiting() + self.watch.waiting().min(watches)
+    }
+
+    /// Requests that were handed out and not finished.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Arrival of the request that has waited longest.
+    pub fn oldest(&self) -> Option<Instant> {
+        [&self.quick, &self.order, &self.watch].into_iter().filter_map(|lane| lane.oldest()).min()
+    }
+
+    /// Learned run time of a class.
+    pub fn run_time(&self, class: Class) -> Duration {
+        self.lane(class).mean()
+    }
+
+    fn next_class(&self) -> Option<Class> {
+        let watch_waits = self.watch.waiting() > 0;
+        if watch_waits && self.watch.running() < self.watch_floor() {
+            return Some(Class::Watch);
+        }
+        match (self.quick.waiting() > 0, self.order.waiting() > 0) {
+            (true, true) if self.order.used() < self.quick.used() => Some(Class::Order),
+            (true, _) => Some(Class::Quick),
+            (false, true) => Some(Class::Order),
+            (false, false) => {
+                (watch_waits && self.watch.running() < self.watch_cap()).then_some(Class::Watch)
+            }
+        }
+    }
+
+    fn slots_for(&self, class: Class) -> u32 {
+        let rest = self.supply.slots.saturating_sub(self.watch.running()).max(1);
+        match class {
+            Class::Watch if self.quick.waiting() + self.order.waiting() > 0 => self.watch_floor(),
+            Class::Watch => self.watch_cap(),
+            Class::Quick if self.order.waiting() > 0 => rest.div_ceil(2),
+            Class::Order if self.quick.waiting() > 0 => rest.div_ceil(2),
+            Class::Quick | Class::Order => rest,
+        }
+    }
+
+    fn idle_for(&self, class: Class) -> bool {
+        let free = (self.running.len() as u32) < self.supply.slots;
+        free && (class != Class::Watch || self.watch.running() < self.watch_cap())
+    }
+
+    fn watch_floor(&self) -> u32 {
+        percent(self.supply.slots, self.limits.watch_floor_percent)
+    }
+
+    fn watch_cap(&self) -> u32 {
+        percent(self.supply.slots, self.limits.watch_cap_percent)
+    }
+
+    fn weight(&self, team: &TeamId) -> u32 {
+        self.weights.get(team).copied().unwrap_or(1)
+    }
+
+    fn lane(&self, class: Class) -> &Lane {
+        match class {
+            Class::Quick => &self.quick,
+            Class::Watch => &self.watch,
+            Class::Order => &self.order,
+        }
+    }
+
+    fn lane_mut(&mut self, class: Class) -> &mut Lane {
+        match class {
+            Class::Quick => &mut self.quick,
+            Class::Watch => &mut self.watch,
+            Class::Order => &mut self.order,
+        }
+    }
+}
+
+fn percent(slots: u32, percent: u32) -> u32 {
+    (slots * percent).div_ceil(100).max(1)
+}
+
+fn give_up(waiting: Waiting, wait: Duration) -> (Waiting, Refusal) {
+    let refusal = refusal(Reason::Overload, wait, waiting.id);
+    (waiting, refusal)
+}
+
+/// Spreads the callers' return over twice the projected wait, by the number of the request.
+fn refusal(reason: Reason, wait: Duration, id: u64) -> Refusal {
+    let spread = wait.saturating_mul((id % 16) as u32) / 16;
+    let retry_after = wait.saturating_add(spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    Refusal { reason, retry_after }
+}
--- /dev/null
+++ b/src/admit/run.rs
@@ -0,0 +1,84 @@
+//! Learns how long the requests of a class hold a slot.
+
+use std::time::{Duration, Instant};
+
+/// Weight of the newest run time in the mean is one part in this number.
+const MEAN_PARTS: f64 = 16.0;
+
+/// Run times of a class.
+pub(super) struct Run {
+    base: Option<Instant>,
+    mean_secs: f64,
+    deviation_secs: f64,
+    measured: bool,
+    running: u32,
+    started_secs: f64,
+}
+
+impl Run {
+    /// Expects `first` until a run was measured.
+    pub(super) fn new(first: Duration) -> Self {
+        Self {
+            base: None,
+            mean_secs: first.as_secs_f64(),
+            deviation_secs: first.as_secs_f64() / 2.0,
+            measured: false,
+            running: 0,
+            started_secs: 0.0,
+        }
+    }
+
+    /// Requests that run.
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// A run began.
+    pub(super) fn start(&mut self, now: Instant) {
+        self.started_secs += self.secs(now);
+        self.running += 1;
+    }
+
+    /// A run ended.
+    pub(super) fn finish(&mut self, started: Instant, took: Duration) {
+        self.started_secs -= self.secs(started);
+        self.running = self.running.saturating_sub(1);
+        let took = took.as_secs_f64();
+        if !self.measured {
+            self.measured = true;
+            self.mean_secs = took;
+            self.deviation_secs = took / 2.0;
+            return;
+        }
+        let error = took - self.mean_secs;
+        self.mean_secs += error / MEAN_PARTS;
+        self.deviation_secs += (error.abs() - self.deviation_secs) / MEAN_PARTS;
+    }
+
+    /// Mean run time of the ended runs.
+    pub(super) fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_secs)
+    }
+
+    /// Run time to expect, raised if the requests that run now take much longer than the mean.
+    pub(super) fn expected(&self, now: Instant) -> Duration {
+        let age = match (self.base, self.running) {
+            (Some(base), 1..) => {
+                let now_secs = now.saturating_duration_since(base).as_secs_f64();
+                now_secs - self.started_secs / f64::from(self.running)
+            }
+            _ => 0.0,
+        };
+        Duration::from_secs_f64(self.mean_secs.max(age / 2.0))
+    }
+
+    /// Time before its deadline at which a request must start to end in time most likely.
+    pub(super) fn margin(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_secs + 2.0 * self.deviation_secs)
+    }
+
+    fn secs(&mut self, at: Instant) -> f64 {
+        let base = *self.base.get_or_insert(at);
+        at.saturating_duration_since(base).as_secs_f64()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,12 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
+pub mod admit;
 pub mod fleet;
 pub mod id;
 pub mod platform;
 pub mod record;
 pub mod request;
 pub mod settings;
+pub mod slot;
 pub mod state;
--- /dev/null
+++ b/src/slot/mod.rs
@@ -0,0 +1,343 @@
+//! Decides which entry of an availability zone may use which slots of which runner.
+//!
+//! Each runner has as many slots as exchanges it serves at once. A slot is held by exactly one
+//! incarnation of one entry, and only its holder sends the exchange. Free slots move to where
+//! requests wait. Nothing is computed from the list of members, so entries that disagree about it
+//! cannot overload a runner together; slots lost with an incarnation that has ended come back by a
+//! recount in which every incarnation that may still run has answered.
+//!
+//! Invariant: in the latest round of a runner, the slots held by all incarnations and those in
+//! grants on their way are together at most the runner's slots.
+//!
+//! The messages may be lost, delayed, duplicated and reordered.
+
+mod demand;
+mod group;
+mod message;
+mod recount;
+mod runner;
+
+use {
+    crate::id::{ServiceId, VmId},
+    demand::Service,
+    group::Group,
+    indexmap::IndexMap,
+    runner::Runner,
+    std::time::{Duration, Instant},
+};
+pub use {
+    group::Standing,
+    message::{Body, Message, Peer, Round, Send},
+};
+
+/// Time that a slot rests after the runner refused an exchange for want of slots.
+const REFUSED_REST: Duration = Duration::from_millis(100);
+
+/// The right to send one exchange to a runner; it must be given back.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use]
+pub struct Permit {
+    /// Runner to send to.
+    pub runner: VmId,
+    /// Service that the exchange is for.
+    pub service: ServiceId,
+}
+
+/// A runner as declared.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its VM.
+    pub vm: VmId,
+    /// Exchanges that it serves at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    pub connections: u32,
+}
+
+/// The slots of the runners of an availability zone, as far as this entry holds them.
+#[derive(Clone, Debug)]
+pub struct Table {
+    group: Group,
+    runners: IndexMap<VmId, Runner>,
+    services: IndexMap<ServiceId, Service>,
+    outbox: Vec<Send>,
+    serial: u64,
+    floor: u64,
+    audit: usize,
+    audited: Instant,
+}
+
+impl Table {
+    /// A table that holds no slots yet.
+    pub fn new(now: Instant, me: Peer) -> Self {
+        Self {
+            group: Group::new(me),
+            runners: IndexMap::new(),
+            services: IndexMap::new(),
+            outbox: Vec::new(),
+            serial: 0,
+            floor: 0,
+            audit: 0,
+            audited: now,
+        }
+    }
+
+    /// Sets the standing of the availability zone's other incarnations.
+    ///
+    /// The first list must be at least as new as this incarnation's own joining, so that of two
+    /// that join at the same time at least one knows the other. Those left out stay members.
+    pub fn set_members(
+        &mut self,
+        now: Instant,
+        members: impl IntoIterator<Item = (Peer, Standing)>,
+    ) {
+        for (peer, standing) in members {
+            if self.group.note(&peer, standing) {
+                self.note_gone(now, &peer);
+            }
+        }
+    }
+
+    /// Incarnations that may still run, as far as this entry knows.
+    pub fn running(&self) -> impl Iterator<Item = &Peer> {
+        self.group.running()
+    }
+
+    /// Sets the runners of each service. Runners left out get no new work.
+    pub fn set_runners(
+        &mut self,
+        now: Instant,
+        services: impl IntoIterator<Item = (ServiceId, Vec<Listed>)>,
+    ) {
+        self.runners.values_mut().for_each(|runner| runner.declared = false);
+        self.services.values_mut().for_each(|service| service.runners.clear());
+        for (service, listed) in services {
+            let vms = listed.iter().map(|runner| runner.vm.clone()).collect();
+            self.services.entry(service).or_default().runners = vms;
+            for Listed { vm, slots, connections } in listed {
+                let runner = self.runner(now, &vm);
+                if runner.slots != slots {
+                    runner.due = Some(now);
+                }
+                (runner.slots, runner.connections) = (slots, connections);
+                runner.declared = true;
+            }
+        }
+        self.services.retain(|_, service| !service.runners.is_empty());
+        self.forget_unused();
+    }
+
+    /// Stops or resumes new work on a runner; its slots stay with their holders.
+    pub fn set_open(&mut self, vm: &VmId, open: bool) {
+        if let Some(runner) = self.runners.get_mut(vm) {
+            runner.open = open;
+        }
+    }
+
+    /// Takes a free slot of the service on a runner that `usable` accepts, the least used first.
+    pub fn acquire(
+        &mut self,
+        service: &ServiceId,
+        usable: impl Fn(&VmId) -> bool,
+    ) -> Option<Permit> {
+        let found = self.services.get(service)?;
+        let vm = found
+            .runners
+            .iter()
+            .filter(|vm| self.runners.get(*vm).is_some_and(|r| r.usable() && r.free > 0))
+            .filter(|vm| usable(vm))
+            .max_by_key(|vm| self.runners[*vm].free)?
+            .clone();
+        self.runners.get_mut(&vm)?.acquire();
+        Some(Permit { runner: vm, service: service.clone() })
+    }
+
+    /// Gives back a slot whose exchange has ended on the runner.
+    pub fn release(&mut self, now: Instant, permit: Permit) {
+        self.give_back(now, permit, None);
+    }
+
+    /// Gives back a slot after the runner refused the exchange for want of slots.
+    pub fn refuse(&mut self, now: Instant, permit: Permit) {
+        self.give_back(now, permit, Some(now + REFUSED_REST));
+    }
+
+    /// Gives back a slot whose exchange may still run on the runner, until `end` at the latest.
+    pub fn abandon(&mut self, now: Instant, permit: Permit, end: Instant) {
+        self.give_back(now, permit, Some(end));
+    }
+
+    /// Takes in a message from another incarnation.
+    pub fn receive(&mut self, now: Instant, from: &Peer, message: Message) {
+        if message.to != self.group.me.1 || self.group.is_gone(from) {
+            return;
+        }
+        self.group.learn(from);
+        match message.body {
+            Body::Hello => self.welcome(from),
+            Body::Welcome { known } => self.note_welcome(from, &known),
+            Body::Want { service, waiting, held } => {
+                self.note_want(now, from, &service, waiting, held)
+            }
+            Body::Grant { runner, round, serial, slots } => {
+                self.take(now, from, runner, &round, serial, slots)
+            }
+            Body::Taken { runner, serial } => self.note_taken(from, &runner, serial),
+            Body::Count { runner, round } => self.answer_count(now, from, runner, round),
+            Body::Held { runner, round, slots, known } => {
+                self.note_held(now, from.clone(), &runner, &round, slots, &known)
+            }
+            Body::Outdated { runner, round } => self.join(now, &runner, &round),
+            Body::Shed { runner, round, slots } => self.shed(&runner, &round, slots),
+        }
+    }
+
+    /// Does what is due; called every few milliseconds.
+    pub fn tick(&mut self, now: Instant) {
+        let greetings = self.group.greet(now);
+        self.outbox.extend(greetings);
+        self.recount_due(now);
+        self.resend(now);
+        let mut woken = Vec::new();
+        for (vm, runner) in &mut self.runners {
+            if runner.wake(now) {
+                woken.push(vm.clone());
+            }
+        }
+        woken.iter().for_each(|vm| self.share_runner(now, vm));
+    }
+
+    /// Messages to send, to be fetched after every call that may have made some.
+    pub fn sends(&mut self) -> Vec<Send> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// This entry may hold slots.
+    pub fn joined(&mut self) -> bool {
+        self.group.joined()
+    }
+
+    /// Free slots of a service on runners that take new work.
+    pub fn free(&self, service: &ServiceId) -> u32 {
+        self.open_runners(service).map(|runner| runner.free).sum()
+    }
+
+    /// Slots of a service that this entry holds.
+    pub fn held(&self, service: &ServiceId) -> u32 {
+        self.open_runners(service).map(Runner::held).sum()
+    }
+
+    /// Slots of a service that this entry can count on: those it holds, or an even part of all.
+    pub fn supply(&self, service: &ServiceId) -> u32 {
+        let all: u32 = self.open_runners(service).map(|runner| runner.slots).sum();
+        let entries = self.group.alive().count() as u32 + 1;
+        self.held(service).max(all.div_ceil(entries))
+    }
+
+    /// Exchanges that this entry has on a runner.
+    pub fn used(&self, vm: &VmId) -> u32 {
+        self.runners.get(vm).map_or(0, |runner| runner.used)
+    }
+
+    /// Slots of a runner that this entry holds, in whatever state.
+    pub fn held_on(&self, vm: &VmId) -> u32 {
+        self.runners.get(vm).map_or(0, Runner::held)
+    }
+
+    /// Connections to a runner that this entry may have open, used and idle ones together.
+    ///
+    /// Each slot carries an equal part of the runner's connections, so that all entries together
+    /// stay within them.
+    pub fn connections(&self, vm: &VmId) -> u32 {
+        let allowed =
+            |runner: &Runner| runner.held() * (runner.connections / runner.slots.max(1)).max(1);
+        self.runners.get(vm).map_or(0, allowed)
+    }
+
+    fn give_back(&mut self, now: Instant, permit: Permit, rest: Option<Instant>) {
+        if let Some(runner) = self.runners.get_mut(&permit.runner) {
+            runner.release(rest);
+            self.share(now, &permit.service);
+        }
+    }
+
+    fn welcome(&mut self, from: &Peer) {
+        self.group.acquaint(from);
+        let known = self.group.known();
+        self.outbox.push(group::send(from, Body::Welcome { known }));
+    }
+
+    fn note_welcome(&mut self, from: &Peer, known: &[Peer]) {
+        self.group.acquaint(from);
+        known.iter().for_each(|peer| self.group.learn(peer));
+    }
+
+    fn take(
+        &mut self,
+        now: Instant,
+        from: &Peer,
+        vm: VmId,
+        round: &Round,
+        serial: u64,
+        slots: u32,
+    ) {
+        self.join(now, &vm, round);
+        let runner = self.runner(now, &vm);
+        let body = if runner.round == *round {
+            runner.take(from, serial, slots);
+            Body::Taken { runner: vm.clone(), serial }
+        } else {
+            Body::Outdated { runner: vm.clone(), round: runner.round.clone() }
+        };
+        self.outbox.push(group::send(from, body));
+    }
+
+    fn note_taken(&mut self, from: &Peer, vm: &VmId, serial: u64) {
+        let Some(runner) = self.runners.get_mut(vm) else { return };
+        if runner.grants.get(from).is_some_and(|grant| grant.serial == serial) {
+            runner.grants.swap_remove(from);
+        }
+    }
+
+    fn shed(&mut self, vm: &VmId, round: &Round, slots: u32) {
+        if let Some(runner) = self.runners.get_mut(vm).filter(|r| r.round == *round) {
+            runner.shed(slots);
+        }
+    }
+
+    fn open_runners(&self, service: &ServiceId) -> impl Iterator<Item = &Runner> {
+        let vms = self.services.get(service).map(|found| found.runners.as_slice());
+        vms.unwrap_or_default()
+            .iter()
+            .filter_map(|vm| self.runners.get(vm))
+            .filter(|runner| runner.usable())
+    }
+
+    /// The runner; one that was not declared yet takes no work.
+    fn runner(&mut self, now: Instant, vm: &VmId) -> &mut Runner {
+        let floor = self.floor;
+        self.runners.entry(vm.clone()).or_insert_with(|| Runner::new(floor, now))
+    }
+
+    fn share_runner(&mut self, now: Instant, vm: &VmId) {
+        let services = self.services.iter().filter(|(_, service)| service.runners.contains(vm));
+        let services: Vec<ServiceId> = services.map(|(id, _)| id.clone()).collect();
+        services.iter().for_each(|service| self.share(now, service));
+    }
+
+    /// Forgets undeclared runners without slots here; later rounds go on above theirs.
+    fn forget_unused(&mut self) {
+        let floor = &mut self.floor;
+        self.runners.retain(|_, runner| {
+            let keep = runner.declared || runner.held() > 0 || !runner.grants.is_empty();
+            if !keep {
+                *floor = (*floor).max(runner.round.number + 1);
+            }
+            keep
+        });
+    }
+}
+
+fn elapsed(since: Option<Instant>, now: Instant, time: Duration) -> bool {
+    since.is_none_or(|since| now >= since + time)
+}
--- /dev/null
+++ b/src/slot/recount.rs
@@ -0,0 +1,165 @@
+//! Recounts the slots of a runner, to bring back those that were lost with an incarnation.
+//!
+//! The leader begins a later round and asks every incarnation that may still run. Each answer fixes
+//! what its sender held when it joined the round, and names the incarnations that it knows, which
+//! are asked as well. Only when all have answered does the leader create the missing slots. Two
+//! leaders are harmless: whoever joins a later round abandons the recount of an earlier one.
+
+use {
+    super::{
+        Table, elapsed,
+        group::send,
+        message::{Body, Peer, Round},
+        runner::{RESEND_AFTER, Recount},
+    },
+    crate::id::VmId,
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+};
+
+/// Time that slots of an ended incarnation rest, while its exchanges may still run.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Time between the recounts of two runners made in case slots were lost unnoticed.
+const AUDIT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time until an abandoned recount is tried again.
+const RECOUNT_AGAIN: Duration = Duration::from_secs(1);
+
+impl Table {
+    /// Begins the recounts that are due.
+    pub(super) fn recount_due(&mut self, now: Instant) {
+        let leads = self.group.leads();
+        if leads && elapsed(Some(self.audited), now, AUDIT_INTERVAL) && !self.runners.is_empty() {
+            self.audited = now;
+            self.audit = (self.audit + 1) % self.runners.len();
+            self.runners[self.audit].due.get_or_insert(now);
+        }
+        let due =
+            self.runners.iter().filter(|(_, r)| r.declared && r.due.is_some_and(|due| due <= now));
+        let due: Vec<VmId> = due.map(|(vm, _)| vm.clone()).collect();
+        for vm in due.iter().filter(|_| leads) {
+            self.recount(now, vm);
+        }
+    }
+
+    fn recount(&mut self, now: Instant, vm: &VmId) {
+        let me = self.group.me.clone();
+        let Some(runner) = self.runners.get_mut(vm) else { return };
+        let number = runner.round.number + 1;
+        runner.join(&Round { number, leader: me.0.clone(), incarnation: me.1 });
+        runner.due = None;
+        let answers = IndexMap::from([(me, runner.counted())]);
+        runner.recount = Some(Recount { answers, asked: now });
+        self.ask(now, vm);
+        self.complete(now, vm);
+    }
+
+    /// Asks the incarnations that have not answered a recount.
+    pub(super) fn ask(&mut self, now: Instant, vm: &VmId) {
+        let Some(runner) = self.runners.get_mut(vm) else { return };
+        let Some(recount) = &mut runner.recount else { return };
+        recount.asked = now;
+        let body = Body::Count { runner: vm.clone(), round: runner.round.clone() };
+        let missing = self.group.running().filter(|peer| !recount.answers.contains_key(*peer));
+        self.outbox.extend(missing.map(|peer| send(peer, body.clone())));
+    }
+
+    /// Sends grants and counts again that were not answered.
+    pub(super) fn resend(&mut self, now: Instant) {
+        let mut asks = Vec::new();
+        for (vm, runner) in &mut self.runners {
+            let round = &runner.round;
+            for (peer, grant) in &mut runner.grants {
+                if elapsed(Some(grant.sent), now, RESEND_AFTER) {
+                    grant.sent = now;
+                    let (serial, slots) = (grant.serial, grant.slots);
+                    let (runner, round) = (vm.clone(), round.clone());
+                    let body = Body::Grant { runner, round, serial, slots };
+                    self.outbox.push(send(peer, body));
+                }
+            }
+            let asked = runner.recount.as_ref().map(|recount| recount.asked);
+            if asked.is_some_and(|asked| elapsed(Some(asked), now, RESEND_AFTER)) {
+                asks.push(vm.clone());
+            }
+        }
+        for vm in asks {
+            self.ask(now, &vm);
+        }
+    }
+
+    pub(super) fn answer_count(&mut self, now: Instant, from: &Peer, vm: VmId, round: Round) {
+        let known = self.group.known();
+        self.join(now, &vm, &round);
+        let runner = self.runner(now, &vm);
+        let body = if runner.round == round {
+            Body::Held { runner: vm, round, slots: runner.counted(), known }
+        } else {
+            Body::Outdated { runner: vm, round: runner.round.clone() }
+        };
+        self.outbox.push(send(from, body));
+    }
+
+    pub(super) fn note_held(
+        &mut self,
+        now: Instant,
+        from: Peer,
+        vm: &VmId,
+        round: &Round,
+        slots: u32,
+        known: &[Peer],
+    ) {
+        known.iter().for_each(|peer| self.group.learn(peer));
+        let Some(runner) = self.runners.get_mut(vm).filter(|r| r.round == *round) else { return };
+        let Some(recount) = &mut runner.recount else { return };
+        recount.answers.entry(from).or_insert(slots);
+        self.complete(now, vm);
+    }
+
+    /// Creates the missing slots of a runner if every incarnation has answered.
+    pub(super) fn complete(&mut self, now: Instant, vm: &VmId) {
+        let Some(runner) = self.runners.get_mut(vm) else { return };
+        let Some(recount) = &runner.recount else { return };
+        if !self.group.running().all(|peer| recount.answers.contains_key(peer)) {
+            return;
+        }
+        let answers = recount.answers.clone();
+        let rest = runner.settled_at.filter(|until| *until > now);
+        let mut surplus = runner.settle(answers.values().sum(), rest);
+        runner.recount = None;
+        let round = runner.round.clone();
+        for (peer, held) in answers.into_iter().filter(|(_, held)| *held > 0) {
+            let slots = surplus.min(held);
+            surplus -= slots;
+            match slots {
+                0 => break,
+                _ if peer == self.group.me => runner.shed(slots),
+                _ => {
+                    let (runner, round) = (vm.clone(), round.clone());
+                    self.outbox.push(send(&peer, Body::Shed { runner, round, slots }));
+                }
+            }
+        }
+        self.share_runner(now, vm);
+    }
+
+    /// Abandons the recounts under way, in which the ended incarnation may have handed on slots
+    /// that were not counted, and makes one due for each runner.
+    pub(super) fn note_gone(&mut self, now: Instant, gone: &Peer) {
+        self.services.values_mut().for_each(|service| service.forget(gone));
+        for runner in self.runners.values_mut() {
+            runner.grants.swap_remove(gone);
+            runner.recount = None;
+            runner.settled_at = Some(now + SETTLE);
+            runner.due = Some(now);
+        }
+    }
+
+    /// Joins a later round; a recount led here is tried again afterwards.
+    pub(super) fn join(&mut self, now: Instant, vm: &VmId, round: &Round) {
+        let led = self.runner(now, vm).recount.is_some();
+        let runner = self.runner(now, vm);
+        if runner.join(round) {
+            runner.due = led.then_some(now + RECOUNT_AGAIN);
+        }
+    }
+}
--- /dev/null
+++ b/src/slot/runner.rs
@@ -0,0 +1,177 @@
+//! The slots of one runner that this entry holds.
+//!
+//! Slots are counted in a [`Round`]. A grant is valid only in its round. Joining a later round fixes
+//! the answer to its count and voids the grants on their way; the leader of the round brings the
+//! voided slots back once every entry has answered.
+
+use {
+    super::message::{Peer, Round},
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+};
+
+/// Time after which a grant or a count without an answer is sent again.
+pub(super) const RESEND_AFTER: Duration = Duration::from_millis(200);
+
+/// A grant that was not acknowledged yet.
+#[derive(Clone, Debug)]
+pub(super) struct Grant {
+    pub(super) serial: u64,
+    pub(super) slots: u32,
+    pub(super) sent: Instant,
+}
+
+/// A recount that this entry leads.
+#[derive(Clone, Debug)]
+pub(super) struct Recount {
+    pub(super) answers: IndexMap<Peer, u32>,
+    pub(super) asked: Instant,
+}
+
+/// Slots of one runner that this entry holds.
+#[derive(Clone, Debug)]
+pub(super) struct Runner {
+    /// Slots that the runner has.
+    pub(super) slots: u32,
+    /// Connections that the runner accepts.
+    pub(super) connections: u32,
+    /// Is in the declaration in force.
+    pub(super) declared: bool,
+    /// Does not leave.
+    pub(super) open: bool,
+    pub(super) round: Round,
+    pub(super) free: u32,
+    pub(super) used: u32,
+    /// Grants that were not acknowledged, by receiver.
+    pub(super) grants: IndexMap<Peer, Grant>,
+    pub(super) recount: Option<Recount>,
+    /// When this entry should begin a recount if it leads.
+    pub(super) due: Option<Instant>,
+    /// Until when exchanges of an ended incarnation may still run.
+    pub(super) settled_at: Option<Instant>,
+    counted: u32,
+    debt: u32,
+    shed: bool,
+    resting: Vec<(Instant, u32)>,
+    taken: IndexMap<Peer, u64>,
+}
+
+impl Runner {
+    pub(super) fn new(floor: u64, now: Instant) -> Self {
+        Self {
+            slots: 0,
+            connections: 0,
+            declared: false,
+            open: true,
+            round: Round { number: floor, ..Round::default() },
+            free: 0,
+            used: 0,
+            grants: IndexMap::new(),
+            recount: None,
+            due: Some(now),
+            settled_at: None,
+            counted: 0,
+            debt: 0,
+            shed: false,
+            resting: Vec::new(),
+            taken: IndexMap::new(),
+        }
+    }
+
+    /// Takes new work.
+    pub(super) fn usable(&self) -> bool {
+        self.declared && self.open
+    }
+
+    /// Slots held: free, used and resting.
+    pub(super) fn held(&self) -> u32 {
+        self.free + self.used + self.resting.iter().map(|(_, slots)| slots).sum::<u32>()
+    }
+
+    /// Slots held when the round was joined.
+    pub(super) fn counted(&self) -> u32 {
+        self.counted
+    }
+
+    /// Joins a later round; false if it is not later.
+    pub(super) fn join(&mut self, round: &Round) -> bool {
+        if *round <= self.round {
+            return false;
+        }
+        self.round = round.clone();
+        self.counted = self.held();
+        self.grants.clear();
+        self.taken.clear();
+        self.recount = None;
+        self.debt = 0;
+        self.shed = false;
+        true
+    }
+
+    /// Takes the slots of a grant of this round, once.
+    pub(super) fn take(&mut self, from: &Peer, serial: u64, slots: u32) {
+        let last = self.taken.entry(from.clone()).or_default();
+        if serial > *last {
+            *last = serial;
+            self.free += slots;
+            self.pay();
+        }
+    }
+
+    /// Begins an exchange.
+    pub(super) fn acquire(&mut self) {
+        self.free -= 1;
+        self.used += 1;
+    }
+
+    /// Ends an exchange; the slot rests until `rest`, if given.
+    pub(super) fn release(&mut self, rest: Option<Instant>) {
+        self.used = self.used.saturating_sub(1);
+        match rest {
+            Some(until) => self.resting.push((until, 1)),
+            None => self.free += 1,
+        }
+        self.pay();
+    }
+
+    /// Brings slots back that a recount found missing, or counts the surplus, which is returned.
+    pub(super) fn settle(&mut self, counted: u32, rest: Option<Instant>) -> u32 {
+        let missing = self.slots.saturating_sub(counted);
+        match rest {
+            Some(until) if missing > 0 => self.resting.push((until, missing)),
+            _ => self.free += missing,
+        }
+        counted.saturating_sub(self.slots)
+    }
+
+    /// Gives up slots, at once or as exchanges end, once in a round.
+    pub(super) fn shed(&mut self, slots: u32) {
+        if !self.shed {
+            self.shed = true;
+            self.debt = slots;
+            self.pay();
+        }
+    }
+
+    /// Frees the slots whose rest is over; true if there were any.
+    pub(super) fn wake(&mut self, now: Instant) -> bool {
+        let before = self.free;
+        let free = &mut self.free;
+        self.resting.retain(|(until, slots)| {
+            let over = *until <= now;
+            if over {
+                *free += slots;
+            }
+            !over
+        });
+        let woken = self.free > before;
+        self.pay();
+        woken
+    }
+
+    fn pay(&mut self) {
+        let paid = self.debt.min(self.free);
+        self.free -= paid;
+        self.debt -= paid;
+    }
+}
--- /dev/null
+++ b/tests/slot.rs
@@ -0,0 +1,192 @@
+//! Slots of runners held by the entries of an availability zone.
+
+use {
+    carobhitch::slot::{Listed, Peer, Permit, Send, Standing, Table},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+const SLOTS: u32 = 8;
+
+fn service() -> String {
+    String::from("quote")
+}
+
+/// Tables joined by links that deliver everything in order.
+struct Zone {
+    now: Instant,
+    tables: Vec<(Peer, Table)>,
+    links: VecDeque<(Peer, Send)>,
+}
+
+impl Zone {
+    fn new(entries: u64, runners: usize) -> Self {
+        let mut zone = Self { now: Instant::now(), tables: Vec::new(), links: VecDeque::new() };
+        (0..entries).for_each(|index| zone.add(index, runners));
+        zone.settle();
+        zone
+    }
+
+    fn add(&mut self, index: u64, runners: usize) {
+        let me = (format!("entry-{index}"), index + 1);
+        let mut table = Table::new(self.now, me.clone());
+        let members = self.tables.iter().map(|(peer, _)| (peer.clone(), Standing::Alive));
+        table.set_members(self.now, members.collect::<Vec<_>>());
+        let listed = |i| Listed { vm: format!("vm-{i}"), slots: SLOTS, connections: 64 };
+        table.set_runners(self.now, [(service(), (0..runners).map(listed).collect())]);
+        self.tables.push((me, table));
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            self.now += Duration::from_millis(250);
+            self.tables.iter_mut().for_each(|(_, table)| table.tick(self.now));
+            self.deliver();
+        }
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            for (peer, table) in &mut self.tables {
+                self.links.extend(table.sends().into_iter().map(|send| (peer.clone(), send)));
+            }
+            let Some((from, send)) = self.links.pop_front() else { return };
+            if let Some((_, table)) = self.tables.iter_mut().find(|(peer, _)| *peer == send.to) {
+                table.receive(self.now, &from, send.message);
+            }
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        let (gone, _) = self.tables.remove(index);
+        for (_, table) in &mut self.tables {
+            table.set_members(self.now, [(gone.clone(), Standing::Gone)]);
+        }
+    }
+
+    fn acquire_all(&mut self, index: usize) -> Vec<Permit> {
+        let table = &mut self.tables[index].1;
+        std::iter::from_fn(|| table.acquire(&service(), |_| true)).collect()
+    }
+
+    fn held(&self) -> u32 {
+        self.tables.iter().map(|(_, table)| table.held(&service())).sum()
+    }
+}
+
+#[test]
+fn a_new_runner_gets_exactly_its_slots() {
+    for entries in 1..4 {
+        assert_eq!(Zone::new(entries, 3).held(), 3 * SLOTS);
+    }
+}
+
+#[test]
+fn free_slots_move_to_the_entry_where_requests_wait() {
+    let mut zone = Zone::new(3, 2);
+    for index in [0, 1, 2] {
+        zone.tables[index].1.demand(zone.now, &service(), 100);
+        zone.deliver();
+        let permits = zone.acquire_all(index);
+        assert_eq!(permits.len() as u32, 2 * SLOTS);
+        let table = &mut zone.tables[index].1;
+        permits.into_iter().for_each(|permit| table.release(zone.now, permit));
+        table.demand(zone.now, &service(), 0);
+        zone.deliver();
+    }
+}
+
+#[test]
+fn slots_in_use_move_until_both_entries_wait_alike() {
+    let mut zone = Zone::new(2, 2);
+    let mut used = Vec::new();
+    for _ in 0..20 {
+        let permits = zone.acquire_all(0);
+        used.extend(zone.acquire_all(1));
+        zone.tables[0].1.demand(zone.now, &service(), 100);
+        zone.tables[1].1.demand(zone.now, &service(), 100);
+        zone.deliver();
+        permits.into_iter().for_each(|permit| zone.tables[0].1.release(zone.now, permit));
+        zone.deliver();
+        zone.now += Duration::from_millis(60);
+    }
+    let held = zone.tables[1].1.held(&service());
+    assert!((5..=8).contains(&held), "the other entry holds {held} of 16");
+    assert_eq!(zone.held(), 2 * SLOTS);
+}
+
+#[test]
+fn slots_of_an_ended_entry_come_back_after_a_rest() {
+    let mut zone = Zone::new(3, 2);
+    zone.tables[1].1.demand(zone.now, &service(), 100);
+    zone.deliver();
+    assert_eq!(zone.acquire_all(1).len() as u32, 2 * SLOTS);
+    zone.kill(1);
+    zone.tables.iter_mut().for_each(|(_, table)| table.tick(zone.now));
+    zone.deliver();
+    assert_eq!(zone.acquire_all(0).len(), 0, "its exchanges may still run");
+    zone.settle();
+    assert_eq!(zone.held(), 2 * SLOTS);
+    assert_eq!(zone.acquire_all(0).len() as u32, 2 * SLOTS);
+}
+
+#[test]
+fn slots_of_a_silent_entry_stay_with_it() {
+    let mut zone = Zone::new(3, 1);
+    let silent = zone.tables[1].0.clone();
+    for index in [0, 2] {
+        let suspected = [(silent.clone(), Standing::Suspected)];
+        zone.tables[index].1.set_members(zone.now, suspected);
+    }
+    zone.settle();
+    assert_eq!(zone.held(), SLOTS);
+}
+
+#[test]
+fn an_entry_that_joins_holds_nothing_until_all_know_it() {
+    let mut zone = Zone::new(2, 1);
+    zone.add(2, 1);
+    zone.tables[2].1.tick(zone.now);
+    let mut greetings = zone.tables[2].1.sends();
+    assert_eq!(greetings.len(), 2);
+    let greeted = greetings.remove(0);
+    let newcomer = zone.tables[2].0.clone();
+    zone.tables[0].1.receive(zone.now, &newcomer, greeted.message);
+    zone.deliver();
+    assert!(!zone.tables[2].1.joined());
+    zone.settle();
+    assert!(zone.tables[2].1.joined());
+    assert_eq!(zone.held(), SLOTS);
+}
+
+#[test]
+fn a_leaving_runner_gets_no_new_work() {
+    let mut zone = Zone::new(1, 2);
+    let vm = String::from("vm-0");
+    zone.tables[0].1.set_open(&vm, false);
+    let permits = zone.acquire_all(0);
+    assert_eq!(permits.len() as u32, SLOTS);
+    assert!(permits.iter().all(|permit| permit.runner != vm));
+}
+
+#[test]
+fn fewer_declared_slots_are_given_up_everywhere() {
+    let mut zone = Zone::new(2, 1);
+    zone.tables[1].1.demand(zone.now, &service(), 4);
+    zone.deliver();
+    let listed = Listed { vm: String::from("vm-0"), slots: 3, connections: 24 };
+    for (_, table) in &mut zone.tables {
+        table.set_runners(zone.now, [(service(), vec![listed.clone()])]);
+    }
+    zone.settle();
+    assert_eq!(zone.held(), 3);
+}
+
+#[test]
+fn connections_of_all_entries_stay_within_the_runners() {
+    let zone = Zone::new(3, 1);
+    let vm = String::from("vm-0");
+    assert_eq!(zone.tables.iter().map(|(_, table)| table.connections(&vm)).sum::<u32>(), 64);
+}
