Add retry budget and endpoint ejection

Cause: a failed attempt must not be repeated where it may have run twice, nor multiply the load, and a failing endpoint must not attract work.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,13 @@
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
 pub mod admit;
+pub mod eject;
 pub mod fleet;
 pub mod id;
 pub mod platform;
 pub mod record;
 pub mod request;
+pub mod retry;
 pub mod settings;
 pub mod slot;
 pub mod state;
