Route requests through the admission queues and moving slots

Cause: static shares left slots idle while work waited on a sibling entry, and the queue was first in, first out without a bound. The engine now asks the queue of each service, holds a permit for each attempt and rests it while the exchange may still run. A member that has not joined yet is not ready, since drains would not wait for it. Ruled out: serving from a peer's state before joining.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,6 +17,8 @@
         client::{self, Client},
         engine::{self, Engine, Shared},
         event::{Action, Event, Stream},
+        exchange,
+        id::VmId,
         link::{self, Links, Local},
         operator::{self, Calls},
         platform::Append,
@@ -81,6 +83,9 @@
 /// A message on its way to another entry.
 type Outgoing = (SocketAddr, wire::Message);
 
+/// An endpoint to probe.
+type Probe = (VmId, SocketAddr);
+
 /// What the parts share.
 struct Daemon {
     settings: Settings,
@@ -89,6 +94,8 @@
     inbox: Receiver<Event>,
     appends: Sender<(Stream, Append)>,
     append_inbox: Receiver<(Stream, Append)>,
+    probes: mpsc::UnboundedSender<Probe>,
+    probe_inbox: Mutex<Option<mpsc::UnboundedReceiver<Probe>>>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     outgoing_inbox: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
     stopping: watch::Sender<bool>,
@@ -140,6 +147,7 @@
         let (events, inbox) = unbounded();
         let (appends, append_inbox) = unbounded();
         let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
+        let (probes, probe_inbox) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared::default());
         let limits = settings.limits.clone();
         let me = Member {
@@ -157,6 +165,8 @@
             inbox,
             appends,
             append_inbox,
+            probes,
+            probe_inbox: Mutex::new(Some(probe_inbox)),
             outgoing,
             outgoing_inbox: Mutex::new(Some(outgoing_inbox)),
             stopping: watch::channel(false).0,
@@ -183,6 +193,10 @@
                 // Both ends of the channel are kept by the daemon itself.
                 let _ = self.appends.send((stream, record));
             }
+            Action::Probe { vm, address } => {
+                // The io part is gone only while the whole process ends.
+                let _ = self.probes.send((vm, address));
+            }
             Action::Reply { call, verdict } => self.calls.reply(call, verdict),
             Action::Send { link, message, .. } => {
                 // The io part is gone only while the whole process ends.
@@ -197,7 +211,7 @@
 
 fn run_engine(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
     let seeds = daemon.settings.seeds.clone();
-    let mut engine = Engine::new(daemon.me.clone(), seeds, daemon.shared.clone());
+    let mut engine = Engine::new(Instant::now(), daemon.me.clone(), seeds, daemon.shared.clone());
     let mut deadline = None;
     let ticks = crossbeam::channel::tick(TICK);
     loop {
@@ -240,10 +254,12 @@
             bytes: AtomicU64::new(0),
         });
         tokio::spawn(link::listen(links, local.clone()));
-        let inbox = daemon.outgoing_inbox.lock().unwrap_or_else(PoisonError::into_inner).take();
-        if let Some(inbox) = inbox {
+        if let Some(inbox) = take(&daemon.outgoing_inbox) {
             tokio::spawn(send_messages(Links::new(local), inbox));
         }
+        if let Some(inbox) = take(&daemon.probe_inbox) {
+            tokio::spawn(probe_endpoints(daemon.events.clone(), inbox));
+        }
         info!("server: Accepts callers at {}.", daemon.settings.callers);
         let serve = server::serve(callers, daemon.server.clone(), daemon.stopping.subscribe());
         let served = async {
@@ -268,6 +284,21 @@
     }
 }
 
+fn take<T>(place: &Mutex<Option<T>>) -> Option<T> {
+    place.lock().unwrap_or_else(PoisonError::into_inner).take()
+}
+
+async fn probe_endpoints(events: Sender<Event>, mut inbox: mpsc::UnboundedReceiver<Probe>) {
+    while let Some((vm, address)) = inbox.recv().await {
+        let events = events.clone();
+        tokio::spawn(async move {
+            let sound = exchange::probe(address).await;
+            // The engine is gone only while the whole process ends.
+            let _ = events.send(Event::Probed { vm, sound });
+        });
+    }
+}
+
 fn runtime() -> result::Result<Runtime, String> {
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.map_err(|e| format!("start the runtime: {e}"))
--- a/src/engine/facts.rs
+++ b/src/engine/facts.rs
@@ -32,11 +32,15 @@
         for entry in &page.records {
             match serde_json::from_value::<Record>(entry.data.clone()) {
                 Ok(record) => changed |= self.apply(entry.offset, &record),
-                Err(error) => warn!("engine: Record {} is unreadable: {error}.", entry.offset),
+                Err(error) => {
+                    warn!("engine: Record {} is unreadable: {error}.", entry.offset);
+                    self.skip(entry.offset);
+                }
             }
         }
         if changed {
             self.learn_members(now);
+            self.learn_routes(now);
         }
         let next = self.shared.state().next;
         if next >= page.end && !self.joined_once() {
@@ -63,6 +67,12 @@
         true
     }
 
+    /// Passes over an unreadable record, as every entry does.
+    fn skip(&mut self, offset: Offset) {
+        let mut state = self.shared.state.write().unwrap_or_else(PoisonError::into_inner);
+        Arc::make_mut(&mut state).skip(offset);
+    }
+
     /// Puts a newer state from a peer in force.
     pub(super) fn replace(&mut self, now: Instant, state: State) {
         let next = state.next;
@@ -76,6 +86,7 @@
         info!("engine: Took the state at offset {next} from a peer.");
         self.sourced = true;
         self.learn_members(now);
+        self.learn_routes(now);
     }
 
     pub(super) fn unread(&mut self, stream: Stream, first: Option<Offset>) {
@@ -88,11 +99,7 @@
     }
 
     fn joined_once(&self) -> bool {
-        let state = self.shared.state();
-        let own = state.members.get(&self.me.id);
-        own.is_some_and(|m| m.incarnation == self.me.incarnation)
-            || self.pending.contains_key(&self.join_operation())
-            || self.stopping
+        self.joined() || self.pending.contains_key(&self.join_operation()) || self.stopping
     }
 
     fn join_operation(&self) -> String {
@@ -115,7 +122,7 @@
         let state = self.shared.state();
         for (vm, drain) in &state.drains {
             let asked = drain.waiting.contains(&self.me.id);
-            if !asked || self.in_use.get(vm).copied().unwrap_or(0) > 0 {
+            if !asked || self.slots.busy(vm) {
                 continue;
             }
             let incarnation = self.me.incarnation;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -6,21 +6,24 @@
 mod facts;
 mod peers;
 mod requests;
+mod routes;
 
 use {
     crate::{
+        eject::Monitor,
         event::{Action, CallId, Event, RequestId, Stream},
-        id::{EntryId, Incarnation, Offset, OperationId, VmId, ZoneId},
+        id::{EntryId, Incarnation, Offset, OperationId, ServiceId, VmId, ZoneId},
         member,
         record::{FLEET_STREAM, Member, ORDERS_STREAM},
+        slot,
         state::State,
     },
     indexmap::IndexMap,
     log::info,
-    requests::Flight,
+    requests::{Flight, Service},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{HashMap, VecDeque},
+        collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc, PoisonError, RwLock,
@@ -101,8 +104,11 @@
     seeds: Vec<SocketAddr>,
     peers: member::Table,
     flights: HashMap<RequestId, Flight>,
-    queues: IndexMap<String, VecDeque<RequestId>>,
-    in_use: HashMap<VmId, u32>,
+    services: IndexMap<ServiceId, Service>,
+    slots: slot::Table,
+    monitor: Monitor,
+    addresses: IndexMap<VmId, SocketAddr>,
+    words: IndexMap<VmId, Instant>,
     calls: HashMap<OperationId, CallId>,
     pending: IndexMap<OperationId, facts::Pending>,
     attempts: u64,
@@ -118,16 +124,20 @@
 
 impl Engine {
     /// Begins with nothing known; `seeds` are links of other entries that may have a state.
-    pub fn new(me: Member, seeds: Vec<SocketAddr>, shared: Arc<Shared>) -> Self {
+    pub fn new(now: Instant, me: Member, seeds: Vec<SocketAddr>, shared: Arc<Shared>) -> Self {
         let peers = member::Table::new(me.zone.clone());
+        let slots = slot::Table::new(now, (me.id.clone(), me.incarnation));
         Self {
             me,
             shared,
             seeds,
             peers,
             flights: HashMap::new(),
-            queues: IndexMap::new(),
-            in_use: HashMap::new(),
+            services: IndexMap::new(),
+            slots,
+            monitor: Monitor::default(),
+            addresses: IndexMap::new(),
+            words: IndexMap::new(),
             calls: HashMap::new(),
             pending: IndexMap::new(),
             attempts: 0,
@@ -159,7 +169,9 @@
                 self.message(now, from, incarnation, message)
             }
             Event::Linked { peer, contact } => self.linked(now, peer, contact),
-            Event::Listed(_) | Event::Operated { .. } => {}
+            Event::Listed(list) => self.listed(list),
+            Event::Probed { vm, sound } => self.monitor.probed(now, &vm, sound),
+            Event::Operated { .. } => {}
             Event::Stop => self.stop(),
         }
         self.dispatch(now);
@@ -173,11 +185,14 @@
         self.confirm_drains();
         self.beat(now);
         self.fetch(now);
+        self.learn_standings(now);
+        self.watch_endpoints(now);
         self.dispatch(now);
         self.settle(now)
     }
 
     fn settle(&mut self, now: Instant) -> Vec<Action> {
+        self.send_slots();
         let ready = self.ready();
         let changed = self.shared.ready.swap(ready, Ordering::Relaxed) != ready;
         let stale = self.shown.is_none_or(|at| now.duration_since(at) >= SHOW_INTERVAL);
@@ -191,11 +206,14 @@
     }
 
     fn ready(&self) -> bool {
+        self.sourced && self.joined() && !self.stopping
+    }
+
+    /// This incarnation is a member, so drains wait for it.
+    fn joined(&self) -> bool {
         let state = self.shared.state();
         let own = state.members.get(&self.me.id);
-        let joined = own.is_some_and(|m| m.incarnation == self.me.incarnation);
-        // During an outage of the log a state from a peer is enough to serve.
-        self.sourced && (joined || self.unread) && !self.stopping
+        own.is_some_and(|m| m.incarnation == self.me.incarnation)
     }
 
     fn show(&mut self, now: Instant, ready: bool) {
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -97,6 +97,7 @@
                     self.send(from, link, Message::State(Box::new((*state).clone())));
                 }
             }
+            Message::Slot(message) => self.slots.receive(now, &(from, incarnation), message),
             Message::State(state) => self.replace(now, *state),
         }
     }
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -1,33 +1,58 @@
 //! Callers' requests: from arrival through attempts to the final answer.
+//!
+//! A request waits in its service's queue until this entry has a free slot of an endpoint. Every
+//! attempt holds the slot's permit; a permit goes back when its exchange has ended, and rests first
+//! if the exchange may still run on the endpoint.
 
 use {
     super::Engine,
     crate::{
+        admit::{self, Queue, Supply, Waiting},
         event::{Action, End, Finish, RequestId},
-        fleet::DEFAULT_SLOTS,
-        id::{AttemptId, VmId},
-        request::{Class, Request},
-    },
-    std::{
-        collections::VecDeque,
-        net::SocketAddr,
-        time::{Duration, Instant},
+        id::{AttemptId, ServiceId},
+        request::{Class, Outcome, Request},
+        retry::{self, Budget, Failure, Verdict},
+        slot::Permit,
     },
+    std::time::{Duration, Instant},
 };
 
-/// When a caller whose request was refused should come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When a caller should come back if nothing better is known.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Shortest time that an attempt is given while another may follow.
+const MIN_PATIENCE: Duration = Duration::from_secs(1);
+/// Expected run times after which an attempt without an answer is given up.
+const PATIENCE_RUNS: u32 = 10;
+/// Longest rest of a slot whose exchange was given up.
+const MAX_REST: Duration = Duration::from_secs(2);
 
 /// A request in progress.
 pub(super) struct Flight {
-    request: Request,
-    repeatable: bool,
+    pub(super) request: Request,
+    pub(super) arrived: Instant,
+    /// Its body is kept, so that it can be sent again.
+    pub(super) repeatable: bool,
+    attempts: u32,
+    may_have_run: bool,
     running: Option<Attempt>,
 }
 
 struct Attempt {
     id: AttemptId,
-    vm: VmId,
+    permit: Permit,
+}
+
+/// What the engine keeps for one service.
+pub(super) struct Service {
+    pub(super) queue: Queue,
+    budget: Budget,
+}
+
+impl Service {
+    fn new() -> Self {
+        let queue = Queue::new(admit::Limits::default());
+        Self { queue, budget: Budget::new(retry::Limits::default()) }
+    }
 }
 
 impl Engine {
@@ -39,119 +64,241 @@
         repeatable: bool,
     ) {
         if self.stopping {
-            return self.refuse(id, "the entry is stopping");
+            return self.refuse(id, "the entry is stopping", RETRY_AFTER);
         }
         if !self.sourced {
-            return self.refuse(id, "the entry has no state yet");
+            return self.refuse(id, "the entry has no state yet", RETRY_AFTER);
         }
         if !self.shared.state().declaration.services.contains_key(&request.service) {
-            return self.refuse(id, "no such service");
+            return self.refuse(id, "no such service", RETRY_AFTER);
         }
-        if request.deadline <= now {
-            return self.refuse(id, "the deadline has passed");
+        let flight = Flight {
+            request,
+            arrived: now,
+            repeatable,
+            attempts: 0,
+            may_have_run: false,
+            running: None,
+        };
+        self.enqueue(now, id, flight);
+    }
+
+    /// Offers a request to its service's queue; a refusal is answered at once.
+    fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
+        let request = &flight.request;
+        let waiting = Waiting {
+            id,
+            team: request.team.clone(),
+            class: request.class,
+            arrived: flight.arrived,
+            deadline: request.deadline,
+        };
+        let supply = Supply { slots: self.slots.supply(&request.service) };
+        let service = self.service(&request.service.clone());
+        match service.queue.offer(now, waiting, supply) {
+            Ok(()) => _ = self.flights.insert(id, flight),
+            Err(refusal) => self.give_up(id, &flight, &refusal),
+        }
+    }
+
+    fn service(&mut self, name: &ServiceId) -> &mut Service {
+        self.services.entry(name.clone()).or_insert_with(Service::new)
+    }
+
+    /// Answers a request that will not be tried (again).
+    fn give_up(&mut self, id: RequestId, flight: &Flight, refusal: &admit::Refusal) {
+        if flight.may_have_run {
+            return self.unknown(id, "an earlier attempt may have run", refusal.retry_after);
         }
-        self.queues.entry(request.service.clone()).or_default().push_back(id);
-        self.flights.insert(id, Flight { request, repeatable, running: None });
+        self.refuse(id, &refusal.reason.to_string(), refusal.retry_after);
     }
 
-    fn refuse(&mut self, id: RequestId, reason: &str) {
-        let finish = Finish::NotRun { reason: reason.to_string(), retry_after: RETRY_AFTER };
+    pub(super) fn refuse(&mut self, id: RequestId, reason: &str, retry_after: Duration) {
+        let finish = Finish::NotRun { reason: reason.to_string(), retry_after };
+        self.actions.push(Action::Finish { id, finish });
+    }
+
+    fn unknown(&mut self, id: RequestId, reason: &str, retry_after: Duration) {
+        let finish = Finish::Unknown { reason: reason.to_string(), retry_after };
         self.actions.push(Action::Finish { id, finish });
     }
 
     pub(super) fn cancelled(&mut self, id: RequestId) {
-        let Some(flight) = self.flights.remove(&id) else {
-            return;
-        };
-        if let Some(queue) = self.queues.get_mut(&flight.request.service) {
-            queue.retain(|waiting| *waiting != id);
+        if let Some(flight) = self.flights.remove(&id) {
+            self.service(&flight.request.service).queue.cancel(id);
         }
     }
 
     pub(super) fn ended(&mut self, now: Instant, id: RequestId, attempt: AttemptId, end: End) {
-        let Some(flight) = self.flights.get_mut(&id) else {
+        let Some(mut flight) = self.flights.remove(&id) else {
             return;
         };
         let Some(running) = flight.running.take_if(|running| running.id == attempt) else {
+            self.flights.insert(id, flight);
             return;
         };
-        if let Some(count) = self.in_use.get_mut(&running.vm) {
-            *count = count.saturating_sub(1);
+        let run_time = {
+            let queue = &mut self.service(&flight.request.service).queue;
+            queue.finish(now, id);
+            queue.run_time(flight.request.class)
+        };
+        self.blame(now, &running.permit, &end);
+        let failure = failure(&end);
+        self.give_back(now, running.permit, &end, run_time);
+        match failure {
+            None => {
+                let answered = matches!(end, End::Answered { status, .. } if status < 500);
+                if answered {
+                    self.service(&flight.request.service).budget.succeed();
+                }
+            }
+            Some(failure) => self.failed(now, id, flight, failure, run_time),
         }
-        let certain = matches!(end, End::Refused { .. } | End::Unsent);
-        let idempotent = flight.request.class != Class::Order;
-        let service = flight.request.service.clone();
-        match end {
-            End::Answered { .. } | End::Cut => {
-                self.flights.remove(&id);
+    }
+
+    /// Tries a failed request again, or answers it.
+    fn failed(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        mut flight: Flight,
+        failure: Failure,
+        run_time: Duration,
+    ) {
+        flight.may_have_run |= !failure.is_certain();
+        let attempt = retry::Attempt {
+            class: flight.request.class,
+            number: flight.attempts,
+            may_have_run: flight.may_have_run,
+            deadline: flight.request.deadline,
+            failure,
+        };
+        let budget = &mut self.service(&flight.request.service).budget;
+        let verdict = if flight.repeatable {
+            budget.decide(now, &attempt, run_time)
+        } else {
+            Verdict::Answer(if flight.may_have_run { Outcome::Unknown } else { Outcome::NotRun })
+        };
+        match verdict {
+            Verdict::Retry => self.enqueue(now, id, flight),
+            Verdict::Answer(Outcome::NotRun) => {
+                self.refuse(id, "no endpoint took it", RETRY_AFTER);
             }
-            _ if (certain || idempotent) && flight.repeatable && flight.request.deadline > now => {
-                self.queues.entry(service).or_default().push_front(id);
+            Verdict::Answer(_) => {
+                self.unknown(id, "the endpoint gave no whole answer", RETRY_AFTER);
             }
-            _ if certain => {
-                self.flights.remove(&id);
-                self.refuse(id, "no endpoint took it");
+        }
+    }
+
+    fn blame(&mut self, now: Instant, permit: &Permit, end: &End) {
+        let vm = &permit.runner;
+        match end {
+            End::Answered { status, leaving, .. } => {
+                if *leaving {
+                    self.endpoint_leaves(now, vm);
+                }
+                if *status < 500 {
+                    self.monitor.succeed(vm);
+                } else {
+                    self.monitor.fail(now, vm);
+                }
             }
-            _ => {
-                self.flights.remove(&id);
-                let reason = format!("the exchange with {} ended without an answer", running.vm);
-                let finish = Finish::Unknown { reason, retry_after: RETRY_AFTER };
-                self.actions.push(Action::Finish { id, finish });
+            End::Refused { leaving: true } => self.endpoint_leaves(now, vm),
+            End::Silent | End::Broken if self.monitor.suspect(now, vm) => self.probe(vm.clone()),
+            End::Unsent | End::Crossed => _ = self.monitor.fail(now, vm),
+            End::Refused { .. } | End::Silent | End::Broken | End::Cut | End::Caller => {}
+        }
+    }
+
+    fn give_back(&mut self, now: Instant, permit: Permit, end: &End, run_time: Duration) {
+        match end {
+            End::Answered { .. } | End::Unsent => self.slots.release(now, permit),
+            End::Refused { .. } => self.slots.refuse(now, permit),
+            End::Broken | End::Cut | End::Silent | End::Crossed | End::Caller => {
+                self.slots.abandon(now, permit, now + (run_time * 2).min(MAX_REST));
             }
         }
     }
 
+    /// Gives up the requests that can't make their deadlines any more, at once.
     pub(super) fn expire(&mut self, now: Instant) {
-        let late: Vec<_> = self
-            .flights
-            .iter()
-            .filter(|(_, f)| f.running.is_none() && f.request.deadline <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in late {
-            self.cancelled(id);
-            self.refuse(id, "no endpoint was free in time");
+        for index in 0..self.services.len() {
+            let supply = self.services.get_index(index).map(|(name, _)| self.slots.supply(name));
+            let expired = self.services.get_index_mut(index).map(|(_, service)| {
+                service.queue.set_supply(Supply { slots: supply.unwrap_or(0) });
+                service.queue.expire(now)
+            });
+            for (waiting, refusal) in expired.unwrap_or_default() {
+                if let Some(flight) = self.flights.remove(&waiting.id) {
+                    self.give_up(waiting.id, &flight, &refusal);
+                }
+            }
         }
     }
 
+    /// Starts what can start and tells the peers what waits.
     pub(super) fn dispatch(&mut self, now: Instant) {
-        let services: Vec<_> = self.queues.keys().cloned().collect();
-        for service in services {
-            while self.queues.get(&service).is_some_and(|queue| !queue.is_empty()) {
-                let Some((vm, address)) = self.pick(&service) else {
-                    break;
-                };
-                let Some(id) = self.queues.get_mut(&service).and_then(VecDeque::pop_front) else {
-                    break;
-                };
-                self.run(now, id, vm, address);
+        for index in 0..self.services.len() {
+            while let Some((id, permit)) = self.next(now, index) {
+                self.run(now, id, permit);
+            }
+            if let Some((name, service)) = self.services.get_index(index) {
+                self.slots.demand(now, name, service.queue.ready());
             }
         }
     }
 
-    fn run(&mut self, now: Instant, id: RequestId, vm: VmId, address: SocketAddr) {
-        let Some(flight) = self.flights.get_mut(&id) else {
-            return;
+    /// A waiting request of a service with a slot for it.
+    fn next(&mut self, now: Instant, index: usize) -> Option<(RequestId, Permit)> {
+        let (name, service) = self.services.get_index_mut(index)?;
+        if service.queue.ready() == 0 {
+            return None;
+        }
+        let monitor = &self.monitor;
+        let permit = self.slots.acquire(name, |vm| monitor.is_usable(vm))?;
+        match service.queue.take(now) {
+            Some(waiting) => Some((waiting.id, permit)),
+            None => {
+                self.slots.release(now, permit);
+                None
+            }
+        }
+    }
+
+    fn run(&mut self, now: Instant, id: RequestId, permit: Permit) {
+        let address = self.addresses.get(&permit.runner).copied();
+        let (Some(address), Some(mut flight)) = (address, self.flights.remove(&id)) else {
+            return self.slots.release(now, permit);
         };
         self.attempts += 1;
         let attempt = (AttemptId::from(self.me.incarnation) << 64) | AttemptId::from(self.attempts);
-        let until = flight.request.deadline.max(now);
-        flight.running = Some(Attempt { id: attempt, vm: vm.clone() });
-        *self.in_use.entry(vm.clone()).or_default() += 1;
+        flight.attempts += 1;
+        let run_time = self.service(&flight.request.service).queue.run_time(flight.request.class);
+        let until = until(now, &flight, run_time);
+        let vm = permit.runner.clone();
+        flight.running = Some(Attempt { id: attempt, permit });
+        self.flights.insert(id, flight);
         self.actions.push(Action::Run { id, attempt, vm, address, until });
     }
+}
+
+/// When to give an attempt up: early enough for another one if that may follow.
+fn until(now: Instant, flight: &Flight, run_time: Duration) -> Instant {
+    let deadline = flight.request.deadline;
+    let retried = flight.request.class == Class::Quick
+        && flight.repeatable
+        && flight.attempts < retry::Limits::default().attempts;
+    if !retried {
+        return deadline;
+    }
+    deadline.min(now + (run_time * PATIENCE_RUNS).max(MIN_PATIENCE))
+}
 
-    /// Picks the endpoint with the fewest exchanges within this entry's share of its slots.
-    fn pick(&self, service: &String) -> Option<(VmId, SocketAddr)> {
-        let state = self.shared.state();
-        let peers = state.members.values().filter(|m| m.zone == self.me.zone).count();
-        let share = DEFAULT_SLOTS / peers.max(1) as u32;
-        state
-            .endpoints(service)
-            .filter(|(_, vm)| vm.zone == self.me.zone)
-            .map(|(id, vm)| (self.in_use.get(id).copied().unwrap_or(0), id, vm))
-            .filter(|(used, _, _)| *used < share)
-            .min_by_key(|(used, _, _)| *used)
-            .map(|(_, id, vm)| (id.clone(), vm.address))
+fn failure(end: &End) -> Option<Failure> {
+    match end {
+        End::Answered { .. } | End::Cut | End::Caller => None,
+        End::Refused { .. } => Some(Failure::Refused),
+        End::Unsent => Some(Failure::NotSent),
+        End::Broken | End::Silent | End::Crossed => Some(Failure::Lost),
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -82,6 +82,13 @@
     },
     /// The platform's list of VMs was read.
     Listed(List),
+    /// A probe of an endpoint over a new connection ended.
+    Probed {
+        /// Endpoint's VM.
+        vm: VmId,
+        /// Whether a connection could be opened.
+        sound: bool,
+    },
     /// The state of an action on the platform was read.
     Operated {
         /// The action.
@@ -177,6 +184,13 @@
         /// When to give the attempt up.
         until: Instant,
     },
+    /// Try a new connection to an endpoint.
+    Probe {
+        /// Endpoint's VM.
+        vm: VmId,
+        /// Endpoint's address.
+        address: SocketAddr,
+    },
     /// Answer a request without running it (again).
     Finish {
         /// Number of the request.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -12,9 +12,9 @@
         request::{ATTEMPT_HEADER, Class, LEAVING_HEADER, OUTCOME_HEADER},
     },
     bytes::{Bytes, BytesMut},
-    http_body_util::{BodyExt, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, Empty, combinators::UnsyncBoxBody},
     hyper::{
-        HeaderMap, Request, Response, StatusCode,
+        HeaderMap, Method, Request, Response, StatusCode, Uri,
         body::{Body as _, Incoming},
         client::conn::http1,
         header::{CONNECTION, HOST, HeaderName, TRANSFER_ENCODING},
@@ -30,6 +30,8 @@
 
 /// Time allowed for opening a connection to an endpoint.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time allowed for a probe.
+pub const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest answer read whole before any of it is passed on.
 pub const HELD_BYTES: usize = 256 * 1024;
 /// Longest answer to an order that is kept for its repetitions.
@@ -104,6 +106,32 @@
     hold(response, connection, class, until, idle).await
 }
 
+/// Whether the endpoint answers on a new connection.
+///
+/// An accepted connection alone proves little: the kernel accepts for a process that is stopped.
+pub async fn probe(address: SocketAddr) -> bool {
+    let until = Instant::now() + PROBE_TIMEOUT;
+    let Ok(Ok(socket)) = timeout_at(until, TcpStream::connect(address)).await else {
+        return false;
+    };
+    let Ok((mut sender, connection)) = http1::handshake::<_, Body>(TokioIo::new(socket)).await
+    else {
+        return false;
+    };
+    let _connection = Connection(tokio::spawn(async move {
+        // Its failure also ends the request, which reports it.
+        let _ = connection.await;
+    }));
+    let empty = Empty::new().map_err(|never| match never {});
+    let mut request = Request::new(Body::new(empty));
+    *request.method_mut() = Method::OPTIONS;
+    *request.uri_mut() = Uri::from_static("*");
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    matches!(timeout_at(until, sender.send_request(request)).await, Ok(Ok(_)))
+}
+
 fn prepare(headers: &mut HeaderMap, address: SocketAddr, attempt: AttemptId) {
     strip(headers);
     for (name, value) in [
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,36 +3,36 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
+pub mod admit;
+pub mod budget;
+pub mod change;
+pub mod check;
 pub mod client;
 pub mod daemon;
+pub mod eject;
 pub mod engine;
 pub mod event;
 pub mod exchange;
 pub mod fault;
-pub mod admit;
-pub mod eject;
-pub mod budget;
-pub mod change;
-pub mod check;
 pub mod fleet;
 pub mod history;
 pub mod id;
+pub mod lease;
 pub mod link;
 pub mod member;
-pub mod operator;
-pub mod lease;
 pub mod moves;
+pub mod operator;
 pub mod platform;
 pub mod record;
 pub mod request;
+pub mod retry;
 pub mod rpc;
 pub mod server;
-pub mod retry;
 pub mod settings;
 pub mod slot;
 pub mod state;
-pub mod supervise;
-pub mod wire;
 pub mod step;
+pub mod supervise;
 pub mod verdict;
 pub mod wave;
+pub mod wire;
--- a/src/member.rs
+++ b/src/member.rs
@@ -138,6 +138,12 @@
         self.peers.get(id).map(|peer| self.judge(now, peer))
     }
 
+    /// Where an incarnation that may still run is reached.
+    pub fn link(&self, id: &EntryId, incarnation: Incarnation) -> Option<SocketAddr> {
+        let peer = self.peers.get(id).filter(|p| p.member.incarnation == incarnation)?;
+        peer.proof.is_none().then_some(peer.member.link)
+    }
+
     /// All peers with their health.
     pub fn list(&self, now: Instant) -> impl Iterator<Item = (&Peer, Health)> {
         self.peers.values().map(move |peer| (peer, self.judge(now, peer)))
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -239,6 +239,11 @@
         self.runners.get(vm).map_or(0, |runner| runner.used)
     }
 
+    /// Whether an exchange of this entry may still run on a runner.
+    pub fn busy(&self, vm: &VmId) -> bool {
+        self.runners.get(vm).is_some_and(Runner::busy)
+    }
+
     /// Slots of a runner that this entry holds, in whatever state.
     pub fn held_on(&self, vm: &VmId) -> u32 {
         self.runners.get(vm).map_or(0, Runner::held)
--- a/src/slot/runner.rs
+++ b/src/slot/runner.rs
@@ -88,6 +88,11 @@
         self.free + self.used + self.resting.iter().map(|(_, slots)| slots).sum::<u32>()
     }
 
+    /// An exchange of this entry, or of one that ended, may still run.
+    pub(super) fn busy(&self) -> bool {
+        self.used > 0 || !self.resting.is_empty()
+    }
+
     /// Slots held when the round was joined.
     pub(super) fn counted(&self) -> u32 {
         self.counted
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
 use {
     crate::{
         id::{EntryId, Incarnation, Offset, ZoneId},
+        slot,
         state::State,
     },
     bytes::{BufMut, Bytes, BytesMut},
@@ -55,6 +56,8 @@
         /// Number of the heartbeat.
         sequence: u64,
     },
+    /// Moves of slots.
+    Slot(slot::Message),
     /// Asks for records or a state from an offset.
     Fetch {
         /// First offset that the sender lacks.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -112,7 +112,7 @@
 
 /// VM number `index` of a pool, in zone `a` or `b` by turns of four and two to a rack.
 pub fn vm(pool: &str, index: u8) -> Vm {
-    let zone = if (index / 4) % 2 == 0 { "a" } else { "b" };
+    let zone = if (index / 4).is_multiple_of(2) { "a" } else { "b" };
     let rack = format!("{zone}{}", index / 2);
     let address = ([10, 1, pool.len() as u8, index], 80).into();
     Vm { pool: pool.into(), zone: zone.into(), rack, address }
