--- /dev/null
+++ b/src/declaration.rs
@@ -0,0 +1,246 @@
+//! Declaration files: TOML under version control.
+//!
+//! Several files are merged into one declaration; an object may stand in one of them only. Each
+//! file is walked to its end, and names that objects use of each other are looked up once all files
+//! are merged, so that every fault is reported at once.
+
+use {
+    crate::{
+        fault::{self, Fault, Found, Reader},
+        fleet::{
+            Budget, DEFAULT_CONNECTIONS, DEFAULT_SLOTS, Declaration, Pool, Service, Team, Vm, Wave,
+        },
+        id::PoolId,
+    },
+    indexmap::{IndexMap, map::Entry},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::Path,
+    },
+};
+
+/// Parts per million in a whole.
+const MILLION: u32 = 1_000_000;
+/// Upper bound of a budget's window: 400 days.
+const MAX_WINDOW_SECS: u64 = 400 * 24 * 3600;
+/// Upper bound of an endpoint's slots and connections.
+const MAX_EXCHANGES: u32 = 65_536;
+/// Upper bound of a team's weight.
+const MAX_WEIGHT: u32 = 1_000_000;
+/// Stands for an address that could not be read.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Files that the objects came from, by `kind.name`.
+type Origins = IndexMap<String, String>;
+
+/// Reads files and checks them as one declaration.
+pub fn load<P: AsRef<Path>>(paths: &[P]) -> fault::Result<Declaration> {
+    let mut merge = Merge::default();
+    for path in paths {
+        match fault::load(path.as_ref()) {
+            Ok((file, table)) => merge.add(&file, &table),
+            Err(faults) => merge.faults.extend(faults),
+        }
+    }
+    merge.finish()
+}
+
+/// Checks named texts as one declaration.
+pub fn parse(texts: &[(&str, &str)]) -> fault::Result<Declaration> {
+    let mut merge = Merge::default();
+    for (file, text) in texts {
+        match fault::parse(file, text) {
+            Ok(table) => merge.add(file, &table),
+            Err(faults) => merge.faults.extend(faults),
+        }
+    }
+    merge.finish()
+}
+
+/// Objects of the files read so far.
+#[derive(Default)]
+struct Merge {
+    declaration: Declaration,
+    origins: Origins,
+    faults: Vec<Fault>,
+}
+
+impl Merge {
+    fn add(&mut self, file: &str, table: &toml::Table) {
+        let mut reader = Reader::new(file, table);
+        let found = Declaration {
+            pools: reader.each("pools", pool),
+            vms: reader.each("vms", vm),
+            services: reader.each("services", service),
+            teams: reader.each("teams", team),
+            waves: reader.each("waves", wave),
+        };
+        self.faults.extend(reader.finish());
+        let Self { declaration, origins, faults } = self;
+        let mut take = Take { file, origins, faults };
+        take.all("pools", found.pools, &mut declaration.pools);
+        take.all("vms", found.vms, &mut declaration.vms);
+        take.all("services", found.services, &mut declaration.services);
+        take.all("teams", found.teams, &mut declaration.teams);
+        take.all("waves", found.waves, &mut declaration.waves);
+    }
+
+    fn finish(mut self) -> fault::Result<Declaration> {
+        self.check_pools_named();
+        self.check_addresses();
+        self.check_pool_sizes();
+        if self.faults.is_empty() { Ok(self.declaration) } else { Err(self.faults) }
+    }
+
+    fn fault(&mut self, object: &str, key: &str, value: String, wanted: String) {
+        let file = self.origins.get(object).cloned().unwrap_or_default();
+        let key = format!("{object}.{key}");
+        self.faults.push(Fault { file, key, found: Found::Value(value), wanted });
+    }
+
+    fn check_pools_named(&mut self) {
+        let declaration = &self.declaration;
+        let vms = declaration.vms.iter().map(|(id, vm)| (format!("vms.{id}"), &vm.pool));
+        let services = declaration.services.iter();
+        let services = services.map(|(id, service)| (format!("services.{id}"), &service.pool));
+        let waves = declaration.waves.iter().map(|(id, wave)| (format!("waves.{id}"), &wave.pool));
+        let named = vms.chain(services).chain(waves);
+        // A pool that could not be read is reported already.
+        let unknown: Vec<(String, PoolId)> = named
+            .filter(|(_, pool)| !pool.is_empty() && !declaration.pools.contains_key(*pool))
+            .map(|(object, pool)| (object, pool.clone()))
+            .collect();
+        for (object, pool) in unknown {
+            let wanted = String::from("must be a pool that is declared");
+            self.fault(&object, "pool", format!("{pool:?}"), wanted);
+        }
+    }
+
+    fn check_addresses(&mut self) {
+        let mut owners: IndexMap<SocketAddr, String> = IndexMap::new();
+        let mut twice = Vec::new();
+        for (id, vm) in self.declaration.vms.iter().filter(|(_, vm)| vm.address != NOWHERE) {
+            match owners.entry(vm.address) {
+                Entry::Vacant(free) => _ = free.insert(id.clone()),
+                Entry::Occupied(taken) => {
+                    twice.push((format!("vms.{id}"), vm.address, taken.get().clone()));
+                }
+            }
+        }
+        for (object, address, owner) in twice {
+            let wanted = format!("must differ from every other VM's; {owner} has it too");
+            self.fault(&object, "address", address.to_string(), wanted);
+        }
+    }
+
+    fn check_pool_sizes(&mut self) {
+        let mut sizes: IndexMap<&str, u32> = IndexMap::new();
+        for vm in self.declaration.vms.values() {
+            *sizes.entry(&vm.pool).or_default() += 1;
+        }
+        let size = |id: &str| sizes.get(id).copied().unwrap_or_default();
+        let pools = self.declaration.pools.iter();
+        let small: Vec<(String, u32, u32)> = pools
+            .filter(|(id, pool)| pool.min_vms > size(id))
+            .map(|(id, pool)| (format!("pools.{id}"), pool.min_vms, size(id)))
+            .collect();
+        for (object, min, size) in small {
+            let wanted = format!("must be at most {size}, the VMs declared in the pool");
+            self.fault(&object, "min_vms", min.to_string(), wanted);
+        }
+    }
+}
+
+/// Takes the objects of one file over.
+struct Take<'a> {
+    file: &'a str,
+    origins: &'a mut Origins,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Take<'_> {
+    fn all<T>(
+        &mut self,
+        kind: &str,
+        found: IndexMap<String, T>,
+        objects: &mut IndexMap<String, T>,
+    ) {
+        for (id, object) in found {
+            let key = format!("{kind}.{id}");
+            match self.origins.entry(key.clone()) {
+                Entry::Vacant(free) => _ = free.insert(String::from(self.file)),
+                Entry::Occupied(taken) => {
+                    let wanted = format!("must stand in one file only; {} has it", taken.get());
+                    let file = String::from(self.file);
+                    self.faults.push(Fault { file, key, found: Found::Twice, wanted });
+                    continue;
+                }
+            }
+            objects.insert(id, object);
+        }
+    }
+}
+
+fn pool(reader: &mut Reader<'_>) -> Pool {
+    let default = Pool::default();
+    Pool {
+        spare: reader.flag("spare", default.spare),
+        min_vms: reader.count("min_vms", 0..=u32::MAX, default.min_vms),
+    }
+}
+
+fn vm(reader: &mut Reader<'_>) -> Vm {
+    Vm {
+        pool: reader.name("pool"),
+        zone: reader.name("zone"),
+        rack: reader.name("rack"),
+        address: reader.address("address").unwrap_or(NOWHERE),
+    }
+}
+
+fn service(reader: &mut Reader<'_>) -> Service {
+    Service {
+        pool: reader.name("pool"),
+        slots: reader.count("slots", 1..=MAX_EXCHANGES, DEFAULT_SLOTS),
+        connections: reader.count("connections", 1..=MAX_EXCHANGES, DEFAULT_CONNECTIONS),
+        budget: reader.section("budget", budget),
+    }
+}
+
+fn budget(reader: &mut Reader<'_>) -> Budget {
+    let default = Budget::default();
+    let budget = Budget {
+        max_unavailable: reader.count("max_unavailable", 0..=u32::MAX, default.max_unavailable),
+        max_unavailable_zone: reader.count(
+            "max_unavailable_zone",
+            0..=u32::MAX,
+            default.max_unavailable_zone,
+        ),
+        target_ppm: reader.count("target_ppm", 1..=MILLION, default.target_ppm),
+        window_secs: reader.number("window_secs", 1..=MAX_WINDOW_SECS, default.window_secs),
+    };
+    if budget.max_unavailable_zone > budget.max_unavailable {
+        let wanted = format!("must be at most max_unavailable, {}", budget.max_unavailable);
+        reader.bad("max_unavailable_zone", &budget.max_unavailable_zone, wanted);
+    }
+    budget
+}
+
+fn team(reader: &mut Reader<'_>) -> Team {
+    let default = Team::default();
+    let max = u64::try_from(i64::MAX).unwrap_or(u64::MAX);
+    Team {
+        weight: reader.count("weight", 1..=MAX_WEIGHT, default.weight),
+        quota_millicores: reader.number("quota_millicores", 0..=max, default.quota_millicores),
+    }
+}
+
+fn wave(reader: &mut Reader<'_>) -> Wave {
+    let wanted = "a whole number from 1";
+    let count = |value: &toml::Value| u32::try_from(value.as_integer()?).ok().filter(|n| *n > 0);
+    Wave {
+        pool: reader.name("pool"),
+        max_at_once: reader.required("max_at_once", wanted, count).unwrap_or(1),
+        max_failures: reader.option("max_failures", wanted, count).unwrap_or(2),
+    }
+}
