Set up log lines and StatsD metrics

One place sets the log format and keeps other crates' lines out; metrics go through a bounded queue, so a slow or missing server never delays a request. Tags were ruled out, because plain StatsD servers refuse them: classes and reasons are parts of the names.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod fault;
 pub mod fleet;
 pub mod id;
+pub mod logging;
+pub mod metrics;
 pub mod platform;
 pub mod record;
 pub mod request;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,42 @@
+//! Log lines on stderr: time in UTC, level, and a short sentence after the prefix of its part.
+//!
+//! A message begins with its part, as in `follow: Reads from offset 12.`; the prefixes are the names
+//! of the modules and threads, so that `grep ' follow: '` shows one part.
+
+use {
+    displaydoc::Display,
+    log::{LevelFilter, SetLoggerError},
+    simplelog::{ConfigBuilder, WriteLogger},
+    std::io,
+};
+
+/// Lines of other crates are left out.
+const OWN_TARGET: &str = "carobhitch";
+
+/// Outcome of setting the logger.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why no logger was set.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// set log level {0:?}: must be error, warn, info, debug or trace
+    Level(String),
+    /// set logger: {0}
+    Set(SetLoggerError),
+}
+
+impl std::error::Error for Error {}
+
+/// Writes log lines of `level` and above from now on; may be called once in a process.
+pub fn init(level: &str) -> Result<()> {
+    let filter: LevelFilter = level.parse().map_err(|_| Error::Level(String::from(level)))?;
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_time_level(LevelFilter::Error)
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str(OWN_TARGET)
+        .build();
+    WriteLogger::init(filter, config, io::stderr()).map_err(Error::Set)
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Metrics as StatsD datagrams.
+//!
+//! A caller never waits: a line goes to a bounded queue, and a thread of the client sends it. Lines
+//! that find the queue full are dropped, so metrics inform and decide nothing.
+//! Without an address nothing is sent.
+
+use {
+    crate::{
+        id::{EntryId, Offset},
+        request::{Class, Outcome},
+    },
+    cadence::{
+        BufferedUdpMetricSink, Counted, Gauged, MetricError, QueuingMetricSink, StatsdClient, Timed,
+    },
+    displaydoc::Display,
+    std::{
+        io,
+        net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// First part of every name.
+const PREFIX: &str = "carobhitch";
+/// Lines that wait to be sent, at most.
+const QUEUE_LINES: usize = 4096;
+
+/// Outcome of opening the metrics.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why metrics can't be sent.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// open socket for metrics to {0}: {1}
+    Socket(SocketAddr, io::Error),
+    /// prepare metrics to {0}: {1}
+    Sink(SocketAddr, MetricError),
+}
+
+impl std::error::Error for Error {}
+
+/// Direction of control traffic.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Direction {
+    /// sent
+    Sent,
+    /// received
+    Received,
+}
+
+/// Sends the metrics of one entry.
+#[derive(Clone)]
+pub struct Metrics {
+    client: Option<Arc<StatsdClient>>,
+}
+
+impl Metrics {
+    /// Sends nothing.
+    pub fn off() -> Self {
+        Self { client: None }
+    }
+
+    /// Sends to `address`, if there is one.
+    pub fn open(address: Option<SocketAddr>, entry: &EntryId) -> Result<Self> {
+        let Some(address) = address else { return Ok(Self::off()) };
+        let local = match address {
+            SocketAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+            SocketAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
+        };
+        let socket = UdpSocket::bind((local, 0)).map_err(|e| Error::Socket(address, e))?;
+        socket.set_nonblocking(true).map_err(|e| Error::Socket(address, e))?;
+        let udp =
+            BufferedUdpMetricSink::from(address, socket).map_err(|e| Error::Sink(address, e))?;
+        let sink = QueuingMetricSink::with_capacity(udp, QUEUE_LINES);
+        // A dot would begin a further part of the name.
+        let prefix = format!("{PREFIX}.{}", entry.replace('.', "_"));
+        Ok(Self { client: Some(Arc::new(StatsdClient::from_sink(&prefix, sink))) })
+    }
+
+    /// A request was admitted.
+    pub fn admitted(&self, class: Class) {
+        self.count(&format!("admitted.{}", class_name(class)), 1);
+    }
+
+    /// A request was refused; `reason` is one short word.
+    pub fn refused(&self, reason: &str) {
+        self.count(&format!("refused.{reason}"), 1);
+    }
+
+    /// A request was answered.
+    pub fn answered(&self, outcome: Outcome) {
+        self.count(&format!("answered.{outcome}"), 1);
+    }
+
+    /// A request waited from its admission until it was sent.
+    pub fn waited(&self, class: Class, time: Duration) {
+        if let Some(client) = &self.client {
+            // A line that can't be queued is dropped.
+            let _ = client.time(&format!("wait.{}", class_name(class)), time);
+        }
+    }
+
+    /// A request was sent again.
+    pub fn retried(&self) {
+        self.count("retried", 1);
+    }
+
+    /// Requests in progress.
+    pub fn in_flight(&self, requests: u64) {
+        self.gauge("in_flight", requests);
+    }
+
+    /// Offset of the next record to apply.
+    pub fn applied(&self, next: Offset) {
+        self.gauge("applied", next);
+    }
+
+    /// Bytes exchanged with other entries and the platform.
+    pub fn control_bytes(&self, direction: Direction, bytes: u64) {
+        self.count(&format!("control_bytes.{direction}"), i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Sends what is buffered; called now and then, since a datagram is sent when it is full.
+    pub fn flush(&self) {
+        if let Some(client) = &self.client {
+            // The lines stay buffered.
+            let _ = client.flush();
+        }
+    }
+
+    fn count(&self, name: &str, number: i64) {
+        if let Some(client) = &self.client {
+            // A line that can't be queued is dropped.
+            let _ = client.count(name, number);
+        }
+    }
+
+    fn gauge(&self, name: &str, value: u64) {
+        if let Some(client) = &self.client {
+            // A line that can't be queued is dropped.
+            let _ = client.gauge(name, value);
+        }
+    }
+}
+
+fn class_name(class: Class) -> &'static str {
+    match class {
+        Class::Quick => "quick",
+        Class::Watch => "watch",
+        Class::Order => "order",
+    }
+}
