--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,7 +10,7 @@
     bytes::{BufMut, Bytes, BytesMut},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::result,
+    std::{net::SocketAddr, result},
 };
 
 /// Longest frame in bytes; a snapshot of the state at full size fits.
@@ -50,10 +50,17 @@
 pub enum Message {
     /// Heartbeat.
     Beat(Beat),
+    /// Answer to a heartbeat, on the link that brought it.
+    Ack {
+        /// Number of the heartbeat.
+        sequence: u64,
+    },
     /// Asks for records or a state from an offset.
     Fetch {
         /// First offset that the sender lacks.
         from: Offset,
+        /// Where the sender accepts links.
+        link: SocketAddr,
     },
     /// A whole state, newer than what was asked for.
     State(Box<State>),
