Let the engine drive waves and moves, and send metrics

Cause: the controller decided but nothing carried its actions out. The engine ticks it each second, appends its records and asks the platform; only the holder of the control lease acts. Log lines and StatsD metrics are connected.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -68,6 +68,17 @@
     NoEndpoint,
 }
 
+impl Reason {
+    /// One short word, for metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::Late => "late",
+            Self::NoEndpoint => "no_endpoint",
+        }
+    }
+}
+
 /// Slots that the entry can count on for a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Supply {
--- a/src/bin/carobhitch-entry/app.rs
+++ b/src/bin/carobhitch-entry/app.rs
@@ -2,9 +2,8 @@
 
 use {
     crate::config,
-    carobhitch::{daemon, fault},
+    carobhitch::{daemon, fault, logging},
     clap::ArgMatches,
-    simplelog::{ConfigBuilder, LevelFilter, SimpleLogger},
 };
 
 /// Exit status for a failure while running.
@@ -32,8 +31,7 @@
         println!("settings are valid");
         return Ok(());
     }
-    let level = config.settings.log.parse().unwrap_or(LevelFilter::Info);
-    // A logger that is already set keeps working.
-    let _ = SimpleLogger::init(level, ConfigBuilder::new().build());
+    logging::init(&config.settings.log)
+        .map_err(|e| Failure { text: e.to_string(), status: FAILED })?;
     daemon::run(config.settings).map_err(|e| Failure { text: e.to_string(), status: FAILED })
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -102,10 +102,16 @@
         self.post(step, &format!("/vms/{vm}/reboot"), &Action { operation: operation.clone() })
     }
 
-    /// Reads how far an action is.
-    pub fn operation(&self, operation: &OperationId) -> Result<Operation> {
+    /// Reads how far an action is; none if it was never begun.
+    pub fn operation(&self, operation: &OperationId) -> Result<Option<Operation>> {
         let step = format!("read operation {operation}");
-        self.call(step, Method::GET, &format!("/operations/{operation}"), Body::empty())
+        match self.call(step, Method::GET, &format!("/operations/{operation}"), Body::empty()) {
+            Ok(found) => Ok(Some(found)),
+            Err(Error::Status { status, .. }) if status == StatusCode::NOT_FOUND.as_u16() => {
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
     }
 
     fn post<T: DeserializeOwned>(
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 //! | `append` | appends records |
 //! | `follow` | reads the fleet's records |
 //! | `list` | reads the platform's list of VMs |
+//! | `operate` | begins the platform's actions and reads how far they are |
 //!
 //! The loss of `engine` or `io` ends the process: requests in progress live in their memory. The
 //! others keep nothing and are started again.
@@ -18,8 +19,9 @@
         engine::{self, Engine, Shared},
         event::{Action, Event, Stream},
         exchange,
-        id::VmId,
+        id::{OperationId, VmId},
         link::{self, Links, Local},
+        metrics::Metrics,
         operator::{self, Calls},
         platform::Append,
         record::Member,
@@ -34,7 +36,7 @@
         select,
     },
     displaydoc::Display,
-    log::{debug, info, warn},
+    log::{info, warn},
     signal_hook::{
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
@@ -46,7 +48,7 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::{Duration, Instant, UNIX_EPOCH},
     },
     tokio::{
         net::TcpListener,
@@ -86,6 +88,9 @@
 /// An endpoint to probe.
 type Probe = (VmId, SocketAddr);
 
+/// A platform's action to begin on a VM, or only to ask about.
+type Order = (Option<VmId>, OperationId);
+
 /// What the parts share.
 struct Daemon {
     settings: Settings,
@@ -94,6 +99,8 @@
     inbox: Receiver<Event>,
     appends: Sender<(Stream, Append)>,
     append_inbox: Receiver<(Stream, Append)>,
+    orders: Sender<Order>,
+    order_inbox: Receiver<Order>,
     probes: mpsc::UnboundedSender<Probe>,
     probe_inbox: Mutex<Option<mpsc::UnboundedReceiver<Probe>>>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
@@ -122,6 +129,7 @@
         part("append", Policy::Restart, run_append),
         part("follow", Policy::Restart, run_follow),
         part("list", Policy::Restart, run_list),
+        part("operate", Policy::Restart, run_operate),
     ];
     Tree::start(parts).and_then(Tree::join).map_err(Error::Part)?;
     if daemon.unfinished.load(Ordering::Relaxed) {
@@ -147,6 +155,7 @@
         let (events, inbox) = unbounded();
         let (appends, append_inbox) = unbounded();
         let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
+        let (orders, order_inbox) = unbounded();
         let (probes, probe_inbox) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared::default());
         let limits = settings.limits.clone();
@@ -165,6 +174,8 @@
             inbox,
             appends,
             append_inbox,
+            orders,
+            order_inbox,
             probes,
             probe_inbox: Mutex::new(Some(probe_inbox)),
             outgoing,
@@ -203,7 +214,13 @@
                 let _ = self.outgoing.send((link, message));
             }
             Action::Stopped => return true,
-            Action::Reboot { .. } => debug!("daemon: No part carries out {action:?}."),
+            Action::Reboot { vm, operation } => {
+                // Both ends of the channel are kept by the daemon itself.
+                let _ = self.orders.send((Some(vm), operation));
+            }
+            Action::Operation { operation } => {
+                let _ = self.orders.send((None, operation));
+            }
         }
         false
     }
@@ -212,6 +229,10 @@
 fn run_engine(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
     let seeds = daemon.settings.seeds.clone();
     let mut engine = Engine::new(Instant::now(), daemon.me.clone(), seeds, daemon.shared.clone());
+    match Metrics::open(daemon.settings.metrics, &daemon.me.id) {
+        Ok(metrics) => engine.set_metrics(metrics),
+        Err(error) => warn!("engine: {error}."),
+    }
     let mut deadline = None;
     let ticks = crossbeam::channel::tick(TICK);
     loop {
@@ -225,7 +246,11 @@
                 }
                 engine.handle(Instant::now(), event)
             }
-            recv(ticks) -> _ => engine.tick(Instant::now()),
+            recv(ticks) -> _ => {
+                let now = Instant::now();
+                engine.set_wall(now, UNIX_EPOCH.elapsed().unwrap_or_default());
+                engine.tick(now)
+            }
             recv(stop.channel()) -> _ => return Ok(()),
         };
         let mut stopped = false;
@@ -386,3 +411,24 @@
     }
     Ok(())
 }
+
+fn run_operate(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    loop {
+        let (vm, operation) = select! {
+            recv(daemon.order_inbox) -> next => next.map_err(|e| e.to_string())?,
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let found = match vm {
+            Some(vm) => client.reboot(&vm, &operation).map(Some),
+            None => client.operation(&operation),
+        };
+        match found {
+            Ok(found) => {
+                let progress = found.map(|found| found.progress);
+                daemon.tell(Event::Operated { operation, progress });
+            }
+            Err(error) => warn!("operate: {error}."),
+        }
+    }
+}
--- a/src/engine/facts.rs
+++ b/src/engine/facts.rs
@@ -4,7 +4,7 @@
     super::Engine,
     crate::{
         event::{Action, CallId, Stream},
-        id::{EntryId, Incarnation, Offset},
+        id::{EntryId, Incarnation, Offset, OperationId},
         platform::{Append, Page},
         record::{Body, Record},
         state::State,
@@ -12,7 +12,7 @@
     log::{info, warn},
     std::{
         sync::{Arc, PoisonError},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant},
     },
 };
 
@@ -46,7 +46,7 @@
         if next >= page.end && !self.joined_once() {
             info!("engine: Caught up with the log at offset {next}.");
             self.sourced = true;
-            self.join();
+            self.join(now);
             self.repeat(now);
         }
     }
@@ -106,19 +106,19 @@
         format!("join-{}-{:016x}", self.me.id, self.me.incarnation)
     }
 
-    fn join(&mut self) {
+    fn join(&mut self, now: Instant) {
         let body = Body::Join { entry: self.me.clone() };
-        self.propose(self.join_operation(), body);
+        self.propose(now, self.join_operation(), body);
     }
 
     /// Records that an incarnation has ended.
-    pub(super) fn record_gone(&mut self, entry: EntryId, incarnation: Incarnation) {
+    pub(super) fn record_gone(&mut self, now: Instant, entry: EntryId, incarnation: Incarnation) {
         let operation = format!("gone-{entry}-{incarnation:016x}");
-        self.propose(operation, Body::Gone { entry, incarnation });
+        self.propose(now, operation, Body::Gone { entry, incarnation });
     }
 
     /// Confirms the drains of VMs on which this entry holds no work.
-    pub(super) fn confirm_drains(&mut self) {
+    pub(super) fn confirm_drains(&mut self, now: Instant) {
         let state = self.shared.state();
         for (vm, drain) in &state.drains {
             let asked = drain.waiting.contains(&self.me.id);
@@ -129,7 +129,7 @@
             let since = drain.since;
             let operation = format!("emptied-{vm}-{since}-{}-{incarnation:016x}", self.me.id);
             let (vm, entry) = (vm.clone(), self.me.id.clone());
-            self.propose(operation, Body::Emptied { vm, entry, incarnation, drain: since });
+            self.propose(now, operation, Body::Emptied { vm, entry, incarnation, drain: since });
         }
     }
 
@@ -142,15 +142,15 @@
         self.append(record);
     }
 
-    fn propose(&mut self, operation: String, body: Body) {
+    fn propose(&mut self, now: Instant, operation: OperationId, body: Body) {
         if self.pending.contains_key(&operation) {
             return;
         }
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at = self.wall(now);
         self.append(Record { operation, author: self.me.id.clone(), at, body });
     }
 
-    fn append(&mut self, record: Record) {
+    pub(super) fn append(&mut self, record: Record) {
         let id = record.operation.clone();
         match serde_json::to_value(&record) {
             Ok(data) => {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! It owns the requests in progress and the agreed state, takes the time as an argument and does no
 //! input or output, so the same code runs in a daemon, in a test and in a measurement.
 
+mod control;
 mod facts;
 mod peers;
 mod requests;
@@ -10,10 +11,13 @@
 
 use {
     crate::{
+        controller::{Controller, Known},
         eject::Monitor,
         event::{Action, CallId, Event, RequestId, Stream},
         id::{EntryId, Incarnation, Offset, OperationId, ServiceId, VmId, ZoneId},
         member,
+        metrics::Metrics,
+        platform::List,
         record::{FLEET_STREAM, Member, ORDERS_STREAM},
         slot,
         state::State,
@@ -109,6 +113,12 @@
     monitor: Monitor,
     addresses: IndexMap<VmId, SocketAddr>,
     words: IndexMap<VmId, Instant>,
+    list: Option<List>,
+    operations: IndexMap<OperationId, Known>,
+    controller: Controller,
+    controlled: Option<Instant>,
+    metrics: Metrics,
+    clock: (Instant, Duration),
     calls: HashMap<OperationId, CallId>,
     pending: IndexMap<OperationId, facts::Pending>,
     attempts: u64,
@@ -127,6 +137,7 @@
     pub fn new(now: Instant, me: Member, seeds: Vec<SocketAddr>, shared: Arc<Shared>) -> Self {
         let peers = member::Table::new(me.zone.clone());
         let slots = slot::Table::new(now, (me.id.clone(), me.incarnation));
+        let controller = Controller::new(me.id.clone(), me.incarnation);
         Self {
             me,
             shared,
@@ -138,6 +149,12 @@
             monitor: Monitor::default(),
             addresses: IndexMap::new(),
             words: IndexMap::new(),
+            list: None,
+            operations: IndexMap::new(),
+            controller,
+            controlled: None,
+            metrics: Metrics::off(),
+            clock: (now, Duration::ZERO),
             calls: HashMap::new(),
             pending: IndexMap::new(),
             attempts: 0,
@@ -152,6 +169,20 @@
         }
     }
 
+    /// Sends metrics from now on.
+    pub fn set_metrics(&mut self, metrics: Metrics) {
+        self.metrics = metrics;
+    }
+
+    /// Sets the time since the Unix epoch; it goes on with the time that is passed in.
+    pub fn set_wall(&mut self, now: Instant, wall: Duration) {
+        self.clock = (now, wall);
+    }
+
+    fn wall(&self, now: Instant) -> Duration {
+        self.clock.1 + now.saturating_duration_since(self.clock.0)
+    }
+
     /// Decides on an event.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
@@ -170,8 +201,8 @@
             }
             Event::Linked { peer, contact } => self.linked(now, peer, contact),
             Event::Listed(list) => self.listed(list),
+            Event::Operated { operation, progress } => self.operated(now, operation, progress),
             Event::Probed { vm, sound } => self.monitor.probed(now, &vm, sound),
-            Event::Operated { .. } => {}
             Event::Stop => self.stop(),
         }
         self.dispatch(now);
@@ -182,11 +213,12 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         self.expire(now);
         self.repeat(now);
-        self.confirm_drains();
+        self.confirm_drains(now);
         self.beat(now);
         self.fetch(now);
         self.learn_standings(now);
         self.watch_endpoints(now);
+        self.control(now);
         self.dispatch(now);
         self.settle(now)
     }
@@ -219,6 +251,9 @@
     fn show(&mut self, now: Instant, ready: bool) {
         self.shown = Some(now);
         let state = self.shared.state();
+        self.metrics.in_flight(self.flights.len() as u64);
+        self.metrics.applied(state.next);
+        self.metrics.flush();
         let peers = self.peers.list(now).map(|(peer, health)| {
             let beat = peer.beat.as_ref();
             let sight = Sight {
@@ -254,7 +289,7 @@
             Some(since) => since,
             None => {
                 self.farewell = Some(now);
-                self.record_gone(self.me.id.clone(), self.me.incarnation);
+                self.record_gone(now, self.me.id.clone(), self.me.incarnation);
                 self.repeat(now);
                 now
             }
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -108,7 +108,7 @@
             Contact::Refused => {
                 if let Some((id, incarnation)) = self.peers.refused(peer) {
                     info!("member: Entry {id} has ended: nothing listens at {peer}.");
-                    self.record_gone(id, incarnation);
+                    self.record_gone(now, id, incarnation);
                 }
             }
             Contact::Silent => warn!("member: Entry at {peer} is silent."),
@@ -118,7 +118,7 @@
     fn hear(&mut self, now: Instant, id: &EntryId, incarnation: Incarnation) {
         if let Some(former) = self.peers.heard(now, id, incarnation) {
             info!("member: Entry {id} was replaced by another incarnation.");
-            self.record_gone(id.clone(), former);
+            self.record_gone(now, id.clone(), former);
         }
     }
 
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -96,8 +96,14 @@
         let supply = Supply { slots: self.slots.supply(&request.service) };
         let service = self.service(&request.service.clone());
         match service.queue.offer(now, waiting, supply) {
-            Ok(()) => _ = self.flights.insert(id, flight),
-            Err(refusal) => self.give_up(id, &flight, &refusal),
+            Ok(()) => {
+                self.metrics.admitted(flight.request.class);
+                self.flights.insert(id, flight);
+            }
+            Err(refusal) => {
+                self.metrics.refused(refusal.reason.word());
+                self.give_up(id, &flight, &refusal);
+            }
         }
     }
 
@@ -114,11 +120,13 @@
     }
 
     pub(super) fn refuse(&mut self, id: RequestId, reason: &str, retry_after: Duration) {
+        self.metrics.answered(Outcome::NotRun);
         let finish = Finish::NotRun { reason: reason.to_string(), retry_after };
         self.actions.push(Action::Finish { id, finish });
     }
 
     fn unknown(&mut self, id: RequestId, reason: &str, retry_after: Duration) {
+        self.metrics.answered(Outcome::Unknown);
         let finish = Finish::Unknown { reason: reason.to_string(), retry_after };
         self.actions.push(Action::Finish { id, finish });
     }
@@ -147,8 +155,9 @@
         self.give_back(now, running.permit, &end, run_time);
         match failure {
             None => {
-                let answered = matches!(end, End::Answered { status, .. } if status < 500);
-                if answered {
+                let done = matches!(end, End::Answered { status, .. } if status < 500);
+                self.metrics.answered(if done { Outcome::Done } else { Outcome::Failed });
+                if done {
                     self.service(&flight.request.service).budget.succeed();
                 }
             }
@@ -180,7 +189,10 @@
             Verdict::Answer(if flight.may_have_run { Outcome::Unknown } else { Outcome::NotRun })
         };
         match verdict {
-            Verdict::Retry => self.enqueue(now, id, flight),
+            Verdict::Retry => {
+                self.metrics.retried();
+                self.enqueue(now, id, flight);
+            }
             Verdict::Answer(Outcome::NotRun) => {
                 self.refuse(id, "no endpoint took it", RETRY_AFTER);
             }
@@ -230,6 +242,7 @@
             });
             for (waiting, refusal) in expired.unwrap_or_default() {
                 if let Some(flight) = self.flights.remove(&waiting.id) {
+                    self.metrics.refused(refusal.reason.word());
                     self.give_up(waiting.id, &flight, &refusal);
                 }
             }
@@ -277,6 +290,7 @@
         let until = until(now, &flight, run_time);
         let vm = permit.runner.clone();
         flight.running = Some(Attempt { id: attempt, permit });
+        self.metrics.waited(flight.request.class, now.duration_since(flight.arrived));
         self.flights.insert(id, flight);
         self.actions.push(Action::Run { id, attempt, vm, address, until });
     }
--- a/src/engine/routes.rs
+++ b/src/engine/routes.rs
@@ -84,10 +84,11 @@
 
     /// Takes the platform's word on leaving VMs.
     pub(super) fn listed(&mut self, list: List) {
-        for vm in list.vms {
+        for vm in &list.vms {
             let leaving = vm.health != platform::Health::Live;
             self.monitor.set_leaving(&vm.id, Word::Platform, leaving);
         }
+        self.list = Some(list);
     }
 
     /// Takes an endpoint's own word that it leaves.
--- a/src/event.rs
+++ b/src/event.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        id::{AttemptId, EntryId, Incarnation, Offset, VmId},
-        platform::{List, Page},
+        id::{AttemptId, EntryId, Incarnation, Offset, OperationId, VmId},
+        platform::{List, Page, Progress},
         record::{Answer, Record},
         request::Request,
         state::Verdict,
@@ -91,8 +91,10 @@
     },
     /// The state of an action on the platform was read.
     Operated {
-        /// The action.
-        operation: crate::platform::Operation,
+        /// Name of the action.
+        operation: OperationId,
+        /// How far it is; none if it was never begun.
+        progress: Option<Progress>,
     },
     /// An operator's call asks for a record.
     Called {
@@ -221,14 +223,17 @@
         /// Content.
         message: wire::Message,
     },
-    /// Reboot a VM, or read how far that is.
+    /// Ask the platform to reboot a VM.
     Reboot {
         /// The VM.
         vm: VmId,
         /// Name of the action.
-        operation: String,
-        /// Whether to ask for it; otherwise only its progress is read.
-        begin: bool,
+        operation: OperationId,
+    },
+    /// Ask the platform how far an action is.
+    Operation {
+        /// Name of the action.
+        operation: OperationId,
     },
     /// Everything in progress has ended.
     Stopped,
