--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,12 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
-pub mod fault;
 pub mod client;
 pub mod daemon;
 pub mod engine;
 pub mod event;
 pub mod exchange;
+pub mod fault;
 pub mod fleet;
 pub mod id;
 pub mod link;
--- a/standin/src/tally.rs
+++ b/standin/src/tally.rs
@@ -172,31 +172,43 @@
         let rows = self.rows.values();
         rows.map(|r| r.lost + r.cut).sum::<u64>() + doubled + false_not_run + unrun == 0
     }
+
+    /// Counts of a class in the order of [`HEADS`].
+    fn counts(&self, class: &str, r: &Row) -> [u64; HEADS.len()] {
+        let doubled = if class == "order" { self.audit.doubled } else { 0 };
+        let Row { sent, answered, failed, refused, unknown, lost, cut, retries, .. } = *r;
+        [sent, answered, failed, refused, unknown, lost, doubled, cut, retries]
+    }
 }
 
+/// Heads of the table's columns of counts.
+const HEADS: [&str; 9] =
+    ["sent", "answered", "failed", "not run", "unknown", "lost", "doubled", "cut", "retries"];
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let heads = ["class", "sent", "answered", "failed", "not run", "unknown", "lost", "cut"];
-        write!(f, "{:<6}", heads[0])?;
-        heads[1..].iter().try_for_each(|h| write!(f, " {h:>8}"))?;
-        writeln!(f, " {:>8} {:>9} {:>9} {:>9}", "retries", "p50 ms", "p99 ms", "max ms")?;
-        for (class, r) in &self.rows {
-            let counts =
-                [r.sent, r.answered, r.failed, r.refused, r.unknown, r.lost, r.cut, r.retries];
-            write!(f, "{class:<6}")?;
-            counts.iter().try_for_each(|n| write!(f, " {n:>8}"))?;
-            writeln!(f, " {:>9.1} {:>9.1} {:>9.1}", r.p50_ms, r.p99_ms, r.max_ms)?;
+        write!(f, "{:<6}", "class")?;
+        HEADS.iter().try_for_each(|h| write!(f, " {h:>8}"))?;
+        writeln!(f, " {:>9} {:>9} {:>9}", "p50 ms", "p99 ms", "max ms")?;
+        let mut totals = [0; HEADS.len()];
+        for (class, row) in &self.rows {
+            let counts = self.counts(class, row);
+            totals.iter_mut().zip(counts).for_each(|(total, n)| *total += n);
+            write_counts(f, class, &counts)?;
+            writeln!(f, " {:>9.1} {:>9.1} {:>9.1}", row.p50_ms, row.p99_ms, row.max_ms)?;
         }
+        write_counts(f, "total", &totals)?;
         let a = &self.audit;
-        writeln!(
-            f,
-            "orders doubled {}, false not run {}, done but never run {}",
-            a.doubled, a.false_not_run, a.unrun
-        )?;
-        write!(
-            f,
-            "endpoints: most exchanges at once {}, most connections {}, refused {}, misrouted {}, broken by reboot {}",
-            a.most_in_flight, a.most_connections, a.refused, a.misrouted, a.broken
-        )
+        write!(f, "\norders refused as not run that ran: {}; ", a.false_not_run)?;
+        writeln!(f, "orders answered that never ran: {}", a.unrun)?;
+        write!(f, "on one endpoint, at most: {} exchanges, ", a.most_in_flight)?;
+        writeln!(f, "{} connections at once", a.most_connections)?;
+        write!(f, "endpoints: {} requests past their slots, ", a.refused)?;
+        write!(f, "{} misrouted, {} broken by a reboot", a.misrouted, a.broken)
     }
 }
+
+fn write_counts(f: &mut fmt::Formatter<'_>, class: &str, counts: &[u64]) -> fmt::Result {
+    write!(f, "{class:<6}")?;
+    counts.iter().try_for_each(|n| write!(f, " {n:>8}"))
+}
