--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,12 +5,13 @@
 use {
     crate::{
         id::{EntryId, Incarnation, Offset, ZoneId},
+        slot,
         state::State,
     },
     bytes::{BufMut, Bytes, BytesMut},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::result,
+    std::{net::SocketAddr, result},
 };
 
 /// Longest frame in bytes; a snapshot of the state at full size fits.
@@ -55,10 +56,14 @@
         /// Number of the heartbeat.
         sequence: u64,
     },
+    /// Moves of slots.
+    Slot(slot::Message),
     /// Asks for records or a state from an offset.
     Fetch {
         /// First offset that the sender lacks.
         from: Offset,
+        /// Where the sender accepts links.
+        link: SocketAddr,
     },
     /// A whole state, newer than what was asked for.
     State(Box<State>),
