Report burn, and serve moves, waves and history

The report reads the state's ledger.

Apply now records only what differs, each object with the version seen: a whole declaration for each change does not fit the control budget at 17,000 VMs.

--- /dev/null
+++ b/src/burn.rs
@@ -0,0 +1,255 @@
+//! Service-level burn: how fast the availability budgets are spent, and by what.
+//!
+//! A service promises a share of its endpoint time: `endpoints x window x (1 - target)` may be lost.
+//! Burn over a window is the time lost in it over what may be lost in it; at a rate of 1 the promise
+//! is just kept. Time lost is summed from the ledger's spans, each of which names the offsets of the
+//! records that began and ended it. Where the ledger has dropped old spans, its sums by day stand in
+//! for them, so that a window that reaches further back counts its first day whole.
+
+use {
+    crate::{
+        budget::{Cause, Ledger, MAX_SPANS, Span, Spent},
+        id::{Offset, ServiceId, VmId, WaveId, ZoneId},
+        state::State,
+    },
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Windows that are reported unless others are asked for: 1 h, 6 h, 1 d and 30 d.
+pub const WINDOWS: [Duration; 4] = [
+    Duration::from_secs(3_600),
+    Duration::from_secs(6 * 3_600),
+    Duration::from_secs(24 * 3_600),
+    Duration::from_secs(30 * 24 * 3_600),
+];
+/// Parts per million in a whole.
+const MILLION: u32 = 1_000_000;
+/// Length of a day.
+const DAY: Duration = Duration::from_secs(24 * 3_600);
+
+/// Availability that a service promises.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Promise {
+    /// The service.
+    pub service: ServiceId,
+    /// Its endpoints.
+    pub endpoints: u32,
+    /// Availability promised, in parts per million.
+    pub target_ppm: u32,
+    /// Window of the promise.
+    pub window: Duration,
+}
+
+impl Promise {
+    /// Endpoint time that may be lost in a window.
+    pub fn budget(&self, window: Duration) -> Duration {
+        let missing = u128::from(MILLION.saturating_sub(self.target_ppm));
+        let micros = window.as_millis() * u128::from(self.endpoints) * missing / 1_000;
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+/// Endpoint time lost, by who lost it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// By maintenance waves.
+    pub wave: Duration,
+    /// By failures.
+    pub failure: Duration,
+    /// By moves between pools.
+    pub relocation: Duration,
+    /// By operators' drains.
+    pub operator: Duration,
+}
+
+impl Share {
+    /// Time lost by all together.
+    pub fn total(&self) -> Duration {
+        self.wave + self.failure + self.relocation + self.operator
+    }
+
+    fn add(&mut self, cause: &Cause, time: Duration) {
+        *match cause {
+            Cause::Wave(_) => &mut self.wave,
+            Cause::Failure => &mut self.failure,
+            Cause::Move => &mut self.relocation,
+            Cause::Operator => &mut self.operator,
+        } += time;
+    }
+
+    fn add_day(&mut self, spent: &Spent) {
+        self.wave += Duration::from_millis(spent.wave_ms);
+        self.failure += Duration::from_millis(spent.failure_ms);
+        self.relocation += Duration::from_millis(spent.move_ms);
+        self.operator += Duration::from_millis(spent.operator_ms);
+    }
+}
+
+/// Burn of one service over one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    /// Length of the window.
+    pub length: Duration,
+    /// Endpoint time that may be lost in it.
+    pub budget: Duration,
+    /// Endpoint time lost in it.
+    pub lost: Share,
+}
+
+impl Window {
+    /// Rate of spending in thousandths, 1000 if the promise is just kept; none without a budget.
+    pub fn rate_milli(&self) -> Option<u64> {
+        let rate = (self.lost.total().as_millis() * 1_000).checked_div(self.budget.as_millis())?;
+        Some(u64::try_from(rate).unwrap_or(u64::MAX))
+    }
+}
+
+/// Time that one endpoint was unavailable, as far as it lies in the promise's window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spend {
+    /// The VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Why.
+    pub cause: Cause,
+    /// When it began, since the Unix epoch.
+    pub from: Duration,
+    /// When it ended; none while it lasts.
+    pub to: Option<Duration>,
+    /// Part of it in the window.
+    pub lost: Duration,
+    /// Offsets of the records that began and ended it.
+    pub offsets: Vec<Offset>,
+}
+
+impl Spend {
+    /// The wave that caused it.
+    pub fn wave(&self) -> Option<&WaveId> {
+        match &self.cause {
+            Cause::Wave(wave) => Some(wave),
+            Cause::Operator | Cause::Move | Cause::Failure => None,
+        }
+    }
+}
+
+/// Burn of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// What it promises.
+    pub promise: Promise,
+    /// Burn over the promise's own window.
+    pub promised: Window,
+    /// Burn over the windows asked for.
+    pub windows: Vec<Window>,
+    /// What spent the promise's budget, oldest first.
+    pub spends: Vec<Spend>,
+}
+
+/// Burn of every service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// When the windows end, since the Unix epoch.
+    pub at: Duration,
+    /// Services.
+    pub services: Vec<Service>,
+}
+
+/// Promises of the declared services.
+pub fn promises(state: &State) -> Vec<Promise> {
+    let mut endpoints: IndexMap<&str, u32> = IndexMap::new();
+    for vm in state.declaration.vms.values() {
+        *endpoints.entry(&vm.pool).or_default() += 1;
+    }
+    let services = state.declaration.services.iter();
+    let promise = services.map(|(id, service)| Promise {
+        service: id.clone(),
+        endpoints: endpoints.get(service.pool.as_str()).copied().unwrap_or_default(),
+        target_ppm: service.budget.target_ppm,
+        window: Duration::from_secs(service.budget.window_secs),
+    });
+    promise.collect()
+}
+
+/// Burn of the services over windows that end at `now`.
+pub fn report(
+    promises: &[Promise],
+    ledger: &Ledger,
+    windows: &[Duration],
+    now: Duration,
+) -> Report {
+    let services = promises.iter().map(|promise| {
+        let spans: Vec<&Span> = ledger.all().filter(|s| s.service == promise.service).collect();
+        let window = |length| window(promise, ledger, &spans, length, now);
+        Service {
+            promise: promise.clone(),
+            promised: window(promise.window),
+            windows: windows.iter().map(|length| window(*length)).collect(),
+            spends: spends(&spans, now.saturating_sub(promise.window), now),
+        }
+    });
+    Report { at: now, services: services.collect() }
+}
+
+fn window(
+    promise: &Promise,
+    ledger: &Ledger,
+    spans: &[&Span],
+    length: Duration,
+    now: Duration,
+) -> Window {
+    let from = now.saturating_sub(length);
+    let kept_from = kept_from(ledger);
+    let mut lost = Share::default();
+    for span in spans {
+        // The sums by day hold what ended, so the part before `kept_from` is in them.
+        let from = if span.to.is_some() { from.max(kept_from) } else { from };
+        lost.add(&span.cause, overlap(span, from, now));
+    }
+    let days = ledger.days.get(&promise.service).into_iter().flatten();
+    days.filter(|(day, _)| **day >= day_of(from) && **day < day_of(kept_from))
+        .for_each(|(_, spent)| lost.add_day(spent));
+    Window { length, budget: promise.budget(length), lost }
+}
+
+/// Start of the first day all of whose spans the ledger still keeps.
+fn kept_from(ledger: &Ledger) -> Duration {
+    let dropped = ledger.spans.len() >= MAX_SPANS;
+    let oldest = ledger.spans.iter().filter_map(|span| span.to).min();
+    match oldest.filter(|_| dropped) {
+        Some(oldest) => Duration::from_secs((day_of(oldest) + 1) * DAY.as_secs()),
+        None => Duration::ZERO,
+    }
+}
+
+fn day_of(time: Duration) -> u64 {
+    time.as_secs() / DAY.as_secs()
+}
+
+fn overlap(span: &Span, from: Duration, now: Duration) -> Duration {
+    span.to.unwrap_or(now).min(now).saturating_sub(span.from.max(from))
+}
+
+fn spends(spans: &[&Span], from: Duration, now: Duration) -> Vec<Spend> {
+    let spend = |span: &&Span| Spend {
+        vm: span.vm.clone(),
+        zone: span.zone.clone(),
+        cause: span.cause.clone(),
+        from: span.from,
+        to: span.to,
+        lost: overlap(span, from, now),
+        offsets: std::iter::once(span.began).chain(span.ended).collect(),
+    };
+    let mut spends: Vec<Spend> =
+        spans.iter().map(spend).filter(|spend| !spend.lost.is_zero()).collect();
+    spends.sort_by_key(|spend| spend.from);
+    spends
+}
--- /dev/null
+++ b/src/rpc/body.rs
@@ -0,0 +1,53 @@
+//! Maps requests of the schema to what a record asks.
+
+use {
+    super::proto,
+    crate::{
+        burn,
+        change::{self, Change, Edit},
+        fleet::{Declaration, Vm},
+        id::{Offset, PoolId, VmId},
+        record::Body,
+        state::State,
+    },
+    std::time::Duration,
+    tonic::Status,
+};
+
+/// Longest window of a report of burn.
+const MAX_WINDOW: Duration = Duration::from_secs(400 * 24 * 3_600);
+/// Windows in a report of burn, at most.
+const MAX_WINDOWS: usize = 16;
+
+/// Only what differs is recorded while `state` is the version that the declaration was made from;
+/// otherwise the whole declaration is, for the state machine to judge.
+pub(super) fn apply(state: &State, declaration: Declaration, expected: Option<Offset>) -> Body {
+    let changes = change::between(state, &declaration);
+    match state.version == expected && !changes.is_empty() {
+        true => Body::Change { changes },
+        false => Body::Declare { declaration: Box::new(declaration), expected },
+    }
+}
+
+/// A move is an edit of the VM's declared pool.
+pub(super) fn relocate(state: &State, vm: VmId, pool: PoolId) -> Result<Body, Status> {
+    let found = state.declared().vms.swap_remove(&vm);
+    let found = found.ok_or_else(|| Status::not_found(format!("vm {vm:?} is not declared")))?;
+    let expected = state.versions.get(&format!("vm/{vm}"));
+    let edit = Edit { id: vm, expected, value: Some(Vm { pool, ..found }) };
+    Ok(Body::Change { changes: vec![Change::Vm(edit)] })
+}
+
+pub(super) fn windows(request: &proto::BurnRequest) -> Result<Vec<Duration>, Status> {
+    let seconds = &request.window_secs;
+    if seconds.is_empty() {
+        return Ok(burn::WINDOWS.to_vec());
+    }
+    let windows: Vec<Duration> = seconds.iter().copied().map(Duration::from_secs).collect();
+    let sound = |window: &Duration| !window.is_zero() && *window <= MAX_WINDOW;
+    if windows.len() > MAX_WINDOWS || !windows.iter().all(sound) {
+        let wanted = format!("at most {MAX_WINDOWS} windows of 1 s to {} s", MAX_WINDOW.as_secs());
+        return Err(Status::invalid_argument(wanted));
+    }
+    Ok(windows)
+}
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -94,7 +94,7 @@
     let message = String::from(status.message());
     let cause = match status.code() {
         Code::Unavailable => Cause::Unavailable(message),
-        Code::InvalidArgument | Code::Unimplemented | Code::OutOfRange => Cause::Invalid(message),
+        Code::InvalidArgument | Code::NotFound | Code::Unimplemented => Cause::Invalid(message),
         _ => Cause::Unknown(message),
     };
     Error { step, peer: entry.to_string(), cause }
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -5,7 +5,9 @@
 //! means that no verdict is known. Since a repeated operation id returns the first verdict, the
 //! client repeats a call without an answer at the next entry.
 
+mod body;
 mod client;
+pub mod json;
 mod reply;
 mod server;
 
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Cause, Error, Gate, MAX_MESSAGE_BYTES, Result,
+        Cause, Error, Gate, MAX_MESSAGE_BYTES, Result, body,
         proto::{
             self,
             operator_server::{Operator, OperatorServer},
@@ -10,6 +10,7 @@
         reply,
     },
     crate::{
+        burn,
         fleet::Declaration,
         record::{Body, Record},
     },
@@ -154,8 +155,12 @@
             return Err(Status::invalid_argument(wanted));
         }
     }
-    let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Ok(Record { operation: call.operation, author: call.author, at, body })
+    Ok(Record { operation: call.operation, author: call.author, at: now(), body })
+}
+
+/// Time since the Unix epoch.
+fn now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
 impl From<Error> for Status {
@@ -172,12 +177,11 @@
 #[tonic::async_trait]
 impl Operator for Service {
     async fn apply(&self, request: Request<proto::ApplyRequest>) -> Answer<proto::Outcome> {
-        let request = request.into_inner();
-        let declaration: Declaration = serde_json::from_slice(&request.declaration)
+        let proto::ApplyRequest { call, declaration, expected } = request.into_inner();
+        let declaration: Declaration = serde_json::from_slice(&declaration)
             .map_err(|e| Status::invalid_argument(format!("read declaration: {e}")))?;
-        let declaration = Box::new(declaration);
-        let body = Body::Declare { declaration, expected: request.expected };
-        self.submit(request.call, body).await
+        let body = body::apply(&(self.gate.view)(), declaration, expected);
+        self.submit(call, body).await
     }
 
     async fn drain(&self, request: Request<proto::DrainRequest>) -> Answer<proto::Outcome> {
@@ -190,20 +194,30 @@
         self.submit(call, Body::Return { vm }).await
     }
 
-    async fn r#move(&self, _: Request<proto::MoveRequest>) -> Answer<proto::Outcome> {
-        Err(Status::unimplemented("moves are not recorded yet"))
+    async fn r#move(&self, request: Request<proto::MoveRequest>) -> Answer<proto::Outcome> {
+        let proto::MoveRequest { call, vm, pool } = request.into_inner();
+        let body = body::relocate(&(self.gate.view)(), vm, pool)?;
+        self.submit(call, body).await
     }
 
-    async fn start_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
-        Err(Status::unimplemented("waves are not recorded yet"))
+    async fn start_wave(&self, request: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        let proto::WaveRequest { call, wave, .. } = request.into_inner();
+        self.submit(call, Body::Begin { wave }).await
     }
 
-    async fn pause_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
-        Err(Status::unimplemented("waves are not recorded yet"))
+    async fn pause_wave(&self, request: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        let proto::WaveRequest { call, wave, reason: why } = request.into_inner();
+        self.submit(call, Body::Pause { wave, why }).await
     }
 
-    async fn resume_wave(&self, _: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
-        Err(Status::unimplemented("waves are not recorded yet"))
+    async fn resume_wave(&self, request: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        let proto::WaveRequest { call, wave, .. } = request.into_inner();
+        self.submit(call, Body::Resume { wave }).await
+    }
+
+    async fn cancel_wave(&self, request: Request<proto::WaveRequest>) -> Answer<proto::Outcome> {
+        let proto::WaveRequest { call, wave, .. } = request.into_inner();
+        self.submit(call, Body::Cancel { wave }).await
     }
 
     async fn status(&self, _: Request<proto::StatusRequest>) -> Answer<proto::StatusReply> {
@@ -215,7 +229,7 @@
         _: Request<proto::DeclarationRequest>,
     ) -> Answer<proto::DeclarationReply> {
         let state = (self.gate.view)();
-        let declaration = serde_json::to_vec(&state.declaration)
+        let declaration = serde_json::to_vec(&state.declared())
             .map_err(|e| Status::internal(format!("write declaration: {e}")))?;
         Ok(Response::new(proto::DeclarationReply { declaration, version: state.version }))
     }
@@ -224,11 +238,14 @@
         &self,
         request: Request<proto::HistoryRequest>,
     ) -> Answer<proto::HistoryReply> {
-        let request = request.into_inner();
-        Ok(Response::new(reply::history(&(self.gate.view)(), &request)))
+        Ok(Response::new(reply::history(&(self.gate.view)(), request.get_ref())))
     }
 
-    async fn burn(&self, _: Request<proto::BurnRequest>) -> Answer<proto::BurnReply> {
-        Err(Status::unimplemented("unavailability is not recorded yet"))
+    async fn burn(&self, request: Request<proto::BurnRequest>) -> Answer<proto::BurnReply> {
+        let windows = body::windows(request.get_ref())?;
+        let state = (self.gate.view)();
+        let now = now().max(state.clock);
+        let report = burn::report(&burn::promises(&state), &state.ledger, &windows, now);
+        Ok(Response::new(reply::burn(&report)))
     }
 }
