--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod exchange;
 pub mod fault;
+pub mod controller;
 pub mod fleet;
 pub mod history;
 pub mod id;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -60,6 +60,14 @@
         self.state.apply(offset, &record)
     }
 
+    /// Appends and applies a record as it is, unless its operation is in the log already.
+    pub fn push(&mut self, record: Record) {
+        if self.records.iter().all(|r| r.operation != record.operation) {
+            self.state.apply(self.records.len() as Offset, &record);
+            self.records.push(record);
+        }
+    }
+
     /// Appends a record under the control lease in its present epoch.
     pub fn fenced(&mut self, body: Body) -> Verdict {
         let epoch = self.state.epoch(lease::CONTROL);
