--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod budget;
+pub mod burn;
 pub mod change;
 pub mod check;
 pub mod client;
