--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -49,6 +49,7 @@
     kinds: IndexSet<KindId>,
     queues: IndexMap<u32, queue::Queue>,
     changed: IndexSet<u32>,
+    fresh: Vec<u32>,
     timers: BTreeSet<(Instant, u32)>,
     orders: u64,
     actions: Vec<Action>,
@@ -186,6 +187,9 @@
     }
 
     fn decide(&mut self, now: Instant) -> Vec<Action> {
+        for slot in std::mem::take(&mut self.fresh) {
+            self.place_fresh(now, slot);
+        }
         while let Some(pool) = self.changed.pop() {
             self.place_pool(now, pool);
         }
@@ -218,7 +222,7 @@
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         let queue = self.queues.entry(task.pool).or_default();
         queue.push(task.priority, task.team, task.order, slot);
-        self.changed.insert(task.pool);
+        self.fresh.push(slot);
     }
 
     fn leave(&mut self, slot: u32, outcome: Outcome) {
--- a/src/place/queue.rs
+++ b/src/place/queue.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Whether a task is among the first `max` of its team.
+    pub fn is_head(&self, priority: Priority, team: u32, task: u32, max: usize) -> bool {
+        let waiting = self.classes[priority as usize].get(&team);
+        waiting.is_some_and(|waiting| waiting.iter().take(max).any(|(_, found)| *found == task))
+    }
+
     /// First `max` tasks of each team, a team's first before any team's second.
     pub fn heads(&self, priority: Priority, max: usize) -> Vec<u32> {
         let class = &self.classes[priority as usize];
--- a/src/place/start.rs
+++ b/src/place/start.rs
@@ -31,6 +31,18 @@
 }
 
 impl Scheduler {
+    /// Tries a task that was queued since the last decision, unless many of its team go first.
+    pub(super) fn place_fresh(&mut self, now: Instant, slot: u32) {
+        let Some(task) = self.tasks[slot as usize].as_ref() else { return };
+        let Some(queue) = self.queues.get(&task.pool) else { return };
+        if task.phase != Phase::Queued || !queue.is_head(task.priority, task.team, slot, BACKFILL) {
+            return;
+        }
+        let charge = self.ledger.quote(task.team, task.size.millicores);
+        self.place_task(now, slot, charge, &mut Misses::default());
+    }
+
+    /// Tries the waiting tasks of a pool after room or quota became free there.
     pub(super) fn place_pool(&mut self, now: Instant, pool: u32) {
         let mut misses = Misses::default();
         for priority in PRIORITIES {
