Relay requests to other entries, and end a stop only after the last answer

Cause: an entry whose availability zone has no endpoint of a service refused the request, and one that has not joined could not serve. Such requests now go to a ready entry, near ones first, once at most. A planned stop ended once the engine had seen every request end, which could be before the answer's last bytes had left; it now waits for the server's connections. Ruled out: raw h2 streams for relays, since bodies would need flow control written by hand.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -106,6 +106,7 @@
     outgoing: mpsc::UnboundedSender<Outgoing>,
     outgoing_inbox: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
     stopping: watch::Sender<bool>,
+    served: AtomicBool,
     unfinished: AtomicBool,
     shared: Arc<Shared>,
     server: Arc<Server>,
@@ -181,6 +182,7 @@
             outgoing,
             outgoing_inbox: Mutex::new(Some(outgoing_inbox)),
             stopping: watch::channel(false).0,
+            served: AtomicBool::new(false),
             unfinished: AtomicBool::new(false),
             shared,
             calls: Arc::default(),
@@ -199,6 +201,9 @@
             Action::Run { id, attempt, address, until, .. } => {
                 self.server.step(id, Step::Run { attempt, address, until });
             }
+            Action::Relay { id, attempt, link, until } => {
+                self.server.step(id, Step::Relay { attempt, link, until });
+            }
             Action::Finish { id, finish } => self.server.step(id, Step::Finish(finish)),
             Action::Append { stream, record } => {
                 // Both ends of the channel are kept by the daemon itself.
@@ -257,7 +262,8 @@
         for action in actions {
             stopped |= daemon.act(action);
         }
-        if stopped && daemon.server.open() == 0 {
+        // An answer is on its way until its connection has ended.
+        if stopped && daemon.server.open() == 0 && daemon.served.load(Ordering::Relaxed) {
             return Ok(());
         }
         if deadline.is_some_and(|at| Instant::now() >= at) {
@@ -278,7 +284,7 @@
             events: daemon.events.clone(),
             bytes: AtomicU64::new(0),
         });
-        tokio::spawn(link::listen(links, local.clone()));
+        tokio::spawn(link::listen(links, local.clone(), daemon.server.clone()));
         if let Some(inbox) = take(&daemon.outgoing_inbox) {
             tokio::spawn(send_messages(Links::new(local), inbox));
         }
@@ -289,6 +295,7 @@
         let serve = server::serve(callers, daemon.server.clone(), daemon.stopping.subscribe());
         let served = async {
             let served = serve.await;
+            daemon.served.store(true, Ordering::Relaxed);
             // Links stay open until the engine ends the tree.
             asked(stop).await;
             served
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -186,10 +186,10 @@
     /// Decides on an event.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
-            Event::Arrived { id, request, repeatable, .. } => {
-                self.arrived(now, id, request, repeatable)
+            Event::Arrived { id, request, repeatable, relayed, .. } => {
+                self.arrived(now, id, request, repeatable, relayed)
             }
-            Event::Cancelled { id } => self.cancelled(id),
+            Event::Cancelled { id } => self.cancelled(now, id),
             Event::Ended { id, attempt, end } => self.ended(now, id, attempt, end),
             Event::Read { stream: Stream::Fleet, page } => self.read(now, page),
             Event::Read { stream: Stream::Orders, .. } => {}
@@ -238,7 +238,7 @@
     }
 
     fn ready(&self) -> bool {
-        self.sourced && self.joined() && !self.stopping
+        self.sourced && (self.joined() || self.unread) && !self.stopping
     }
 
     /// This incarnation is a member, so drains wait for it.
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -9,12 +9,16 @@
     crate::{
         admit::{self, Queue, Supply, Waiting},
         event::{Action, End, Finish, RequestId},
-        id::{AttemptId, ServiceId},
+        id::{AttemptId, ServiceId, ZoneId},
+        member::Health,
         request::{Class, Outcome, Request},
         retry::{self, Budget, Failure, Verdict},
         slot::Permit,
     },
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// When a caller should come back if nothing better is known.
@@ -32,6 +36,8 @@
     pub(super) arrived: Instant,
     /// Its body is kept, so that it can be sent again.
     pub(super) repeatable: bool,
+    /// Another entry relayed it, so it is not relayed again.
+    relayed: bool,
     attempts: u32,
     may_have_run: bool,
     running: Option<Attempt>,
@@ -39,7 +45,8 @@
 
 struct Attempt {
     id: AttemptId,
-    permit: Permit,
+    /// Right to the endpoint's slot; none if the request was relayed.
+    permit: Option<Permit>,
 }
 
 /// What the engine keeps for one service.
@@ -62,6 +69,7 @@
         id: RequestId,
         request: Request,
         repeatable: bool,
+        relayed: bool,
     ) {
         if self.stopping {
             return self.refuse(id, "the entry is stopping", RETRY_AFTER);
@@ -76,13 +84,50 @@
             request,
             arrived: now,
             repeatable,
+            relayed,
             attempts: 0,
             may_have_run: false,
             running: None,
         };
+        if let Some(link) = self.better_entry(now, &flight) {
+            return self.relay(now, id, flight, link);
+        }
         self.enqueue(now, id, flight);
     }
 
+    /// Another entry to relay to, if this one can't serve the request.
+    fn better_entry(&self, now: Instant, flight: &Flight) -> Option<SocketAddr> {
+        let service = &flight.request.service;
+        if flight.relayed || (self.joined() && self.slots.supply(service) > 0) {
+            return None;
+        }
+        let state = self.shared.state();
+        let serves = |zone: &ZoneId| state.endpoints(service).any(|(_, vm)| vm.zone == *zone);
+        let ready = self.peers.list(now).filter(|(peer, health)| {
+            let ready = peer.beat.as_ref().is_some_and(|beat| beat.ready);
+            *health == Health::Live && ready && serves(&peer.member.zone)
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            ready.map(|(peer, _)| &peer.member).partition(|m| m.zone == self.me.zone);
+        let found = if near.is_empty() { far } else { near };
+        let turn = self.attempts as usize % found.len().max(1);
+        found.get(turn).map(|member| member.link)
+    }
+
+    fn relay(&mut self, now: Instant, id: RequestId, mut flight: Flight, link: SocketAddr) {
+        let attempt = self.next_attempt();
+        flight.attempts += 1;
+        flight.running = Some(Attempt { id: attempt, permit: None });
+        let until = flight.request.deadline.max(now);
+        self.flights.insert(id, flight);
+        self.actions.push(Action::Relay { id, attempt, link, until });
+    }
+
+    fn next_attempt(&mut self) -> AttemptId {
+        self.attempts += 1;
+        (AttemptId::from(self.me.incarnation) << 64) | AttemptId::from(self.attempts)
+    }
+
     /// Offers a request to its service's queue; a refusal is answered at once.
     fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
         let request = &flight.request;
@@ -131,9 +176,16 @@
         self.actions.push(Action::Finish { id, finish });
     }
 
-    pub(super) fn cancelled(&mut self, id: RequestId) {
-        if let Some(flight) = self.flights.remove(&id) {
-            self.service(&flight.request.service).queue.cancel(id);
+    pub(super) fn cancelled(&mut self, now: Instant, id: RequestId) {
+        let Some(flight) = self.flights.remove(&id) else {
+            return;
+        };
+        let queue = &mut self.service(&flight.request.service).queue;
+        queue.cancel(id);
+        queue.finish(now, id);
+        // The caller went before the attempt began.
+        if let Some(permit) = flight.running.and_then(|running| running.permit) {
+            self.slots.release(now, permit);
         }
     }
 
@@ -150,10 +202,11 @@
             queue.finish(now, id);
             queue.run_time(flight.request.class)
         };
-        self.blame(now, &running.permit, &end);
-        let failure = failure(&end);
-        self.give_back(now, running.permit, &end, run_time);
-        match failure {
+        if let Some(permit) = running.permit {
+            self.blame(now, &permit, &end);
+            self.give_back(now, permit, &end, run_time);
+        }
+        match failure(&end) {
             None => {
                 let done = matches!(end, End::Answered { status, .. } if status < 500);
                 self.metrics.answered(if done { Outcome::Done } else { Outcome::Failed });
@@ -218,13 +271,18 @@
             End::Refused { leaving: true } => self.endpoint_leaves(now, vm),
             End::Silent | End::Broken if self.monitor.suspect(now, vm) => self.probe(vm.clone()),
             End::Unsent | End::Crossed => _ = self.monitor.fail(now, vm),
-            End::Refused { .. } | End::Silent | End::Broken | End::Cut | End::Caller => {}
+            End::Refused { .. }
+            | End::Relayed
+            | End::Silent
+            | End::Broken
+            | End::Cut
+            | End::Caller => {}
         }
     }
 
     fn give_back(&mut self, now: Instant, permit: Permit, end: &End, run_time: Duration) {
         match end {
-            End::Answered { .. } | End::Unsent => self.slots.release(now, permit),
+            End::Answered { .. } | End::Relayed | End::Unsent => self.slots.release(now, permit),
             End::Refused { .. } => self.slots.refuse(now, permit),
             End::Broken | End::Cut | End::Silent | End::Crossed | End::Caller => {
                 self.slots.abandon(now, permit, now + (run_time * 2).min(MAX_REST));
@@ -283,13 +341,12 @@
         let (Some(address), Some(mut flight)) = (address, self.flights.remove(&id)) else {
             return self.slots.release(now, permit);
         };
-        self.attempts += 1;
-        let attempt = (AttemptId::from(self.me.incarnation) << 64) | AttemptId::from(self.attempts);
+        let attempt = self.next_attempt();
         flight.attempts += 1;
         let run_time = self.service(&flight.request.service).queue.run_time(flight.request.class);
         let until = until(now, &flight, run_time);
         let vm = permit.runner.clone();
-        flight.running = Some(Attempt { id: attempt, permit });
+        flight.running = Some(Attempt { id: attempt, permit: Some(permit) });
         self.metrics.waited(flight.request.class, now.duration_since(flight.arrived));
         self.flights.insert(id, flight);
         self.actions.push(Action::Run { id, attempt, vm, address, until });
@@ -310,7 +367,7 @@
 
 fn failure(end: &End) -> Option<Failure> {
     match end {
-        End::Answered { .. } | End::Cut | End::Caller => None,
+        End::Answered { .. } | End::Relayed | End::Cut | End::Caller => None,
         End::Refused { .. } => Some(Failure::Refused),
         End::Unsent => Some(Failure::NotSent),
         End::Broken | End::Silent | End::Crossed => Some(Failure::Lost),
--- a/src/event.rs
+++ b/src/event.rs
@@ -42,6 +42,8 @@
         fingerprint: u64,
         /// Whether it can be sent a second time.
         repeatable: bool,
+        /// Whether another entry relayed it.
+        relayed: bool,
     },
     /// The caller has gone before the answer.
     Cancelled {
@@ -151,6 +153,8 @@
         /// Answer to keep, for an order.
         kept: Option<Answer>,
     },
+    /// Another entry answered; its word on the outcome was passed on.
+    Relayed,
     /// The endpoint said that it did not run the request.
     Refused {
         /// Whether the endpoint said that it is leaving.
@@ -186,6 +190,17 @@
         /// When to give the attempt up.
         until: Instant,
     },
+    /// Relay a request to another entry.
+    Relay {
+        /// Number of the request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Link of the other entry.
+        link: SocketAddr,
+        /// When to give the attempt up.
+        until: Instant,
+    },
     /// Try a new connection to an endpoint.
     Probe {
         /// Endpoint's VM.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -6,13 +6,14 @@
 
 use {
     crate::{
+        body,
         event::End,
         id::AttemptId,
         record::Answer,
         request::{ATTEMPT_HEADER, Class, LEAVING_HEADER, OUTCOME_HEADER},
     },
     bytes::{Bytes, BytesMut},
-    http_body_util::{BodyExt, Empty, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, combinators::UnsyncBoxBody},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode, Uri,
         body::{Body as _, Incoming},
@@ -65,11 +66,11 @@
     /// Head, and the part of the body that was read already.
     pub head: Response<Bytes>,
     /// Rest of the body.
-    pub rest: Option<Incoming>,
+    pub rest: Option<Body>,
     /// How the exchange ends once the rest has been passed on.
     pub end: End,
-    /// Keeps the connection open while the rest is read.
-    pub connection: Connection,
+    /// Keeps the connection open while the rest is read; none if others use it too.
+    pub connection: Option<Connection>,
 }
 
 /// A connection that is closed when this is dropped.
@@ -103,7 +104,9 @@
         Ok(Ok(response)) => response,
     };
     check(&response, attempt)?;
-    hold(response, connection, class, until, idle).await
+    let (head, rest) = hold(response, class, until, idle).await?;
+    let end = answered(&head, rest.is_none(), class);
+    Ok(Reply { head, rest, end, connection: Some(connection) })
 }
 
 /// Whether the endpoint answers on a new connection.
@@ -122,8 +125,7 @@
         // Its failure also ends the request, which reports it.
         let _ = connection.await;
     }));
-    let empty = Empty::new().map_err(|never| match never {});
-    let mut request = Request::new(Body::new(empty));
+    let mut request = Request::new(body::whole(Bytes::new()));
     *request.method_mut() = Method::OPTIONS;
     *request.uri_mut() = Uri::from_static("*");
     if let Ok(host) = address.to_string().parse() {
@@ -146,7 +148,7 @@
 }
 
 /// Removes the headers that concern one connection only.
-fn strip(headers: &mut HeaderMap) {
+pub(crate) fn strip(headers: &mut HeaderMap) {
     headers.remove(CONNECTION);
     headers.remove(TRANSFER_ENCODING);
     headers.remove("keep-alive");
@@ -163,16 +165,22 @@
     Ok(())
 }
 
+fn answered(head: &Response<Bytes>, whole: bool, class: Class) -> End {
+    let leaving = head.headers().contains_key(LEAVING_HEADER);
+    let status = head.status().as_u16();
+    let kept = (class == Class::Order).then(|| keep(status, whole, head.body()));
+    End::Answered { status, leaving, kept }
+}
+
 /// Reads a short answer whole, so that a broken one can still be replaced by another try.
-async fn hold(
+///
+/// A watch is passed on as it comes.
+pub(crate) async fn hold(
     response: Response<Incoming>,
-    connection: Connection,
     class: Class,
     until: Instant,
     idle: Duration,
-) -> result::Result<Reply, End> {
-    let leaving = response.headers().contains_key(LEAVING_HEADER);
-    let status = response.status().as_u16();
+) -> result::Result<(Response<Bytes>, Option<Body>), End> {
     let (mut parts, mut body) = response.into_parts();
     strip(&mut parts.headers);
     parts.headers.remove(ATTEMPT_HEADER);
@@ -189,11 +197,8 @@
             Ok(None) => whole = true,
         }
     }
-    let held = held.freeze();
-    let kept = (class == Class::Order).then(|| keep(status, whole, &held));
-    let end = End::Answered { status, leaving, kept };
-    let rest = (!whole).then_some(body);
-    Ok(Reply { head: Response::from_parts(parts, held), rest, end, connection })
+    let head = Response::from_parts(parts, held.freeze());
+    Ok((head, (!whole).then(|| body::boxed(body))))
 }
 
 fn keep(status: u16, whole: bool, held: &Bytes) -> Answer {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
 pub mod admit;
+mod body;
 pub mod budget;
 pub mod burn;
 pub mod change;
@@ -33,6 +34,7 @@
 pub mod platform;
 pub mod quota;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod rpc;
--- a/src/link.rs
+++ b/src/link.rs
@@ -7,18 +7,24 @@
 
 use {
     crate::{
+        body,
         event::{Contact, Event},
+        exchange::Body,
         id::{EntryId, Incarnation},
+        server::{self, Origin, Server},
         wire::{self, Frame, Message},
     },
     bytes::BytesMut,
     crossbeam::channel::Sender,
     displaydoc::Display,
-    h2::{RecvStream, SendStream, client, server},
-    hyper::{Request, Response},
+    h2::{RecvStream, SendStream, client},
+    http_body_util::BodyExt,
+    hyper::{Request, Response, body::Incoming, server::conn::http2::Builder, service::service_fn},
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     log::debug,
     std::{
         collections::HashMap,
+        convert::Infallible,
         io::ErrorKind,
         net::SocketAddr,
         result,
@@ -265,15 +271,25 @@
 }
 
 /// Accepts links of other entries; ends with its task.
-pub async fn listen(listener: TcpListener, local: Arc<Local>) {
+pub async fn listen(listener: TcpListener, local: Arc<Local>, server: Arc<Server>) {
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
                 let _ = socket.set_nodelay(true);
-                let local = local.clone();
+                let (local, server) = (local.clone(), server.clone());
                 tokio::spawn(async move {
-                    if let Err(error) = accept(local, peer, socket).await {
-                        debug!("link: {error}.");
+                    let service = service_fn(move |request| {
+                        let (local, server) = (local.clone(), server.clone());
+                        async move { Ok::<_, Infallible>(accept(local, server, peer, request).await) }
+                    });
+                    let served = Builder::new(TokioExecutor::new())
+                        .timer(TokioTimer::new())
+                        .keep_alive_interval(IDLE)
+                        .keep_alive_timeout(SILENCE)
+                        .serve_connection(TokioIo::new(socket), service)
+                        .await;
+                    if let Err(error) = served {
+                        debug!("link: Connection of {peer} failed: {error}.");
                     }
                 });
             }
@@ -285,45 +301,57 @@
     }
 }
 
-async fn accept(local: Arc<Local>, peer: SocketAddr, socket: TcpStream) -> Result<()> {
-    let http = |step| move |source| Error::Http { step, peer, source };
-    let shake = timeout(CONNECT_TIMEOUT, server::handshake(socket)).await;
-    let mut connection = shake
-        .map_err(|_| Error::Silent { step: "accept link", peer })?
-        .map_err(http("accept link"))?;
-    while let Some(stream) = connection.accept().await {
-        let (request, mut respond) = stream.map_err(http("accept stream"))?;
-        let answers =
-            respond.send_response(Response::new(()), false).map_err(http("accept stream"))?;
-        let local = local.clone();
-        tokio::spawn(async move {
-            if let Err(error) = receive_all(&local, peer, request.into_body(), answers).await {
-                debug!("link: {error}.");
-            }
-        });
+/// Answers a stream: messages at the root, elsewhere a relayed request.
+async fn accept(
+    local: Arc<Local>,
+    server: Arc<Server>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if request.uri().path() != "/" {
+        return server::accept(server, request.map(body::boxed), Origin::Entry).await;
     }
-    Ok(())
+    let (answers, body) = body::channel(None);
+    tokio::spawn(async move {
+        if let Err(error) = receive_all(&local, peer, request.into_body(), answers).await {
+            debug!("link: {error}.");
+        }
+    });
+    Response::new(body)
 }
 
 async fn receive_all(
     local: &Local,
     peer: SocketAddr,
-    mut stream: RecvStream,
-    mut answers: SendStream<bytes::Bytes>,
+    mut stream: Incoming,
+    answers: body::Sender,
 ) -> Result<()> {
+    let step = "receive message";
     let mut buffer = BytesMut::new();
     loop {
-        let frames = timeout(IDLE * 2, receive(local, peer, &mut stream, &mut buffer)).await;
-        let frames = frames.map_err(|_| Error::Silent { step: "receive message", peer })??;
-        let Some(frames) = frames else {
+        let data = timeout(IDLE * 2, stream.frame()).await;
+        let data = data.map_err(|_| Error::Silent { step, peer })?;
+        let Some(data) = data.and_then(result::Result::ok).and_then(|f| f.into_data().ok()) else {
             return Ok(());
         };
-        for frame in frames {
-            if let Message::Beat(beat) = &frame.message {
-                let sequence = beat.sequence;
-                send(local, peer, &mut answers, Message::Ack { sequence })?;
+        local.count(data.len());
+        buffer.extend_from_slice(&data);
+        let decode = |buffer: &mut BytesMut| {
+            wire::decode(buffer).map_err(|source| Error::Frame { step, peer, source })
+        };
+        while let Some(Frame { from, incarnation, message }) = decode(&mut buffer)? {
+            if let Message::Beat(beat) = &message {
+                let ack = local.frame(Message::Ack { sequence: beat.sequence });
+                let ack = wire::encode(&ack).map_err(|source| Error::Frame {
+                    step: "answer heartbeat",
+                    peer,
+                    source,
+                })?;
+                local.count(ack.len());
+                if answers.send(Ok(body::Frame::data(ack))).await.is_err() {
+                    return Ok(());
+                }
             }
-            let Frame { from, incarnation, message } = frame;
             local.tell(Event::Message { from, incarnation, message });
         }
     }
--- a/src/request.rs
+++ b/src/request.rs
@@ -38,6 +38,16 @@
     Order,
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Quick => "quick",
+            Self::Watch => "watch",
+            Self::Order => "order",
+        })
+    }
+}
+
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
