--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod server;
 pub mod settings;
 pub mod slot;
+pub mod snapshot;
 pub mod state;
 pub mod step;
 pub mod supervise;
