--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -30,6 +30,9 @@
 /// Drain rate over the projected one at which a waiting request is still thought able to start.
 const GIVE_UP_SPEEDUP: u32 = 2;
 
+/// Time over which refusals count as demand; they fade over as much again.
+const REFUSALS_WINDOW: Duration = Duration::from_secs(1);
+
 /// A request that waits for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -93,7 +96,7 @@
         Self {
             watch_floor_percent: 25,
             watch_cap_percent: 50,
-            wait_percent: 50,
+            wait_percent: 35,
             first_run: Duration::from_millis(50),
         }
     }
@@ -117,6 +120,8 @@
     order: Lane,
     running: IndexMap<u64, Running>,
     given_up: Vec<(Waiting, Refusal)>,
+    refusals: [usize; 2],
+    refusals_since: Option<Instant>,
 }
 
 impl Queue {
@@ -132,6 +137,8 @@
             weights: IndexMap::new(),
             running: IndexMap::new(),
             given_up: Vec::new(),
+            refusals: [0; 2],
+            refusals_since: None,
         }
     }
 
@@ -162,8 +169,12 @@
         let lane = self.lane_mut(waiting.class);
         lane.catch_up(used_secs);
         let id = waiting.id;
-        lane.offer(now, waiting, lane::Offer { weight, slots, idle, wait_percent })
-            .map_err(|wait| refusal(Reason::Overload, wait, id))
+        let offered = lane.offer(now, waiting, lane::Offer { weight, slots, idle, wait_percent });
+        offered.map_err(|wait| {
+            self.fade(now);
+            self.refusals[0] += 1;
+            refusal(Reason::Overload, wait, id)
+        })
     }
 
     /// Hands out the request that should start next; the caller of this method holds a slot for it.
@@ -219,6 +230,16 @@
         self.quick.waiting() + self.order.waiting() + self.watch.waiting().min(watches)
     }
 
+    /// Requests that need slots: those that are ready and, while there are any, those that were
+    /// refused lately, so that a crowded entry gets more slots although its queue is bounded.
+    pub fn demand(&mut self, now: Instant) -> usize {
+        self.fade(now);
+        match self.ready() {
+            0 => 0,
+            ready => ready + self.refusals.iter().sum::<usize>(),
+        }
+    }
+
     /// Requests that were handed out and not finished.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -234,6 +255,14 @@
         self.lane(class).mean()
     }
 
+    fn fade(&mut self, now: Instant) {
+        let since = *self.refusals_since.get_or_insert(now);
+        if now >= since + REFUSALS_WINDOW {
+            self.refusals = [0, self.refusals[0]];
+            self.refusals_since = Some(now);
+        }
+    }
+
     fn next_class(&self) -> Option<Class> {
         let watch_waits = self.watch.waiting() > 0;
         if watch_waits && self.watch.running() < self.watch_floor() {
--- a/src/slot/demand.rs
+++ b/src/slot/demand.rs
@@ -25,11 +25,16 @@
 /// A peer's wait must exceed this entry's by this ratio to get a slot that could be used here.
 const EVEN_OUT: (u64, u64) = (3, 2);
 
+/// Slots that could be used here and are handed over for one message about a need, so that several
+/// peers that do so do not overshoot together.
+const EVEN_OUT_SLOTS: u32 = 2;
+
 /// A peer's need for slots of a service.
 #[derive(Clone, Debug)]
 pub(super) struct Want {
     waiting: u32,
     held: u32,
+    quota: u32,
     at: Instant,
 }
 
@@ -44,6 +49,16 @@
 }
 
 impl Service {
+    /// This entry's part of some slots, by its need and the peers'.
+    pub(super) fn part_of(&self, slots: u32) -> u32 {
+        let others: u64 = self.wants.values().map(|want| u64::from(want.waiting)).sum();
+        let own = u64::from(self.waiting);
+        match others {
+            0 => slots,
+            _ => u32::try_from(u64::from(slots) * own / (own + others)).unwrap_or(slots),
+        }
+    }
+
     pub(super) fn forget(&mut self, peer: &Peer) {
         self.wants.swap_remove(peer);
     }
@@ -85,7 +100,9 @@
         match waiting {
             0 => found.forget(from),
             _ => {
-                found.wants.insert(from.clone(), Want { waiting, held, at: now });
+                found
+                    .wants
+                    .insert(from.clone(), Want { waiting, held, quota: EVEN_OUT_SLOTS, at: now });
                 self.share(now, service);
             }
         }
@@ -108,6 +125,7 @@
             if let Some(want) = self.services[service].wants.get_mut(&pair.0) {
                 want.waiting -= 1;
                 want.held += 1;
+                want.quota = want.quota.saturating_sub(1);
             }
             *granted.entry(pair).or_default() += 1;
         }
@@ -127,7 +145,7 @@
         let (peer, want) = found
             .wants
             .iter()
-            .filter(|(_, want)| want.waiting > 0)
+            .filter(|(_, want)| want.waiting > 0 && (found.waiting == 0 || want.quota > 0))
             .max_by_key(|(_, want)| waits(want))?;
         let own = u64::from(found.waiting) * 1024 / u64::from(held.max(1));
         if found.waiting > 0 && waits(want) * EVEN_OUT.1 <= own * EVEN_OUT.0 {
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -41,6 +41,15 @@
     pub runner: VmId,
     /// Service that the exchange is for.
     pub service: ServiceId,
+    /// When the right ends; to be checked right before the exchange is sent.
+    pub lease: Option<Instant>,
+}
+
+impl Permit {
+    /// The exchange may still be sent.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.lease.is_none_or(|end| now < end)
+    }
 }
 
 /// A runner as declared.
@@ -65,6 +74,7 @@
     floor: u64,
     audit: usize,
     audited: Instant,
+    lease: Option<Instant>,
 }
 
 impl Table {
@@ -79,6 +89,7 @@
             floor: 0,
             audit: 0,
             audited: now,
+            lease: None,
         }
     }
 
@@ -134,12 +145,24 @@
         }
     }
 
+    /// Lets this incarnation use its slots until `end` only; unlimited if never called.
+    ///
+    /// An incarnation that may be paused can be declared gone once its lease has ended: when it
+    /// goes on, it finds the lease ended and sends nothing.
+    pub fn set_lease(&mut self, end: Instant) {
+        self.lease = Some(end);
+    }
+
     /// Takes a free slot of the service on a runner that `usable` accepts, the least used first.
     pub fn acquire(
         &mut self,
+        now: Instant,
         service: &ServiceId,
         usable: impl Fn(&VmId) -> bool,
     ) -> Option<Permit> {
+        if self.lease.is_some_and(|end| end <= now) {
+            return None;
+        }
         let found = self.services.get(service)?;
         let vm = found
             .runners
@@ -149,7 +172,7 @@
             .max_by_key(|vm| self.runners[*vm].free)?
             .clone();
         self.runners.get_mut(&vm)?.acquire();
-        Some(Permit { runner: vm, service: service.clone() })
+        Some(Permit { runner: vm, service: service.clone(), lease: self.lease })
     }
 
     /// Gives back a slot whose exchange has ended on the runner.
@@ -227,11 +250,13 @@
         self.open_runners(service).map(Runner::held).sum()
     }
 
-    /// Slots of a service that this entry can count on: those it holds, or an even part of all.
+    /// Slots of a service that this entry can count on: an even part of all, or more if it holds
+    /// more and its peers' needs leave them here.
     pub fn supply(&self, service: &ServiceId) -> u32 {
         let all: u32 = self.open_runners(service).map(|runner| runner.slots).sum();
         let entries = self.group.alive().count() as u32 + 1;
-        self.held(service).max(all.div_ceil(entries))
+        let kept = self.services.get(service).map_or(0, |found| found.part_of(all));
+        self.held(service).min(kept).max(all.div_ceil(entries))
     }
 
     /// Exchanges that this entry has on a runner.
--- a/src/slot/recount.rs
+++ b/src/slot/recount.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time that slots of an ended incarnation rest, while its exchanges may still run.
-const SETTLE: Duration = Duration::from_secs(1);
+const SETTLE: Duration = Duration::from_millis(300);
 /// Time between the recounts of two runners made in case slots were lost unnoticed.
 const AUDIT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time until an abandoned recount is tried again.
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -67,8 +67,8 @@
     }
 
     fn acquire_all(&mut self, index: usize) -> Vec<Permit> {
-        let table = &mut self.tables[index].1;
-        std::iter::from_fn(|| table.acquire(&service(), |_| true)).collect()
+        let (now, table) = (self.now, &mut self.tables[index].1);
+        std::iter::from_fn(|| table.acquire(now, &service(), |_| true)).collect()
     }
 
     fn held(&self) -> u32 {
@@ -190,3 +190,13 @@
     let vm = String::from("vm-0");
     assert_eq!(zone.tables.iter().map(|(_, table)| table.connections(&vm)).sum::<u32>(), 64);
 }
+
+#[test]
+fn an_entry_whose_lease_has_ended_sends_nothing() {
+    let mut zone = Zone::new(1, 1);
+    let end = zone.now + Duration::from_secs(2);
+    zone.tables[0].1.set_lease(end);
+    let permit = zone.tables[0].1.acquire(zone.now, &service(), |_| true).expect("in time");
+    assert!(permit.is_valid(zone.now) && !permit.is_valid(end));
+    assert_eq!(zone.tables[0].1.acquire(end, &service(), |_| true), None);
+}
