Decide orders: claims, releases and outcomes in the log, batched

The first claim in offset order wins and only its writer may run the order, once it has read the claim back. A claimant that has not run it releases it; one that is gone leaves the outcome unknown.

--- a/src/id.rs
+++ b/src/id.rs
@@ -32,3 +32,5 @@
 pub type ObjectId = String;
 /// Name of a lease that at most one entry holds.
 pub type LeaseId = String;
+/// Fingerprint of an order's key, with its service and team.
+pub type OrderId = u128;
--- a/src/record.rs
+++ b/src/record.rs
@@ -8,7 +8,7 @@
         change::Change,
         fleet::Declaration,
         id::{
-            EntryId, Epoch, Incarnation, LeaseId, Offset, OperationId, OrderKey, VmId, WaveId,
+            EntryId, Epoch, Incarnation, LeaseId, Offset, OperationId, OrderId, VmId, WaveId,
             ZoneId,
         },
     },
@@ -221,24 +221,66 @@
     pub lines: Vec<Line>,
 }
 
-/// A claim to an order, or its outcome.
+/// A claim to an order, or what became of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Line {
-    /// The first claim of a key in offset order may run it.
+    /// The first claim of an order in offset order may run it.
     Claim {
-        /// Caller's key.
-        key: OrderKey,
-        /// Fingerprint of the request that the key names.
+        /// The order.
+        #[serde(with = "hex")]
+        order: OrderId,
+        /// Fingerprint of the request.
         request: u64,
     },
-    /// How the claimed order ended.
-    Outcome {
-        /// Caller's key.
-        key: OrderKey,
-        /// Status and body of the answer; none if it certainly did not run.
-        answer: Option<Answer>,
+    /// The claimant ran the order.
+    Done {
+        /// The order.
+        #[serde(with = "hex")]
+        order: OrderId,
+        /// What the endpoint answered.
+        answer: Answer,
     },
+    /// The claimant has not run the order and will not run it by this claim.
+    Release {
+        /// The order.
+        #[serde(with = "hex")]
+        order: OrderId,
+    },
+    /// The claimant doesn't know whether the order ran.
+    Unknown {
+        /// The order.
+        #[serde(with = "hex")]
+        order: OrderId,
+    },
+}
+
+impl Line {
+    /// The order that the line is about.
+    pub fn order(&self) -> OrderId {
+        match self {
+            Self::Claim { order, .. }
+            | Self::Done { order, .. }
+            | Self::Release { order }
+            | Self::Unknown { order } => *order,
+        }
+    }
+}
+
+/// Order ids as text, since JSON numbers don't hold 128 bits.
+mod hex {
+    use {
+        crate::id::OrderId,
+        serde::{Deserialize, Deserializer, Serializer, de::Error},
+    };
+
+    pub(super) fn serialize<S: Serializer>(id: &OrderId, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(&format_args!("{id:032x}"))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<OrderId, D::Error> {
+        OrderId::from_str_radix(&String::deserialize(from)?, 16).map_err(D::Error::custom)
+    }
 }
 
 /// A kept answer to an order.
--- a/src/request.rs
+++ b/src/request.rs
@@ -17,6 +17,10 @@
 pub const DEADLINE_HEADER: &str = "carobhitch-deadline-ms";
 /// Caller's key for an order; every repetition carries the same.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// On an order: present if the caller has sent its key before; `not-run` then speaks for every try.
+pub const REPEAT_HEADER: &str = "carobhitch-repeat";
+/// On answers: `not-kept` if the order is done but its answer was too long or too old to be kept.
+pub const ANSWER_HEADER: &str = "carobhitch-answer";
 /// On answers: `done`, `failed`, `not-run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "carobhitch-outcome";
 /// To endpoints and back: names the attempt, so that an answer is matched to its request.
