--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod admit;
 pub mod budget;
+pub mod burn;
 pub mod change;
 pub mod check;
 pub mod client;
+pub mod controller;
 pub mod daemon;
 pub mod declaration;
 pub mod diff;
