--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod metrics;
 pub mod moves;
 pub mod operator;
+pub mod order;
 pub mod place;
 pub mod platform;
 pub mod quota;
