Add the operators' command line and plots of burn

Apply derives its operation from the content and the version in force, so that a repeated apply is the same operation. Alone that would answer a rejection of the same content for ever, also when the state that caused it has changed; a rejection that is older than the call is therefore asked anew under another name. A rejected record changed nothing, so this can not do anything twice.

The plot is made by hand: plotters is not among the crates at hand, and bars and marks need no axes library.

--- a/src/bin/carobhitch/main.rs
+++ b/src/bin/carobhitch/main.rs
@@ -1,2 +1,26 @@
-//! bin
-fn main() {}
+//! The operators' command line.
+
+mod app;
+mod clap_app;
+mod config;
+mod text;
+
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    let matches = clap_app::build().get_matches();
+    let result = config::load(&matches).and_then(|config| app::run(&config));
+    let (output, errors, status) = match result {
+        Ok(output) => (output, String::new(), 0),
+        Err(failure) => (failure.output, failure.text, failure.status),
+    };
+    // A reader that closes the pipe early has seen enough.
+    let _ = io::stdout().write_all(output.as_bytes());
+    for line in errors.lines() {
+        eprintln!("carobhitch: {line}");
+    }
+    ExitCode::from(status)
+}
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -10,10 +10,12 @@
         fleet::{
             Budget, DEFAULT_CONNECTIONS, DEFAULT_SLOTS, Declaration, Pool, Service, Team, Vm, Wave,
         },
-        id::PoolId,
+        id::{Offset, OperationId, PoolId},
     },
     indexmap::{IndexMap, map::Entry},
+    siphasher::sip128::{Hasher128, SipHasher13},
     std::{
+        hash::Hash,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::Path,
     },
@@ -57,6 +59,22 @@
     merge.finish()
 }
 
+/// Name of the operation that applies a declaration made from version `expected`.
+///
+/// It follows from the content, so that applying the same files again repeats the operation. A
+/// `salt` tells a new try from one that was rejected.
+pub fn operation(
+    declaration: &Declaration,
+    expected: Option<Offset>,
+    salt: Option<Offset>,
+) -> OperationId {
+    // A declaration holds nothing that JSON can't express; JSON objects are sorted by key.
+    let content = serde_json::to_value(declaration).unwrap_or_default().to_string();
+    let mut hasher = SipHasher13::new();
+    (content, expected, salt).hash(&mut hasher);
+    format!("apply-{:032x}", hasher.finish128().as_u128())
+}
+
 /// Objects of the files read so far.
 #[derive(Default)]
 struct Merge {
--- a/src/fault.rs
+++ b/src/fault.rs
@@ -7,6 +7,7 @@
 use {
     displaydoc::Display,
     indexmap::{IndexMap, IndexSet},
+    serde::{Deserialize, Serialize},
     std::{fmt, fs, net::SocketAddr, ops::RangeInclusive, path::Path},
     toml::Value,
 };
@@ -22,7 +23,8 @@
 pub type Result<T> = std::result::Result<T, Vec<Fault>>;
 
 /// One fault of a file.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 #[displaydoc("{file}: {key} {found}: {wanted}")]
 pub struct Fault {
     /// File that has it.
@@ -36,7 +38,8 @@
 }
 
 /// What a file has at a faulty key.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Found {
     /// = {0}
     Value(String),
--- a/src/rpc/client.rs
+++ b/src/rpc/client.rs
@@ -17,7 +17,8 @@
 /// Time before the entries are asked again.
 const ROUND_DELAY: Duration = Duration::from_millis(500);
 
-type Stub = OperatorClient<Channel>;
+/// Connection to one entry.
+pub type Stub = OperatorClient<Channel>;
 type Answer<T> = std::result::Result<Response<T>, Status>;
 
 /// Asks entries in turn; blocks the thread.
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -21,7 +21,7 @@
 }
 
 pub use {
-    client::Client,
+    client::{Client, Stub},
     server::{run, serve},
 };
 
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -231,7 +231,8 @@
         let state = (self.gate.view)();
         let declaration = serde_json::to_vec(&state.declared())
             .map_err(|e| Status::internal(format!("write declaration: {e}")))?;
-        Ok(Response::new(proto::DeclarationReply { declaration, version: state.version }))
+        let (version, next) = (state.version, state.next);
+        Ok(Response::new(proto::DeclarationReply { declaration, version, next }))
     }
 
     async fn history(
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -2,20 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod operators;
+
 use {
+    crate::operators::start,
     carobhitch::{
         fleet::{Budget, Declaration, Pool, Service, Vm},
-        record::{Body, Record},
-        rpc::{self, Client, Gate, proto},
-        state::{State, Verdict},
+        record::Body,
+        rpc::{self, Client, proto},
     },
     std::{
         net::{SocketAddr, TcpListener},
-        sync::{Arc, Mutex},
-        thread,
         time::Duration,
     },
-    tokio::sync::oneshot,
     tonic::{Code, Request, transport::Channel},
     tonic_health::pb::{HealthCheckRequest, health_client::HealthClient},
     tonic_reflection::pb::v1::{
@@ -24,80 +23,6 @@
     },
 };
 
-/// Answers lost after the change took effect, and the records seen.
-#[derive(Default)]
-struct Log {
-    state: State,
-    lose: usize,
-    records: Vec<Record>,
-}
-
-struct Entry {
-    address: SocketAddr,
-    log: Arc<Mutex<Log>>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<thread::JoinHandle<rpc::Result<()>>>,
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        self.stop.take().unwrap().send(()).unwrap();
-        self.thread.take().unwrap().join().unwrap().unwrap();
-    }
-}
-
-fn submit(log: &Mutex<Log>, record: Record) -> rpc::Result<(u64, Verdict)> {
-    let mut log = log.lock().unwrap();
-    let offset = log.state.next;
-    let verdict = log.state.apply(offset, &record);
-    let decided = log.state.verdicts[&record.operation].0;
-    log.records.push(record);
-    if log.lose > 0 {
-        log.lose -= 1;
-        let cause = rpc::Cause::Unknown(String::from("answer lost"));
-        return Err(rpc::Error { step: "append record", peer: String::from("log"), cause });
-    }
-    Ok((decided, verdict))
-}
-
-fn gate(log: Arc<Mutex<Log>>) -> Gate {
-    let seen = log.clone();
-    Gate {
-        entry: String::from("entry-a"),
-        submit: Box::new(move |record| {
-            let decision = submit(&log, record);
-            Box::pin(async move { decision })
-        }),
-        view: Box::new(move || Arc::new(seen.lock().unwrap().state.clone())),
-        entries: Box::new(|| {
-            vec![rpc::EntryStatus {
-                id: String::from("entry-a"),
-                zone: String::from("zone-a"),
-                incarnation: 7,
-                version: Some(0),
-                next: 1,
-                age: Duration::from_millis(5),
-                health: rpc::Health::Ready,
-            }]
-        }),
-        ready: Box::new(|| true),
-    }
-}
-
-fn start(lose: usize) -> Entry {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let log = Arc::new(Mutex::new(Log { lose, ..Default::default() }));
-    let gate = gate(log.clone());
-    let (stop, stopped) = oneshot::channel::<()>();
-    let thread = thread::spawn(move || {
-        rpc::run(listener, gate, async move {
-            stopped.await.ok();
-        })
-    });
-    Entry { address, log, stop: Some(stop), thread: Some(thread) }
-}
-
 fn client(entries: &[SocketAddr]) -> Client {
     Client::new(entries.to_vec(), Duration::from_secs(10)).unwrap()
 }
