Learn sizes from usage and tell bad jobs from bad workers

Cause: declared sizes are far off, some jobs can never run and some workers fail everything; blame must not fall on the wrong side.

The judge weighs each failure by what else is known of the other side, with failures of a common cause in a rack or zone discounted.

--- a/src/job.rs
+++ b/src/job.rs
@@ -52,6 +52,24 @@
         }
     }
 
+    /// The larger of two sizes in each dimension.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            accelerators: self.accelerators.max(other.accelerators),
+            memory_bytes: self.memory_bytes.max(other.memory_bytes),
+        }
+    }
+
+    /// The smaller of two sizes in each dimension.
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            accelerators: self.accelerators.min(other.accelerators),
+            memory_bytes: self.memory_bytes.min(other.memory_bytes),
+        }
+    }
+
     /// What is left of this size without `other`, at least nothing.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
--- a/src/place/lease.rs
+++ b/src/place/lease.rs
@@ -6,6 +6,7 @@
         RENEWALS_PER_LEASE, Scheduler, Verb, roster::Class,
     },
     crate::{
+        diagnose::Verdict,
         id::VmId,
         job::{Job, Size},
         platform::Progress,
@@ -78,7 +79,7 @@
         self.decide(now)
     }
 
-    fn slot(&self, job: &str, attempt: u32) -> Option<u32> {
+    pub(super) fn slot(&self, job: &str, attempt: u32) -> Option<u32> {
         let current = self.jobs.get(job).copied();
         let counts = |slot: &u32| {
             self.tasks[*slot as usize].as_ref().is_some_and(|task| task.attempt == attempt)
@@ -128,6 +129,7 @@
         match verb {
             Verb::Start => {
                 task.phase = Phase::Running;
+                task.started = Some(now);
                 let job = task.job.clone();
                 self.events.push(Event::Started(job));
                 self.restore_class(slot);
@@ -239,6 +241,8 @@
         task.throttled = false;
         task.held = Size::default();
         task.due = None;
+        task.started = None;
+        task.proven = false;
         task.worker = NONE;
         task.shunned = if shun { old.worker } else { NONE };
         let job = task.job.clone();
@@ -249,6 +253,7 @@
 
     /// A stop was carried out.
     fn stopped(&mut self, now: Instant, slot: u32) {
+        self.learn_end(now, slot, false);
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         let counts = self.jobs.get(&task.job) == Some(&slot);
         let settled = task.settled;
@@ -261,6 +266,8 @@
 
     /// The attempt ran to its end; any later attempt is not needed.
     fn finish(&mut self, now: Instant, slot: u32) {
+        self.learn_end(now, slot, true);
+        self.prove(now, slot);
         self.withdraw(now, slot);
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         let current = self.jobs.get(&task.job).copied().filter(|current| *current != slot);
@@ -280,14 +287,20 @@
 
     /// The attempt failed; `unstarted` if it certainly had no effect.
     fn failed(&mut self, now: Instant, slot: u32, unstarted: bool) {
+        self.learn_end(now, slot, false);
+        let verdict = self.blame(now, slot);
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         let counts = self.jobs.get(&task.job) == Some(&slot);
         let (settled, retry) = (task.settled, task.repeatable || unstarted);
-        if counts && retry && settled.is_none() {
+        if counts && retry && settled.is_none() && verdict == Verdict::Retry {
             self.again(slot, true);
         }
         self.withdraw(now, slot);
-        self.leave(slot, settled.unwrap_or(Outcome::Failed));
+        let outcome = match verdict {
+            Verdict::Impossible => Outcome::Impossible,
+            Verdict::Retry | Verdict::GiveUp => Outcome::Failed,
+        };
+        self.leave(slot, settled.unwrap_or(outcome));
     }
 
     /// The worker died with the task.
@@ -321,7 +334,8 @@
         }
         self.ledger.release(team, slot, millicores);
         self.promote(team);
-        self.changed.insert(self.roster.pool_of(worker));
+        self.changed.insert(self.roster.place(worker).pool);
+        self.probe_again(worker);
         self.gave_way(now, worker, claimant);
         self.restore(now, worker);
     }
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -15,9 +15,11 @@
 
 use {
     crate::{
+        diagnose::Judge,
         fleet::{Team, Vm},
         id::{TeamId, VmId},
         job::{Job, JobId, KindId, Size},
+        learn::Estimator,
         quota::Ledger,
     },
     indexmap::{IndexMap, IndexSet},
@@ -31,6 +33,7 @@
 pub mod roster;
 mod start;
 mod task;
+mod usage;
 
 pub use task::{
     Action, Answer, CHECKPOINT_WAIT, Event, IN_FLIGHT, LEASE, NONE, Outcome, Phase, READ_AFTER,
@@ -42,6 +45,8 @@
 pub struct Scheduler {
     roster: roster::Roster,
     ledger: Ledger,
+    estimator: Estimator,
+    judge: Judge,
     tasks: Vec<Option<Task>>,
     unused: Vec<u32>,
     jobs: IndexMap<JobId, u32>,
@@ -66,15 +71,20 @@
     /// Adds a worker of this size.
     pub fn add_worker(&mut self, id: &VmId, vm: &Vm, total: Size) {
         let key = self.roster.add(id, vm, total);
-        self.changed.insert(self.roster.pool_of(key));
+        let place = self.roster.place(key);
+        self.judge.add(key, place);
+        self.changed.insert(place.pool);
     }
 
     /// Opens or closes a worker for new work.
     pub fn set_worker(&mut self, id: &VmId, open: bool) {
         let Some(key) = self.roster.key(id) else { return };
-        let status = if open { roster::Status::Sound } else { roster::Status::Closed };
+        let status = match open && !self.judge.is_aside(key) {
+            true => roster::Status::Sound,
+            false => roster::Status::Closed,
+        };
         self.roster.set_status(key, status);
-        self.changed.insert(self.roster.pool_of(key));
+        self.changed.insert(self.roster.place(key).pool);
     }
 
     /// Takes note that the platform declared a worker dead: its tasks have ended.
@@ -117,6 +127,8 @@
             order: self.next_order(),
             asked: now,
             lease_until: now,
+            started: None,
+            proven: false,
             due: None,
         };
         let slot = self.insert(task);
@@ -146,6 +158,7 @@
 
     /// Decides what is due and returns the operations for the platform.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.probe(now);
         self.expire(now);
         self.decide(now)
     }
@@ -176,6 +189,11 @@
         &self.ledger
     }
 
+    /// What is learned of the kinds of jobs.
+    pub fn estimator(&self) -> &Estimator {
+        &self.estimator
+    }
+
     /// Jobs that wait for room.
     pub fn queued(&self) -> usize {
         self.queues.values().map(queue::Queue::count).sum()
@@ -219,7 +237,12 @@
     }
 
     fn enqueue(&mut self, slot: u32) {
-        let Some(task) = self.tasks[slot as usize].as_ref() else { return };
+        let Some(task) = self.tasks[slot as usize].as_mut() else { return };
+        if let Some(kind) = self.kinds.get_index(task.kind as usize) {
+            let largest = self.roster.largest(task.pool);
+            task.size = self.estimator.size(kind, &task.declared);
+            task.size = task.size.min(&largest.max(&task.declared));
+        }
         let queue = self.queues.entry(task.pool).or_default();
         queue.push(task.priority, task.team, task.order, slot);
         self.fresh.push(slot);
--- a/src/place/reclaim.rs
+++ b/src/place/reclaim.rs
@@ -39,7 +39,7 @@
     }
 
     /// Fewest tasks, borrowed and low ones first, whose sizes cover the need.
-    fn victims(&self, worker: Key, need: &Size, level: Level) -> Option<Vec<u32>> {
+    pub(super) fn victims(&self, worker: Key, need: &Size, level: Level) -> Option<Vec<u32>> {
         let found = self.roster.worker(worker);
         let mut order: Vec<(bool, Reverse<_>, Reverse<u32>, u32)> = found
             .tasks
@@ -84,7 +84,7 @@
         short.memory_bytes == 0 && short.accelerators == 0 && freed >= short.millicores
     }
 
-    fn give_way(&mut self, now: Instant, victim: u32, claimant: u32, phase: Phase) {
+    pub(super) fn give_way(&mut self, now: Instant, victim: u32, claimant: u32, phase: Phase) {
         let Some(task) = self.task_mut(victim) else { return };
         task.claimant = claimant;
         self.reclass(victim, Class::Firm);
--- a/src/place/roster.rs
+++ b/src/place/roster.rs
@@ -7,6 +7,7 @@
 use {
     super::index::{Grid, Key, Spot},
     crate::{
+        diagnose::Place,
         fleet::Vm,
         id::{PoolId, VmId},
         job::Size,
@@ -46,12 +47,35 @@
 pub enum Status {
     /// Takes work.
     Sound,
+    /// Takes one repeatable job, to see whether it is sound again.
+    Probing,
     /// Drains or is set aside.
     Closed,
     /// Stopped for good.
     Dead,
 }
 
+impl Status {
+    fn takes_work(self) -> bool {
+        matches!(self, Self::Sound | Self::Probing)
+    }
+}
+
+/// What is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Search<'a> {
+    /// Pool whose workers are searched.
+    pub pool: u32,
+    /// Kind of the task.
+    pub kind: u32,
+    /// Size of the task.
+    pub need: Size,
+    /// Whether a worker that is being probed will do.
+    pub repeatable: bool,
+    /// Workers that are taken only if there is no other.
+    pub shunned: &'a [Key],
+}
+
 /// A worker and what its tasks hold.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -99,6 +123,7 @@
     workers: Vec<Worker>,
     names: IndexMap<VmId, Key>,
     pools: IndexMap<PoolId, Vec<Shelf>>,
+    largest: IndexMap<u32, Size>,
     places: IndexSet<(String, String)>,
     spread: IndexMap<(u32, u32), u32>,
 }
@@ -134,6 +159,8 @@
             spots: [Spot::default(); 3],
         });
         self.names.insert(id.clone(), key);
+        let largest = self.largest.entry(pool).or_default();
+        *largest = largest.max(&total);
         self.set_status(key, Status::Sound);
         key
     }
@@ -161,15 +188,21 @@
         &self.workers
     }
 
-    /// Pool of a worker.
-    pub fn pool_of(&self, key: Key) -> u32 {
-        self.workers[key as usize].pool
+    /// Where a worker stands.
+    pub fn place(&self, key: Key) -> Place {
+        let worker = &self.workers[key as usize];
+        Place { pool: worker.pool, rack: worker.rack, zone: worker.zone }
+    }
+
+    /// Largest size that any worker of a pool has, in each dimension.
+    pub fn largest(&self, pool: u32) -> Size {
+        self.largest.get(&pool).copied().unwrap_or_default()
     }
 
     /// Opens or closes a worker for new work.
     pub fn set_status(&mut self, key: Key, status: Status) {
         let before = std::mem::replace(&mut self.workers[key as usize].status, status);
-        match (before == Status::Sound, status == Status::Sound) {
+        match (before.takes_work(), status.takes_work()) {
             (false, true) => LEVELS.iter().for_each(|level| self.insert(key, *level)),
             (true, false) => LEVELS.iter().for_each(|level| self.remove(key, *level)),
             _ => {}
@@ -224,38 +257,31 @@
         }
     }
 
-    /// A worker of the pool with room for `need`, in the zone and rack with the fewest of its kind;
-    /// the shunned one only if there is no other.
-    pub fn find(
-        &mut self,
-        pool: u32,
-        kind: u32,
-        need: &Size,
-        level: Level,
-        shunned: Key,
-    ) -> Option<Key> {
-        self.search(pool, kind, need, level, Some(shunned))
-            .or_else(|| self.search(pool, kind, need, level, None))
+    /// A worker of the pool with room, in the zone and rack with the fewest of the kind; a shunned
+    /// one only if there is no other.
+    pub fn find(&mut self, search: &Search, level: Level) -> Option<Key> {
+        self.search(search, level, search.shunned).or_else(|| match search.shunned {
+            [] => None,
+            _ => self.search(search, level, &[]),
+        })
     }
 
-    fn search(
-        &mut self,
-        pool: u32,
-        kind: u32,
-        need: &Size,
-        level: Level,
-        shunned: Option<Key>,
-    ) -> Option<Key> {
-        let shelves = &mut self.pools[pool as usize];
+    fn search(&mut self, search: &Search, level: Level, shunned: &[Key]) -> Option<Key> {
+        let shelves = &mut self.pools[search.pool as usize];
         let spread = &self.spread;
-        let count = |place: u32| spread.get(&(kind, place)).copied().unwrap_or(0);
+        let count = |place: u32| spread.get(&(search.kind, place)).copied().unwrap_or(0);
         let mut order: Vec<(u32, usize)> =
             shelves.iter().enumerate().map(|(i, s)| (count(s.zone | ZONE_BIT), i)).collect();
         order.sort_unstable();
         let workers = &self.workers;
-        let fits = |key: Key| workers[key as usize].room(level).holds(need) && Some(key) != shunned;
+        let fits = |key: Key| {
+            let worker = &workers[key as usize];
+            worker.room(level).holds(&search.need)
+                && (search.repeatable || worker.status == Status::Sound)
+                && !shunned.contains(&key)
+        };
         order.iter().find_map(|(_, at)| {
-            let found = shelves[*at].grids[level as usize].search(need, CANDIDATES, fits);
+            let found = shelves[*at].grids[level as usize].search(&search.need, CANDIDATES, fits);
             found.into_iter().min_by_key(|key| count(workers[*key as usize].rack))
         })
     }
@@ -274,7 +300,7 @@
     fn change(&mut self, key: Key, edit: impl Fn(&mut Worker)) {
         edit(&mut self.workers[key as usize]);
         let worker = &self.workers[key as usize];
-        if worker.status != Status::Sound {
+        if !worker.status.takes_work() {
             return;
         }
         for level in LEVELS {
--- a/src/place/start.rs
+++ b/src/place/start.rs
@@ -5,9 +5,9 @@
 
 use {
     super::{
-        Phase, Scheduler, Task,
+        NONE, Phase, Scheduler, Task,
         index::Key,
-        roster::{Class, Level},
+        roster::{Class, Level, Search, Status},
     },
     crate::{
         job::{Priority, Size},
@@ -73,13 +73,23 @@
         if self.ledger.quote(task.team, task.size.millicores) != charge {
             return false;
         }
-        let (pool, kind, need, shunned) = (task.pool, task.kind, task.size, task.shunned);
+        let mut shunned = self.judge.failed_on(&task.job);
+        if task.shunned != NONE {
+            shunned.push(task.shunned);
+        }
+        let need = task.size;
+        let search = Search {
+            pool: task.pool,
+            kind: task.kind,
+            need,
+            repeatable: task.repeatable,
+            shunned: &shunned,
+        };
         for level in levels(task, charge) {
             if misses.covers(*level, &need) {
                 continue;
             }
-            let found = self.roster.find(pool, kind, &need, *level, shunned);
-            match found {
+            match self.roster.find(&search, *level) {
                 Some(worker) if *level == Level::Free => {
                     self.occupy(slot, worker);
                     self.ask(now, slot, Phase::Starting);
@@ -105,6 +115,9 @@
         let (kind, size) = (task.kind, task.size);
         self.roster.hold(worker, kind, &size, Class::Firm);
         self.roster.attach(worker, slot);
+        if self.roster.worker(worker).status == Status::Probing {
+            self.roster.set_status(worker, Status::Closed);
+        }
     }
 }
 
--- a/src/place/task.rs
+++ b/src/place/task.rs
@@ -26,6 +26,8 @@
 pub const CHECKPOINT_WAIT: Duration = Duration::from_secs(1);
 /// Time after which urgent work looks for another worker.
 pub const RECLAIM_WAIT: Duration = Duration::from_secs(2);
+/// Run time after which a task shows that its worker is sound.
+pub const PROVEN_AFTER: Duration = Duration::from_secs(60);
 /// Part of its processors that a throttled task keeps, in hundredths.
 pub const THROTTLED_PERCENT: u32 = 10;
 /// Stands for no worker and for no task.
@@ -200,6 +202,10 @@
     pub asked: Instant,
     /// When the lease ends.
     pub lease_until: Instant,
+    /// When it was known to run.
+    pub started: Option<Instant>,
+    /// Whether it ran long enough to count for its worker.
+    pub proven: bool,
     /// When it is looked at again.
     pub due: Option<Instant>,
 }
--- /dev/null
+++ b/tests/diagnose.rs
@@ -0,0 +1,226 @@
+//! Verdicts on jobs and workers, over random failures whose truth is hidden from the judge.
+
+use {
+    carobhitch::diagnose::{Judge, Key, MAX_TRIES, Place, Verdict},
+    proptest::prelude::*,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::HashSet,
+        time::{Duration, Instant},
+    },
+};
+
+mod support;
+
+const WORKERS: u32 = 50;
+const BAD_WORKERS: u32 = 2;
+const JOBS: u32 = 1_000;
+
+/// Hidden truth: who is bad, and which racks fail when.
+struct Truth {
+    bad_workers: HashSet<Key>,
+    bad_jobs: HashSet<u32>,
+    chance: f64,
+    outages: Vec<(u32, u32, u32)>,
+}
+
+impl Truth {
+    fn draw(rng: &mut SmallRng, correlated: bool) -> Self {
+        let bad_workers = (0..BAD_WORKERS).map(|_| rng.random_range(0..WORKERS)).collect();
+        let bad_jobs = (0..JOBS).filter(|_| rng.random_bool(0.05)).collect();
+        let outage = |rng: &mut SmallRng| {
+            let begin = rng.random_range(0..JOBS);
+            (rng.random_range(0..3), begin, begin + 30)
+        };
+        let outages = (0..if correlated { 6 } else { 0 }).map(|_| outage(rng)).collect();
+        Self { bad_workers, bad_jobs, chance: 0.02, outages }
+    }
+
+    fn fails(&self, rng: &mut SmallRng, worker: Key, job: u32, at: u32) -> bool {
+        let out = |(zone, begin, end): &(u32, u32, u32)| {
+            worker % 3 == *zone && (*begin..*end).contains(&at)
+        };
+        let outage = self.outages.iter().any(out);
+        self.bad_workers.contains(&worker)
+            || self.bad_jobs.contains(&job)
+            || rng.random_bool(if outage { 0.8 } else { self.chance })
+    }
+}
+
+/// What was wrong, of how many.
+#[derive(Debug, Default)]
+struct Score {
+    sound_jobs: u32,
+    sound_jobs_dropped: u32,
+    bad_jobs: u32,
+    bad_jobs_missed: u32,
+    tries_of_bad_jobs: usize,
+    sound_workers_aside: usize,
+    bad_workers: usize,
+    bad_workers_missed: usize,
+    most_aside: usize,
+    most_tries: usize,
+}
+
+impl Score {
+    fn add(&mut self, other: &Self) {
+        self.sound_jobs += other.sound_jobs;
+        self.sound_jobs_dropped += other.sound_jobs_dropped;
+        self.bad_jobs += other.bad_jobs;
+        self.bad_jobs_missed += other.bad_jobs_missed;
+        self.tries_of_bad_jobs += other.tries_of_bad_jobs;
+        self.sound_workers_aside += other.sound_workers_aside;
+        self.bad_workers += other.bad_workers;
+        self.bad_workers_missed += other.bad_workers_missed;
+        self.most_aside = self.most_aside.max(other.most_aside);
+        self.most_tries = self.most_tries.max(other.most_tries);
+    }
+}
+
+fn judge() -> Judge {
+    let mut judge = Judge::default();
+    for worker in 0..WORKERS {
+        judge.add(worker, Place { pool: 0, rack: worker / 12 * 3 + worker % 3, zone: worker % 3 });
+    }
+    judge
+}
+
+/// Runs jobs, one a second and up to 20 at once in flight, each for 10 s.
+fn play(seed: u64, correlated: bool, naive: bool) -> Score {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let truth = Truth::draw(&mut rng, correlated);
+    let (mut judge, begin) = (judge(), Instant::now());
+    let mut streaks = vec![0_u32; WORKERS as usize];
+    let (mut closed, mut ever) = (HashSet::new(), HashSet::new());
+    let mut score = Score::default();
+    let mut waiting: Vec<(u32, Vec<Key>)> = Vec::new();
+    for at in 0..JOBS + 200 {
+        let now = begin + Duration::from_secs(u64::from(at) * 2);
+        if at < JOBS {
+            waiting.push((at, Vec::new()));
+        }
+        for worker in judge.probes(now) {
+            closed.remove(&worker);
+        }
+        for (job, mut tried) in std::mem::take(&mut waiting) {
+            let open: Vec<Key> =
+                (0..WORKERS).filter(|w| !closed.contains(w) && !tried.contains(w)).collect();
+            let worker = open[rng.random_range(0..open.len())];
+            let name = format!("j{job}");
+            let sound = !truth.bad_jobs.contains(&job);
+            if !truth.fails(&mut rng, worker, job, at) {
+                streaks[worker as usize] = 0;
+                judge.succeeded(now, worker, &name);
+                score.sound_jobs += 1;
+                continue;
+            }
+            tried.push(worker);
+            score.most_tries = score.most_tries.max(tried.len());
+            streaks[worker as usize] += 1;
+            let verdict = match (naive, judge.failed(now, worker, &name)) {
+                (false, verdict) => verdict,
+                (true, _) if tried.len() >= 3 => Verdict::Impossible,
+                (true, _) => Verdict::Retry,
+            };
+            let aside = match naive {
+                true => streaks[worker as usize] >= 3,
+                false => judge.set_aside(now, worker),
+            };
+            if aside {
+                closed.insert(worker);
+                ever.insert(worker);
+            }
+            match verdict {
+                Verdict::Retry => waiting.push((job, tried)),
+                _ if sound => {
+                    score.sound_jobs += 1;
+                    score.sound_jobs_dropped += 1;
+                }
+                verdict => {
+                    score.bad_jobs += 1;
+                    score.tries_of_bad_jobs += tried.len();
+                    score.bad_jobs_missed += u32::from(verdict == Verdict::GiveUp);
+                }
+            }
+        }
+        score.most_aside = score.most_aside.max(judge.aside(0));
+    }
+    score.sound_workers_aside = ever.difference(&truth.bad_workers).count();
+    score.bad_workers = truth.bad_workers.len();
+    score.bad_workers_missed = truth.bad_workers.difference(&ever).count();
+    score
+}
+
+fn total(correlated: bool, naive: bool) -> Score {
+    let mut score = Score::default();
+    (0..20).for_each(|seed| score.add(&play(seed, correlated, naive)));
+    score
+}
+
+#[test]
+fn independent_failures_lead_to_few_wrong_verdicts() {
+    let score = total(false, false);
+    println!("independent: {score:?}\nby counting three: {:?}", total(false, true));
+    assert!(score.sound_jobs_dropped * 500 <= score.sound_jobs, "{score:?}");
+    assert!(score.bad_jobs_missed * 20 <= score.bad_jobs, "{score:?}");
+    assert!(score.bad_workers_missed * 10 <= score.bad_workers, "{score:?}");
+    assert!(score.sound_workers_aside <= 20, "{score:?}");
+}
+
+#[test]
+fn failures_with_a_common_cause_are_blamed_on_few_sound_jobs_and_workers() {
+    let (score, naive) = (total(true, false), total(true, true));
+    println!("correlated: {score:?}\nby counting three: {naive:?}");
+    assert!(score.sound_jobs_dropped * 200 <= score.sound_jobs, "{score:?}");
+    assert!(score.sound_workers_aside * 4 <= naive.sound_workers_aside, "{score:?} {naive:?}");
+}
+
+#[test]
+fn a_bad_worker_is_probed_and_comes_back_once_it_is_sound() {
+    let (mut judge, mut now) = (judge(), Instant::now());
+    for job in ["a", "b", "c"] {
+        judge.failed(now, 7, &job.into());
+    }
+    assert!(judge.set_aside(now, 7));
+    assert!(judge.probes(now).is_empty());
+    now += Duration::from_secs(300);
+    assert_eq!(judge.probes(now), [7]);
+    judge.failed(now, 7, &"d".into());
+    now += Duration::from_secs(300);
+    assert!(judge.probes(now).is_empty());
+    now += Duration::from_secs(300);
+    assert_eq!(judge.probes(now), [7]);
+    assert!(judge.succeeded(now, 7, &"e".into()));
+    assert_eq!(judge.aside(0), 0);
+}
+
+proptest! {
+    #![proptest_config(support::fixed(64))]
+
+    #[test]
+    fn tries_and_workers_set_aside_are_bounded_whatever_fails(seed in any::<u64>()) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut judge, begin) = (judge(), Instant::now());
+        let mut tries = vec![0; 100];
+        let failing = rng.random_range(0.0..1.0);
+        for step in 0..1_000 {
+            let now = begin + Duration::from_secs(step);
+            judge.probes(now);
+            let (worker, job) = (rng.random_range(0..WORKERS), rng.random_range(0..100));
+            if tries[job] == usize::MAX {
+                continue;
+            }
+            if rng.random_bool(failing) {
+                tries[job] += 1;
+                if judge.failed(now, worker, &format!("j{job}")) != Verdict::Retry {
+                    tries[job] = usize::MAX;
+                }
+                judge.set_aside(now, worker);
+            } else {
+                judge.succeeded(now, worker, &format!("j{job}"));
+            }
+            prop_assert!(judge.aside(0) <= judge.max_aside(0));
+            prop_assert!(tries[job] == usize::MAX || tries[job] < MAX_TRIES);
+        }
+    }
+}
