--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,8 +5,8 @@
 //! | `engine` | decides; owns every request in progress and the agreed state |
 //! | `io` | one single-threaded runtime: callers, endpoints, links to other entries |
 //! | `rpc` | operators' calls |
-//! | `append` | appends records |
-//! | `follow` | reads the fleet's records |
+//! | `append`, `claim` | append records of the fleet, and claims to orders |
+//! | `follow`, `orders` | read these records |
 //! | `list` | reads the platform's list of VMs |
 //! | `operate` | begins the platform's actions and reads how far they are |
 //!
@@ -28,6 +28,7 @@
         rpc,
         server::{self, Server, Step},
         settings::Settings,
+        snapshot::{self, Collector},
         supervise::{self, Part, Policy, Stop, Tree},
         wire,
     },
@@ -61,6 +62,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Records read from the log at once.
 const PAGE_RECORDS: usize = 512;
+/// Chunks of snapshots read from the log at once.
+const PAGE_CHUNKS: usize = 32;
 /// Pause after a failed call to the platform.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time between two reads of the list of VMs.
@@ -91,14 +94,17 @@
 /// A platform's action to begin on a VM, or only to ask about.
 type Order = (Option<VmId>, OperationId);
 
+/// Both ends of a channel.
+type Queue<T> = (Sender<T>, Receiver<T>);
+
 /// What the parts share.
 struct Daemon {
     settings: Settings,
     me: Member,
     events: Sender<Event>,
     inbox: Receiver<Event>,
-    appends: Sender<(Stream, Append)>,
-    append_inbox: Receiver<(Stream, Append)>,
+    appends: Queue<(Stream, Append)>,
+    claims: Queue<(Stream, Append)>,
     orders: Sender<Order>,
     order_inbox: Receiver<Order>,
     probes: mpsc::UnboundedSender<Probe>,
@@ -127,8 +133,10 @@
         part("engine", Policy::Escalate, run_engine),
         part("io", Policy::Escalate, run_io),
         part("rpc", Policy::Restart, run_rpc),
-        part("append", Policy::Restart, run_append),
-        part("follow", Policy::Restart, run_follow),
+        part("append", Policy::Restart, |d, stop| run_append(d, stop, Stream::Fleet)),
+        part("claim", Policy::Restart, |d, stop| run_append(d, stop, Stream::Orders)),
+        part("follow", Policy::Restart, |d, stop| run_follow(d, stop, Stream::Fleet)),
+        part("orders", Policy::Restart, |d, stop| run_follow(d, stop, Stream::Orders)),
         part("list", Policy::Restart, run_list),
         part("operate", Policy::Restart, run_operate),
     ];
@@ -154,7 +162,6 @@
 impl Daemon {
     fn new(settings: Settings) -> Self {
         let (events, inbox) = unbounded();
-        let (appends, append_inbox) = unbounded();
         let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
         let (orders, order_inbox) = unbounded();
         let (probes, probe_inbox) = mpsc::unbounded_channel();
@@ -173,8 +180,8 @@
             settings,
             events,
             inbox,
-            appends,
-            append_inbox,
+            appends: unbounded(),
+            claims: unbounded(),
             orders,
             order_inbox,
             probes,
@@ -189,6 +196,14 @@
         }
     }
 
+    /// Records that wait to be appended to a stream.
+    fn queue(&self, stream: Stream) -> &Queue<(Stream, Append)> {
+        match stream {
+            Stream::Fleet | Stream::Snapshots => &self.appends,
+            Stream::Orders => &self.claims,
+        }
+    }
+
     /// Reports to the engine.
     fn tell(&self, event: Event) {
         // The engine is gone only while the whole process ends.
@@ -207,7 +222,7 @@
             Action::Finish { id, finish } => self.server.step(id, Step::Finish(finish)),
             Action::Append { stream, record } => {
                 // Both ends of the channel are kept by the daemon itself.
-                let _ = self.appends.send((stream, record));
+                let _ = self.queue(stream).0.send((stream, record));
             }
             Action::Probe { vm, address } => {
                 // The io part is gone only while the whole process ends.
@@ -358,11 +373,12 @@
     rpc::run(listener, gate, stopped).map_err(|e| e.to_string())
 }
 
-fn run_append(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+fn run_append(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
     let client = Client::new(daemon.settings.platform);
+    let (_, inbox) = daemon.queue(stream);
     loop {
         let (stream, record) = select! {
-            recv(daemon.append_inbox) -> next => next.map_err(|e| e.to_string())?,
+            recv(inbox) -> next => next.map_err(|e| e.to_string())?,
             recv(stop.channel()) -> _ => return Ok(()),
         };
         let offset = match client.append(engine::stream_name(stream), &record) {
@@ -377,10 +393,9 @@
     }
 }
 
-fn run_follow(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+fn run_follow(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
     let client = Client::new(daemon.settings.platform);
-    let stream = Stream::Fleet;
-    let mut from = daemon.shared.state().next;
+    let mut from = 0;
     let mut wait = Duration::ZERO;
     while !stop.asked() {
         let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
@@ -392,8 +407,16 @@
             Err(error) => {
                 warn!("follow: {error}.");
                 stop.wait(PAUSE);
-                from = from.max(daemon.shared.state().next);
-                Event::Unread { stream, first: trimmed(&error) }
+                let first = trimmed(&error);
+                from = match (stream, first) {
+                    (Stream::Fleet, Some(_)) => {
+                        find_snapshot(daemon, &client);
+                        daemon.shared.state().next
+                    }
+                    (Stream::Fleet, None) => daemon.shared.state().next,
+                    (_, first) => from.max(first.unwrap_or(0)),
+                };
+                Event::Unread { stream, first }
             }
         };
         daemon.tell(event);
@@ -401,6 +424,38 @@
     Ok(())
 }
 
+/// Reads the newest snapshot in the log.
+fn find_snapshot(daemon: &Daemon, client: &Client) {
+    let mut collector = Collector::default();
+    let mut from = 0;
+    loop {
+        let page = match client.read(snapshot::STREAM, from, PAGE_CHUNKS, Duration::ZERO) {
+            Ok(page) => page,
+            Err(client::Error::Trimmed { first, .. }) if first > from => {
+                from = first;
+                continue;
+            }
+            Err(error) => {
+                warn!("follow: {error}.");
+                break;
+            }
+        };
+        let Some(last) = page.records.last() else {
+            break;
+        };
+        from = last.offset + 1;
+        for record in page.records {
+            let chunk = serde_json::from_value(record.data).map_err(|e| e.to_string());
+            if let Err(error) = chunk.and_then(|c| collector.push(c).map_err(|e| e.to_string())) {
+                warn!("follow: {error}.");
+            }
+        }
+    }
+    if let Some(state) = collector.newest() {
+        daemon.tell(Event::Found(Box::new(state)));
+    }
+}
+
 fn trimmed(error: &client::Error) -> Option<crate::id::Offset> {
     match error {
         client::Error::Trimmed { first, .. } => Some(*first),
--- a/src/engine/facts.rs
+++ b/src/engine/facts.rs
@@ -28,6 +28,7 @@
 impl Engine {
     pub(super) fn read(&mut self, now: Instant, page: Page) {
         self.unread = false;
+        self.snapshots.first_kept = page.first;
         let mut changed = false;
         for entry in &page.records {
             match serde_json::from_value::<Record>(entry.data.clone()) {
@@ -89,10 +90,8 @@
         self.learn_routes(now);
     }
 
-    pub(super) fn unread(&mut self, stream: Stream, first: Option<Offset>) {
-        if stream == Stream::Fleet {
-            self.unread = true;
-        }
+    pub(super) fn unread(&mut self, first: Option<Offset>) {
+        self.unread = true;
         if let Some(first) = first {
             warn!("engine: The log holds records from {first} on only.");
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,9 +5,11 @@
 
 mod control;
 mod facts;
+mod orders;
 mod peers;
 mod requests;
 mod routes;
+mod snapshots;
 
 use {
     crate::{
@@ -17,9 +19,10 @@
         id::{EntryId, Incarnation, Offset, OperationId, ServiceId, VmId, ZoneId},
         member,
         metrics::Metrics,
+        order::{Desk, Window},
         platform::List,
         record::{FLEET_STREAM, Member, ORDERS_STREAM},
-        slot,
+        slot, snapshot,
         state::State,
     },
     indexmap::IndexMap,
@@ -116,6 +119,8 @@
     list: Option<List>,
     operations: IndexMap<OperationId, Known>,
     controller: Controller,
+    desk: Desk,
+    snapshots: snapshots::Writer,
     controlled: Option<Instant>,
     metrics: Metrics,
     clock: (Instant, Duration),
@@ -137,6 +142,7 @@
     pub fn new(now: Instant, me: Member, seeds: Vec<SocketAddr>, shared: Arc<Shared>) -> Self {
         let peers = member::Table::new(me.zone.clone());
         let slots = slot::Table::new(now, (me.id.clone(), me.incarnation));
+        let desk = Desk::new((me.id.clone(), me.incarnation), Window::default());
         let controller = Controller::new(me.id.clone(), me.incarnation);
         Self {
             me,
@@ -152,6 +158,8 @@
             list: None,
             operations: IndexMap::new(),
             controller,
+            desk,
+            snapshots: snapshots::Writer::default(),
             controlled: None,
             metrics: Metrics::off(),
             clock: (now, Duration::ZERO),
@@ -186,15 +194,28 @@
     /// Decides on an event.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
-            Event::Arrived { id, request, repeatable, relayed, .. } => {
-                self.arrived(now, id, request, repeatable, relayed)
+            Event::Arrived { id, request, fingerprint, repeatable, relayed } => {
+                let flight = Flight::new(now, request, repeatable, relayed);
+                self.arrived(now, id, flight, fingerprint)
             }
             Event::Cancelled { id } => self.cancelled(now, id),
             Event::Ended { id, attempt, end } => self.ended(now, id, attempt, end),
             Event::Read { stream: Stream::Fleet, page } => self.read(now, page),
-            Event::Read { stream: Stream::Orders, .. } => {}
-            Event::Unread { stream, first } => self.unread(stream, first),
-            Event::Appended { id, offset, .. } => self.appended(&id, offset),
+            Event::Read { stream: Stream::Orders, page } => self.read_orders(now, page),
+            Event::Found(state) => self.replace(now, *state),
+            Event::Read { stream: Stream::Snapshots, .. }
+            | Event::Unread { stream: Stream::Snapshots, .. } => {}
+            Event::Appended { stream: Stream::Snapshots, id, offset } => {
+                self.appended_chunk(&id, offset);
+            }
+            Event::Unread { stream: Stream::Fleet, first } => self.unread(first),
+            Event::Unread { stream: Stream::Orders, first } => {
+                first.into_iter().for_each(|first| self.missed_orders(first));
+            }
+            Event::Appended { stream: Stream::Fleet, id, offset } => self.appended(&id, offset),
+            Event::Appended { stream: Stream::Orders, id, offset } => {
+                self.appended_orders(&id, offset);
+            }
             Event::Called { call, record } => self.called(call, record),
             Event::Message { from, incarnation, message } => {
                 self.message(now, from, incarnation, message)
@@ -205,6 +226,7 @@
             Event::Probed { vm, sound } => self.monitor.probed(now, &vm, sound),
             Event::Stop => self.stop(),
         }
+        self.work_desk(now);
         self.dispatch(now);
         self.settle(now)
     }
@@ -219,6 +241,9 @@
         self.learn_standings(now);
         self.watch_endpoints(now);
         self.control(now);
+        self.write_snapshot(now);
+        self.tick_desk(now);
+        self.work_desk(now);
         self.dispatch(now);
         self.settle(now)
     }
@@ -294,7 +319,8 @@
                 now
             }
         };
-        if self.pending.is_empty() || now.duration_since(since) >= FAREWELL {
+        let written = self.pending.is_empty() && self.desk.is_idle();
+        if written || now.duration_since(since) >= FAREWELL {
             self.actions.push(Action::Stopped);
         }
     }
@@ -308,5 +334,6 @@
     match stream {
         Stream::Fleet => FLEET_STREAM,
         Stream::Orders => ORDERS_STREAM,
+        Stream::Snapshots => snapshot::STREAM,
     }
 }
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -11,6 +11,7 @@
         event::{Action, End, Finish, RequestId},
         id::{AttemptId, ServiceId, ZoneId},
         member::Health,
+        order::Ending,
         request::{Class, Outcome, Request},
         retry::{self, Budget, Failure, Verdict},
         slot::Permit,
@@ -41,6 +42,33 @@
     attempts: u32,
     may_have_run: bool,
     running: Option<Attempt>,
+    pub(super) claim: Claim,
+}
+
+impl Flight {
+    pub(super) fn new(now: Instant, request: Request, repeatable: bool, relayed: bool) -> Self {
+        Self {
+            request,
+            arrived: now,
+            repeatable,
+            relayed,
+            attempts: 0,
+            may_have_run: false,
+            running: None,
+            claim: Claim::None,
+        }
+    }
+}
+
+/// Claim to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Claim {
+    /// The request needs none, or another entry makes it.
+    None,
+    /// On its way to the log.
+    Waiting,
+    /// This entry may run the order.
+    Won,
 }
 
 struct Attempt {
@@ -67,10 +95,10 @@
         &mut self,
         now: Instant,
         id: RequestId,
-        request: Request,
-        repeatable: bool,
-        relayed: bool,
+        flight: Flight,
+        fingerprint: u64,
     ) {
+        let request = &flight.request;
         if self.stopping {
             return self.refuse(id, "the entry is stopping", RETRY_AFTER);
         }
@@ -80,19 +108,16 @@
         if !self.shared.state().declaration.services.contains_key(&request.service) {
             return self.refuse(id, "no such service", RETRY_AFTER);
         }
-        let flight = Flight {
-            request,
-            arrived: now,
-            repeatable,
-            relayed,
-            attempts: 0,
-            may_have_run: false,
-            running: None,
-        };
         if let Some(link) = self.better_entry(now, &flight) {
             return self.relay(now, id, flight, link);
         }
-        self.enqueue(now, id, flight);
+        if !self.joined() {
+            return self.refuse(id, "the entry has not joined yet", RETRY_AFTER);
+        }
+        match flight.request.key.clone().filter(|_| flight.request.class == Class::Order) {
+            Some(key) => self.claim(now, id, &key, fingerprint, flight),
+            None => self.enqueue(now, id, flight),
+        }
     }
 
     /// Another entry to relay to, if this one can't serve the request.
@@ -129,7 +154,7 @@
     }
 
     /// Offers a request to its service's queue; a refusal is answered at once.
-    fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
+    pub(super) fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
         let request = &flight.request;
         let waiting = Waiting {
             id,
@@ -158,6 +183,8 @@
 
     /// Answers a request that will not be tried (again).
     fn give_up(&mut self, id: RequestId, flight: &Flight, refusal: &admit::Refusal) {
+        let ending = if flight.may_have_run { Ending::Unknown } else { Ending::NotRun };
+        self.conclude(id, flight.claim, ending);
         if flight.may_have_run {
             return self.unknown(id, "an earlier attempt may have run", refusal.retry_after);
         }
@@ -183,6 +210,7 @@
         let queue = &mut self.service(&flight.request.service).queue;
         queue.cancel(id);
         queue.finish(now, id);
+        self.conclude(id, flight.claim, Ending::NotRun);
         // The caller went before the attempt began.
         if let Some(permit) = flight.running.and_then(|running| running.permit) {
             self.slots.release(now, permit);
@@ -208,6 +236,7 @@
         }
         match failure(&end) {
             None => {
+                self.conclude(id, flight.claim, ending(&end));
                 let done = matches!(end, End::Answered { status, .. } if status < 500);
                 self.metrics.answered(if done { Outcome::Done } else { Outcome::Failed });
                 if done {
@@ -247,9 +276,11 @@
                 self.enqueue(now, id, flight);
             }
             Verdict::Answer(Outcome::NotRun) => {
+                self.conclude(id, flight.claim, Ending::NotRun);
                 self.refuse(id, "no endpoint took it", RETRY_AFTER);
             }
             Verdict::Answer(_) => {
+                self.conclude(id, flight.claim, Ending::Unknown);
                 self.unknown(id, "the endpoint gave no whole answer", RETRY_AFTER);
             }
         }
@@ -326,7 +357,7 @@
             return None;
         }
         let monitor = &self.monitor;
-        let permit = self.slots.acquire(name, |vm| monitor.is_usable(vm))?;
+        let permit = self.slots.acquire(now, name, |vm| monitor.is_usable(vm))?;
         match service.queue.take(now) {
             Some(waiting) => Some((waiting.id, permit)),
             None => {
@@ -373,3 +404,11 @@
         End::Broken | End::Silent | End::Crossed => Some(Failure::Lost),
     }
 }
+
+/// What an answer says of an order.
+fn ending(end: &End) -> Ending {
+    match end {
+        End::Answered { kept: Some(answer), .. } => Ending::Done(answer.clone()),
+        _ => Ending::Unknown,
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -6,7 +6,7 @@
         platform::{List, Page, Progress},
         record::{Answer, Record},
         request::Request,
-        state::Verdict,
+        state::{State, Verdict},
         wire,
     },
     std::{
@@ -27,6 +27,8 @@
     Fleet,
     /// Claims to orders.
     Orders,
+    /// Snapshots of the fleet's state.
+    Snapshots,
 }
 
 /// Something that the engine must decide on.
@@ -73,6 +75,8 @@
         /// Lowest offset that the log still holds, if it has dropped what was asked for.
         first: Option<Offset>,
     },
+    /// A state was read from the snapshots in the log.
+    Found(Box<State>),
     /// An append ended.
     Appended {
         /// Stream.
--- a/src/request.rs
+++ b/src/request.rs
@@ -90,4 +90,6 @@
     pub deadline: Instant,
     /// Key of an order.
     pub key: Option<OrderKey>,
+    /// The caller has sent the key before.
+    pub repeat: bool,
 }
--- a/src/server/answer.rs
+++ b/src/server/answer.rs
@@ -5,12 +5,12 @@
         body,
         event::Finish,
         exchange::Body,
-        request::{OUTCOME_HEADER, Outcome},
+        request::{ANSWER_HEADER, OUTCOME_HEADER, Outcome},
     },
     bytes::Bytes,
     hyper::{
         Response, StatusCode,
-        header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
     std::time::Duration,
 };
@@ -28,7 +28,13 @@
         }
         Finish::Kept(kept) => {
             let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
-            outcome(status, Outcome::Done, &kept.body.unwrap_or_default(), None)
+            let said = if status.is_server_error() { Outcome::Failed } else { Outcome::Done };
+            let mut response = outcome(status, said, kept.body.as_deref().unwrap_or(""), None);
+            if kept.body.is_none() {
+                let value = HeaderValue::from_static("not-kept");
+                response.headers_mut().insert(ANSWER_HEADER, value);
+            }
+            response
         }
     }
 }
--- a/src/server/intake.rs
+++ b/src/server/intake.rs
@@ -6,7 +6,8 @@
         body,
         exchange::Body,
         request::{
-            CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, Request, TEAM_HEADER,
+            CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, REPEAT_HEADER, Request,
+            TEAM_HEADER,
         },
         settings::Limits,
     },
@@ -48,7 +49,9 @@
     };
     let deadline = now + Duration::from_millis(deadline.min(MAX_DEADLINE_MS));
     let (service, team) = (service.to_string(), team.to_string());
-    Ok(Request { service, team, class, deadline, key: key.map(str::to_string) })
+    let key = key.map(str::to_string);
+    let repeat = headers.contains_key(REPEAT_HEADER);
+    Ok(Request { service, team, class, deadline, key, repeat })
 }
 
 /// Longest deadline in milliseconds; a later one is cut to it.
