--- a/src/learn.rs
+++ b/src/learn.rs
@@ -19,9 +19,9 @@
 /// Part of the runs whose peak is covered.
 pub const QUANTILE: f64 = 0.95;
 /// Added to the quantile, in hundredths of it.
-pub const MARGIN_PERCENT: u64 = 10;
-/// Steps of the histograms in a doubling; each is about 9 % wide.
-const STEPS_PER_DOUBLING: f64 = 8.0;
+pub const MARGIN_PERCENT: u64 = 5;
+/// Steps of the histograms in a doubling; each is about 4 % wide.
+const STEPS_PER_DOUBLING: f64 = 16.0;
 
 /// Peaks of past runs in one dimension, by ranges that grow geometrically.
 #[derive(Clone, Debug, Default)]
--- a/tests/diagnose.rs
+++ b/tests/diagnose.rs
@@ -1,13 +1,19 @@
 //! Verdicts on jobs and workers, over random failures whose truth is hidden from the judge.
 
 use {
-    carobhitch::diagnose::{Judge, Key, MAX_TRIES, Place, Verdict},
+    carobhitch::{
+        diagnose::{Judge, Key, MAX_TRIES, Place, Verdict},
+        job::Priority,
+        place::Outcome,
+        platform::Progress,
+    },
     proptest::prelude::*,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         collections::HashSet,
         time::{Duration, Instant},
     },
+    support::{Fake, Fate, add_workers, job, size},
 };
 
 mod support;
@@ -194,6 +200,53 @@
     assert_eq!(judge.aside(0), 0);
 }
 
+#[test]
+fn a_job_that_failed_on_bad_workers_is_tried_on_others() {
+    let (mut judge, now) = (judge(), Instant::now());
+    for worker in [1, 2, 3] {
+        for i in 0..5 {
+            let job = format!("w{worker}-{i}");
+            judge.failed(now, worker, &job);
+            judge.succeeded(now, 20 + i, &job);
+        }
+    }
+    let verdicts = [1, 2, 3].map(|worker| judge.failed(now, worker, &"j".into()));
+    assert_eq!(verdicts, [Verdict::Retry; 3]);
+}
+
+#[test]
+fn a_worker_that_becomes_bad_after_many_successes_is_set_aside() {
+    let (mut judge, now) = (judge(), Instant::now());
+    for i in 0..5 {
+        judge.succeeded(now, 7, &format!("j{i}"));
+    }
+    for i in 5..8 {
+        judge.failed(now, 7, &format!("j{i}"));
+    }
+    assert!(judge.set_aside(now, 7));
+}
+
+#[test]
+fn a_bad_worker_is_closed_an_impossible_job_leaves_and_the_rest_is_done() {
+    let run = |job: &str, worker: &str| {
+        let fails = job == "bad" || worker == "w5";
+        (Duration::from_secs(20), if fails { Progress::Failed } else { Progress::Done })
+    };
+    let mut fake = Fake::new(|_| Fate::After(Duration::from_millis(100)), run);
+    add_workers(&mut fake.scheduler, "pool", 12);
+    for i in 0..300 {
+        let id = if i == 50 { "bad".into() } else { format!("j{i}") };
+        fake.submit(&job(&id, "a", size(4_000, 16), Priority::Normal));
+        fake.advance(Duration::from_secs(1));
+    }
+    fake.advance(Duration::from_secs(120));
+    assert_eq!(fake.set_aside, ["w5"]);
+    assert_eq!(fake.left.len(), 300);
+    let not_done: Vec<_> = fake.left.iter().filter(|(_, out)| **out != Outcome::Done).collect();
+    assert_eq!(not_done, [(&"bad".to_owned(), &Outcome::Impossible)]);
+    assert!(fake.starts["bad"] as usize <= MAX_TRIES);
+}
+
 proptest! {
     #![proptest_config(support::fixed(64))]
 
