--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,441 @@
+//! The entry daemon: its threads, the channels between them, and its planned stop.
+//!
+//! | thread | does |
+//! |---|---|
+//! | `engine` | decides; owns every request in progress and the agreed state |
+//! | `io` | one single-threaded runtime: callers, endpoints, links to other entries |
+//! | `rpc` | operators' calls |
+//! | `append` | appends records |
+//! | `follow` | reads the fleet's records |
+//! | `list` | reads the platform's list of VMs |
+//! | `operate` | begins the platform's actions and reads how far they are |
+//!
+//! The loss of `engine` or `io` ends the process: requests in progress live in their memory. The
+//! others keep nothing and are started again.
+
+use {
+    crate::{
+        client::{self, Client},
+        engine::{self, Engine, Shared},
+        event::{Action, Event, Stream},
+        exchange,
+        id::{OperationId, VmId},
+        link::{self, Links, Local},
+        metrics::Metrics,
+        operator::{self, Calls},
+        platform::Append,
+        record::Member,
+        rpc,
+        server::{self, Server, Step},
+        settings::Settings,
+        supervise::{self, Part, Policy, Stop, Tree},
+        wire,
+    },
+    crossbeam::{
+        channel::{Receiver, Sender, unbounded},
+        select,
+    },
+    displaydoc::Display,
+    log::{info, warn},
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{
+        net::SocketAddr,
+        result,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant, UNIX_EPOCH},
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::{Builder, Runtime},
+        sync::{mpsc, watch},
+    },
+};
+
+/// Time between two looks at what the passing of time asks for.
+const TICK: Duration = Duration::from_millis(10);
+/// Records read from the log at once.
+const PAGE_RECORDS: usize = 512;
+/// Pause after a failed call to the platform.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time between two reads of the list of VMs.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why the daemon ended.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0}
+    Part(supervise::Error),
+    /// handle signals: {0}
+    Signal(std::io::Error),
+    /// {0} requests were still in progress when the planned stop's time was over
+    Unfinished(usize),
+}
+
+impl std::error::Error for Error {}
+
+/// Result of running the daemon.
+pub type Result<T> = result::Result<T, Error>;
+
+/// A message on its way to another entry.
+type Outgoing = (SocketAddr, wire::Message);
+
+/// An endpoint to probe.
+type Probe = (VmId, SocketAddr);
+
+/// A platform's action to begin on a VM, or only to ask about.
+type Order = (Option<VmId>, OperationId);
+
+/// What the parts share.
+struct Daemon {
+    settings: Settings,
+    me: Member,
+    events: Sender<Event>,
+    inbox: Receiver<Event>,
+    appends: Sender<(Stream, Append)>,
+    append_inbox: Receiver<(Stream, Append)>,
+    orders: Sender<Order>,
+    order_inbox: Receiver<Order>,
+    probes: mpsc::UnboundedSender<Probe>,
+    probe_inbox: Mutex<Option<mpsc::UnboundedReceiver<Probe>>>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    outgoing_inbox: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
+    stopping: watch::Sender<bool>,
+    served: AtomicBool,
+    unfinished: AtomicBool,
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+    calls: Arc<Calls>,
+}
+
+/// Runs an entry until a planned stop or a failure that can't be mended.
+pub fn run(settings: Settings) -> Result<()> {
+    let daemon = Arc::new(Daemon::new(settings));
+    catch_signals(daemon.events.clone())?;
+    let settings = &daemon.settings;
+    info!("daemon: Entry {} starts in availability zone {}.", settings.id, settings.zone);
+    let part = |name, policy, run: fn(&Daemon, &Stop) -> result::Result<(), String>| {
+        let daemon = daemon.clone();
+        Part { name, policy, run: Arc::new(move |stop| run(&daemon, stop)) }
+    };
+    let parts = vec![
+        part("engine", Policy::Escalate, run_engine),
+        part("io", Policy::Escalate, run_io),
+        part("rpc", Policy::Restart, run_rpc),
+        part("append", Policy::Restart, run_append),
+        part("follow", Policy::Restart, run_follow),
+        part("list", Policy::Restart, run_list),
+        part("operate", Policy::Restart, run_operate),
+    ];
+    Tree::start(parts).and_then(Tree::join).map_err(Error::Part)?;
+    if daemon.unfinished.load(Ordering::Relaxed) {
+        return Err(Error::Unfinished(daemon.server.open()));
+    }
+    info!("daemon: Entry {} has stopped.", settings.id);
+    Ok(())
+}
+
+fn catch_signals(events: Sender<Event>) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Signal)?;
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            // The engine is gone only while the whole process ends.
+            let _ = events.send(Event::Stop);
+        }
+    });
+    Ok(())
+}
+
+impl Daemon {
+    fn new(settings: Settings) -> Self {
+        let (events, inbox) = unbounded();
+        let (appends, append_inbox) = unbounded();
+        let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
+        let (orders, order_inbox) = unbounded();
+        let (probes, probe_inbox) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared::default());
+        let limits = settings.limits.clone();
+        let me = Member {
+            id: settings.id.clone(),
+            incarnation: rand::random(),
+            zone: settings.zone.clone(),
+            link: settings.link,
+            rpc: settings.rpc,
+        };
+        Self {
+            me,
+            server: Arc::new(Server::new(events.clone(), limits, shared.clone())),
+            settings,
+            events,
+            inbox,
+            appends,
+            append_inbox,
+            orders,
+            order_inbox,
+            probes,
+            probe_inbox: Mutex::new(Some(probe_inbox)),
+            outgoing,
+            outgoing_inbox: Mutex::new(Some(outgoing_inbox)),
+            stopping: watch::channel(false).0,
+            served: AtomicBool::new(false),
+            unfinished: AtomicBool::new(false),
+            shared,
+            calls: Arc::default(),
+        }
+    }
+
+    /// Reports to the engine.
+    fn tell(&self, event: Event) {
+        // The engine is gone only while the whole process ends.
+        let _ = self.events.send(event);
+    }
+
+    /// Carries out an action; true once everything in progress has ended.
+    fn act(&self, action: Action) -> bool {
+        match action {
+            Action::Run { id, attempt, address, until, .. } => {
+                self.server.step(id, Step::Run { attempt, address, until });
+            }
+            Action::Relay { id, attempt, link, until } => {
+                self.server.step(id, Step::Relay { attempt, link, until });
+            }
+            Action::Finish { id, finish } => self.server.step(id, Step::Finish(finish)),
+            Action::Append { stream, record } => {
+                // Both ends of the channel are kept by the daemon itself.
+                let _ = self.appends.send((stream, record));
+            }
+            Action::Probe { vm, address } => {
+                // The io part is gone only while the whole process ends.
+                let _ = self.probes.send((vm, address));
+            }
+            Action::Reply { call, verdict } => self.calls.reply(call, verdict),
+            Action::Send { link, message, .. } => {
+                // The io part is gone only while the whole process ends.
+                let _ = self.outgoing.send((link, message));
+            }
+            Action::Stopped => return true,
+            Action::Reboot { vm, operation } => {
+                // Both ends of the channel are kept by the daemon itself.
+                let _ = self.orders.send((Some(vm), operation));
+            }
+            Action::Operation { operation } => {
+                let _ = self.orders.send((None, operation));
+            }
+        }
+        false
+    }
+}
+
+fn run_engine(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let seeds = daemon.settings.seeds.clone();
+    let mut engine = Engine::new(Instant::now(), daemon.me.clone(), seeds, daemon.shared.clone());
+    match Metrics::open(daemon.settings.metrics, &daemon.me.id) {
+        Ok(metrics) => engine.set_metrics(metrics),
+        Err(error) => warn!("engine: {error}."),
+    }
+    let mut deadline = None;
+    let ticks = crossbeam::channel::tick(TICK);
+    loop {
+        let actions = select! {
+            recv(daemon.inbox) -> event => {
+                let event = event.map_err(|e| e.to_string())?;
+                if matches!(event, Event::Stop) && deadline.is_none() {
+                    let limit = Duration::from_millis(daemon.settings.limits.stop_ms);
+                    deadline = Some(Instant::now() + limit);
+                    daemon.stopping.send_replace(true);
+                }
+                engine.handle(Instant::now(), event)
+            }
+            recv(ticks) -> _ => {
+                let now = Instant::now();
+                engine.set_wall(now, UNIX_EPOCH.elapsed().unwrap_or_default());
+                engine.tick(now)
+            }
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let mut stopped = false;
+        for action in actions {
+            stopped |= daemon.act(action);
+        }
+        // An answer is on its way until its connection has ended.
+        if stopped && daemon.server.open() == 0 && daemon.served.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        if deadline.is_some_and(|at| Instant::now() >= at) {
+            daemon.unfinished.store(true, Ordering::Relaxed);
+            return Ok(());
+        }
+    }
+}
+
+fn run_io(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let runtime = runtime()?;
+    let ended = runtime.block_on(async {
+        let callers = listen("callers", daemon.settings.callers).await?;
+        let links = listen("links", daemon.settings.link).await?;
+        let local = Arc::new(Local {
+            id: daemon.me.id.clone(),
+            incarnation: daemon.me.incarnation,
+            events: daemon.events.clone(),
+            bytes: AtomicU64::new(0),
+        });
+        tokio::spawn(link::listen(links, local.clone(), daemon.server.clone()));
+        if let Some(inbox) = take(&daemon.outgoing_inbox) {
+            tokio::spawn(send_messages(Links::new(local), inbox));
+        }
+        if let Some(inbox) = take(&daemon.probe_inbox) {
+            tokio::spawn(probe_endpoints(daemon.events.clone(), inbox));
+        }
+        info!("server: Accepts callers at {}.", daemon.settings.callers);
+        let serve = server::serve(callers, daemon.server.clone(), daemon.stopping.subscribe());
+        let served = async {
+            let served = serve.await;
+            daemon.served.store(true, Ordering::Relaxed);
+            // Links stay open until the engine ends the tree.
+            asked(stop).await;
+            served
+        };
+        tokio::select! {
+            served = served => served.map_err(|e| format!("serve callers: {e}")),
+            () = asked(stop) => Ok(()),
+        }
+    });
+    // Connections that are still open end with the process.
+    runtime.shutdown_background();
+    ended
+}
+
+async fn send_messages(mut links: Links, mut inbox: mpsc::UnboundedReceiver<Outgoing>) {
+    while let Some((link, message)) = inbox.recv().await {
+        links.send(link, message);
+    }
+}
+
+fn take<T>(place: &Mutex<Option<T>>) -> Option<T> {
+    place.lock().unwrap_or_else(PoisonError::into_inner).take()
+}
+
+async fn probe_endpoints(events: Sender<Event>, mut inbox: mpsc::UnboundedReceiver<Probe>) {
+    while let Some((vm, address)) = inbox.recv().await {
+        let events = events.clone();
+        tokio::spawn(async move {
+            let sound = exchange::probe(address).await;
+            // The engine is gone only while the whole process ends.
+            let _ = events.send(Event::Probed { vm, sound });
+        });
+    }
+}
+
+fn runtime() -> result::Result<Runtime, String> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("start the runtime: {e}"))
+}
+
+async fn listen(who: &str, address: SocketAddr) -> result::Result<TcpListener, String> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| format!("listen for {who} at {address}: {e}"))
+}
+
+async fn asked(stop: &Stop) {
+    while !stop.asked() {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn run_rpc(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let address = daemon.settings.rpc;
+    let listener = std::net::TcpListener::bind(address)
+        .map_err(|e| format!("listen for operators at {address}: {e}"))?;
+    let (entry, events) = (daemon.me.id.clone(), daemon.events.clone());
+    let gate = operator::gate(entry, events, daemon.calls.clone(), daemon.shared.clone());
+    let stop = stop.clone();
+    let stopped = async move { asked(&stop).await };
+    rpc::run(listener, gate, stopped).map_err(|e| e.to_string())
+}
+
+fn run_append(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    loop {
+        let (stream, record) = select! {
+            recv(daemon.append_inbox) -> next => next.map_err(|e| e.to_string())?,
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let offset = match client.append(engine::stream_name(stream), &record) {
+            Ok(appended) => Some(appended.offset),
+            Err(error) => {
+                warn!("append: {error}.");
+                stop.wait(PAUSE);
+                None
+            }
+        };
+        daemon.tell(Event::Appended { stream, id: record.id, offset });
+    }
+}
+
+fn run_follow(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    let stream = Stream::Fleet;
+    let mut from = daemon.shared.state().next;
+    let mut wait = Duration::ZERO;
+    while !stop.asked() {
+        let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
+            Ok(page) => {
+                from = page.records.last().map_or(from, |last| last.offset + 1);
+                wait = if from >= page.end { client::READ_WAIT } else { Duration::ZERO };
+                Event::Read { stream, page }
+            }
+            Err(error) => {
+                warn!("follow: {error}.");
+                stop.wait(PAUSE);
+                from = from.max(daemon.shared.state().next);
+                Event::Unread { stream, first: trimmed(&error) }
+            }
+        };
+        daemon.tell(event);
+    }
+    Ok(())
+}
+
+fn trimmed(error: &client::Error) -> Option<crate::id::Offset> {
+    match error {
+        client::Error::Trimmed { first, .. } => Some(*first),
+        _ => None,
+    }
+}
+
+fn run_list(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    while !stop.wait(LIST_INTERVAL) {
+        match client.list() {
+            Ok(list) => daemon.tell(Event::Listed(list)),
+            Err(error) => warn!("list: {error}."),
+        }
+    }
+    Ok(())
+}
+
+fn run_operate(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
+    let client = Client::new(daemon.settings.platform);
+    loop {
+        let (vm, operation) = select! {
+            recv(daemon.order_inbox) -> next => next.map_err(|e| e.to_string())?,
+            recv(stop.channel()) -> _ => return Ok(()),
+        };
+        let found = match vm {
+            Some(vm) => client.reboot(&vm, &operation).map(Some),
+            None => client.operation(&operation),
+        };
+        match found {
+            Ok(found) => {
+                let progress = found.map(|found| found.progress);
+                daemon.tell(Event::Operated { operation, progress });
+            }
+            Err(error) => warn!("operate: {error}."),
+        }
+    }
+}
