Tell requests of one key apart by what does not depend on how the body arrived

The fingerprint now covers the length and the first 64 KiB; the tool knows the header and tells the entry of repetitions.

--- a/src/server/intake.rs
+++ b/src/server/intake.rs
@@ -13,7 +13,11 @@
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::{HeaderMap, Method, Uri, body::Body as _},
+    hyper::{
+        HeaderMap, Method, Uri,
+        body::Body as _,
+        header::{CONTENT_LENGTH, HeaderValue},
+    },
     siphasher::sip::SipHasher13,
     std::{
         hash::{Hash, Hasher},
@@ -94,12 +98,13 @@
 }
 
 impl Source {
-    /// Tells requests with the same order key apart.
+    /// Tells requests with the same order key apart; the same however the body arrived.
     pub(super) fn fingerprint(&self) -> u64 {
         let mut hasher = SipHasher13::new();
         self.method.hash(&mut hasher);
         self.uri.path_and_query().map(|p| p.as_str()).hash(&mut hasher);
-        self.held.hash(&mut hasher);
+        self.headers.get(CONTENT_LENGTH).map(HeaderValue::as_bytes).hash(&mut hasher);
+        self.held[..self.held.len().min(PREFETCH_BYTES)].hash(&mut hasher);
         hasher.finish()
     }
 
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -9,9 +9,11 @@
     carobhitch::{
         id::{OrderKey, TeamId},
         request::{
-            CLASS_HEADER, Class, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, Outcome, TEAM_HEADER,
+            ANSWER_HEADER, CLASS_HEADER, Class, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER,
+            Outcome, REPEAT_HEADER, TEAM_HEADER,
         },
     },
+    log::warn,
     oxhttp::{
         Client,
         model::{Body, Method, Request, Response},
@@ -142,6 +144,7 @@
     let ends = tries.iter().rev().filter_map(|(_, outcome)| match outcome {
         Try::Whole => Some(End::Answered),
         Try::Wrong => Some(End::Cut),
+        Try::Told(Outcome::Done, _) => Some(End::Answered),
         Try::Told(Outcome::Failed, _) => Some(End::Failed),
         Try::Told(Outcome::NotRun, _) => Some(End::Refused),
         Try::Told(_, _) => Some(End::Unknown),
@@ -153,7 +156,7 @@
 fn attempt(ask: &Ask, entry: SocketAddr, first: bool) -> Try {
     let impatience = ask.impatience.filter(|_| first);
     let patience = impatience.unwrap_or(ask.deadline + GRACE);
-    let Ok(request) = request(ask, entry) else { return Try::Unreached };
+    let Ok(request) = request(ask, entry, first) else { return Try::Unreached };
     let result = Client::new().with_global_timeout(patience).request(request);
     match result.and_then(|response| judge(ask, response)) {
         Ok(outcome) => outcome,
@@ -166,7 +169,7 @@
     }
 }
 
-fn request(ask: &Ask, entry: SocketAddr) -> Result<Request<Body>, Error> {
+fn request(ask: &Ask, entry: SocketAddr, first: bool) -> Result<Request<Body>, Error> {
     let class = match ask.class {
         Class::Quick => "quick",
         Class::Watch => "watch",
@@ -181,6 +184,9 @@
     if let Some(key) = &ask.key {
         request = request.header(KEY_HEADER, key);
     }
+    if !first {
+        request = request.header(REPEAT_HEADER, "1");
+    }
     request.body(Body::from(ask.work.request_body())).map_err(Error::other)
 }
 
@@ -193,8 +199,9 @@
         None if response.status().is_success() => Outcome::Done,
         Some(_) | None => Outcome::Unknown,
     };
+    let kept = header(ANSWER_HEADER) != Some("not-kept");
     let wait = header("retry-after").and_then(|v| v.parse().ok()).unwrap_or(0);
-    if outcome != Outcome::Done {
+    if outcome != Outcome::Done || !kept {
         return Ok(Try::Told(outcome, Duration::from_secs(wait)));
     }
     let body = response.into_body().to_vec()?;
@@ -204,6 +211,8 @@
     } else if expected.starts_with(&body) {
         Ok(Try::Broken)
     } else {
+        let beginning = String::from_utf8_lossy(&body[..body.len().min(80)]);
+        warn!("caller: Expected the answer to {}, got {beginning:?}.", ask.work.path());
         Ok(Try::Wrong)
     }
 }
