--- a/benches/slots/entry.rs
+++ b/benches/slots/entry.rs
@@ -29,6 +29,7 @@
         let mut table = Table::new(now, me.clone());
         let others = (0..entries).filter(|other| *other != entry);
         table.set_members(now, others.map(|other| (peer(other), Standing::Alive)));
+        table.set_listed();
         let listed = |runner| Listed { vm: vm(runner), slots: SLOTS, connections: 64 };
         table.set_runners(now, [(service(), (0..RUNNERS).map(listed).collect())]);
         let alive = vec![true; entries];
--- a/src/slot/group.rs
+++ b/src/slot/group.rs
@@ -1,8 +1,9 @@
 //! The incarnations that may hold slots.
 //!
 //! The group only grows, but for incarnations that have surely ended. An entry takes part once every
-//! incarnation it knows has welcomed it, and each welcome names those that the other one knows. So
-//! of any two that take part, at least one knows the other, and a recount hears every holder.
+//! incarnation it knows has welcomed it, one that takes part itself among them; only the first one
+//! needs none. Each welcome names those that the other one knows. So any two that take part know
+//! each other, and a recount hears every holder.
 
 use {
     super::message::{Body, Message, Peer, Send},
@@ -27,6 +28,7 @@
     pub(super) me: Peer,
     members: IndexMap<Peer, Standing>,
     acquainted: IndexSet<Peer>,
+    anchored: bool,
     joined: bool,
     greeted: Option<Instant>,
 }
@@ -37,6 +39,7 @@
             me,
             members: IndexMap::new(),
             acquainted: IndexSet::new(),
+            anchored: false,
             joined: false,
             greeted: None,
         }
@@ -67,6 +70,12 @@
         self.acquainted.insert(peer.clone());
     }
 
+    /// The members known are not only those that have ended: one that takes part has welcomed this
+    /// incarnation, or the list came from the log.
+    pub(super) fn anchor(&mut self) {
+        self.anchored = true;
+    }
+
     pub(super) fn is_gone(&self, peer: &Peer) -> bool {
         self.members.get(peer) == Some(&Standing::Gone)
     }
@@ -98,7 +107,7 @@
     /// This entry takes part.
     pub(super) fn joined(&mut self) -> bool {
         let welcome = self.running().all(|peer| self.acquainted.contains(peer));
-        self.joined |= welcome;
+        self.joined |= welcome && self.anchored;
         self.joined
     }
 
--- a/src/slot/message.rs
+++ b/src/slot/message.rs
@@ -44,6 +44,8 @@
     Hello,
     /// The receiver may take part as far as the sender is concerned.
     Welcome {
+        /// The sender itself takes part.
+        joined: bool,
         /// Incarnations that the sender knows and that may still run.
         known: Vec<Peer>,
     },
@@ -89,8 +91,6 @@
         round: Round,
         /// Slots that the sender held when it joined the round.
         slots: u32,
-        /// Incarnations that the sender knows and that may still run.
-        known: Vec<Peer>,
     },
     /// The receiver's round is over; a later one has begun.
     Outdated {
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -95,8 +95,7 @@
 
     /// Sets the standing of the availability zone's other incarnations.
     ///
-    /// The first list must be at least as new as this incarnation's own joining, so that of two
-    /// that join at the same time at least one knows the other. Those left out stay members.
+    /// The first list may come from any entry that takes part. Those left out stay members.
     pub fn set_members(
         &mut self,
         now: Instant,
@@ -109,6 +108,14 @@
         }
     }
 
+    /// Lets this incarnation take part although no other one does.
+    ///
+    /// Its list of members must be at least as new as its own joining in the log, so that of two
+    /// that join at the same time at least one knows the other.
+    pub fn set_listed(&mut self) {
+        self.group.anchor();
+    }
+
     /// Incarnations that may still run, as far as this entry knows.
     pub fn running(&self) -> impl Iterator<Item = &Peer> {
         self.group.running()
@@ -198,7 +205,7 @@
         self.group.learn(from);
         match message.body {
             Body::Hello => self.welcome(from),
-            Body::Welcome { known } => self.note_welcome(from, &known),
+            Body::Welcome { joined, known } => self.note_welcome(from, joined, &known),
             Body::Want { service, waiting, held } => {
                 self.note_want(now, from, &service, waiting, held)
             }
@@ -207,8 +214,8 @@
             }
             Body::Taken { runner, serial } => self.note_taken(from, &runner, serial),
             Body::Count { runner, round } => self.answer_count(now, from, runner, round),
-            Body::Held { runner, round, slots, known } => {
-                self.note_held(now, from.clone(), &runner, &round, slots, &known)
+            Body::Held { runner, round, slots } => {
+                self.note_held(now, from.clone(), &runner, &round, slots)
             }
             Body::Outdated { runner, round } => self.join(now, &runner, &round),
             Body::Shed { runner, round, slots } => self.shed(&runner, &round, slots),
@@ -288,12 +295,15 @@
 
     fn welcome(&mut self, from: &Peer) {
         self.group.acquaint(from);
-        let known = self.group.known();
-        self.outbox.push(group::send(from, Body::Welcome { known }));
+        let (joined, known) = (self.group.joined(), self.group.known());
+        self.outbox.push(group::send(from, Body::Welcome { joined, known }));
     }
 
-    fn note_welcome(&mut self, from: &Peer, known: &[Peer]) {
+    fn note_welcome(&mut self, from: &Peer, joined: bool, known: &[Peer]) {
         self.group.acquaint(from);
+        if joined {
+            self.group.anchor();
+        }
         known.iter().for_each(|peer| self.group.learn(peer));
     }
 
--- a/src/slot/recount.rs
+++ b/src/slot/recount.rs
@@ -1,9 +1,10 @@
 //! Recounts the slots of a runner, to bring back those that were lost with an incarnation.
 //!
 //! The leader begins a later round and asks every incarnation that may still run. Each answer fixes
-//! what its sender held when it joined the round, and names the incarnations that it knows, which
-//! are asked as well. Only when all have answered does the leader create the missing slots. Two
-//! leaders are harmless: whoever joins a later round abandons the recount of an earlier one.
+//! what its sender held when it joined the round. Only when all have answered does the leader create
+//! the missing slots. If an incarnation ends meanwhile, the recount begins anew, since it may have
+//! joined the round and handed on slots that were not counted. Two leaders are harmless: whoever
+//! joins a later round abandons the recount of an earlier one.
 
 use {
     super::{
@@ -88,11 +89,10 @@
     }
 
     pub(super) fn answer_count(&mut self, now: Instant, from: &Peer, vm: VmId, round: Round) {
-        let known = self.group.known();
         self.join(now, &vm, &round);
         let runner = self.runner(now, &vm);
         let body = if runner.round == round {
-            Body::Held { runner: vm, round, slots: runner.counted(), known }
+            Body::Held { runner: vm, round, slots: runner.counted() }
         } else {
             Body::Outdated { runner: vm, round: runner.round.clone() }
         };
@@ -106,9 +106,7 @@
         vm: &VmId,
         round: &Round,
         slots: u32,
-        known: &[Peer],
     ) {
-        known.iter().for_each(|peer| self.group.learn(peer));
         let Some(runner) = self.runners.get_mut(vm).filter(|r| r.round == *round) else { return };
         let Some(recount) = &mut runner.recount else { return };
         recount.answers.entry(from).or_insert(slots);
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -34,6 +34,9 @@
         let mut table = Table::new(self.now, me.clone());
         let members = self.tables.iter().map(|(peer, _)| (peer.clone(), Standing::Alive));
         table.set_members(self.now, members.collect::<Vec<_>>());
+        if self.tables.is_empty() {
+            table.set_listed();
+        }
         let listed = |i| Listed { vm: format!("vm-{i}"), slots: SLOTS, connections: 64 };
         table.set_runners(self.now, [(service(), (0..runners).map(listed).collect())]);
         self.tables.push((me, table));
@@ -127,7 +130,9 @@
     zone.tables.iter_mut().for_each(|(_, table)| table.tick(zone.now));
     zone.deliver();
     assert_eq!(zone.acquire_all(0).len(), 0, "its exchanges may still run");
-    zone.settle();
+    zone.now += Duration::from_millis(350);
+    zone.tables.iter_mut().for_each(|(_, table)| table.tick(zone.now));
+    zone.deliver();
     assert_eq!(zone.held(), 2 * SLOTS);
     assert_eq!(zone.acquire_all(0).len() as u32, 2 * SLOTS);
 }
@@ -200,3 +205,32 @@
     assert!(permit.is_valid(zone.now) && !permit.is_valid(end));
     assert_eq!(zone.tables[0].1.acquire(end, &service(), |_| true), None);
 }
+
+#[test]
+fn slots_handed_on_by_an_entry_that_ended_uncounted_are_not_created_again() {
+    let mut zone = Zone::new(3, 1);
+    let vm = String::from("vm-0");
+    let peers: Vec<_> = zone.tables.iter().map(|(peer, _)| peer.clone()).collect();
+    zone.tables[1].1.demand(zone.now, &service(), 8);
+    zone.deliver();
+    assert_eq!(zone.tables[1].1.held_on(&vm), SLOTS);
+    zone.tables[1].1.demand(zone.now, &service(), 0);
+    zone.deliver();
+    zone.now += Duration::from_secs(2);
+    zone.tables[0].1.tick(zone.now);
+    let counts = zone.tables[0].1.sends();
+    for send in counts {
+        let index = peers.iter().position(|peer| *peer == send.to).expect("a member");
+        zone.tables[index].1.receive(zone.now, &peers[0], send.message);
+    }
+    assert_eq!(zone.tables[1].1.sends().len(), 1, "its answer is lost");
+    let late = zone.tables[2].1.sends().remove(0);
+    zone.tables[2].1.demand(zone.now, &service(), 8);
+    zone.deliver();
+    assert_eq!(zone.tables[2].1.held_on(&vm), SLOTS);
+    zone.kill(1);
+    zone.tables[0].1.receive(zone.now, &peers[2], late.message);
+    assert_eq!(zone.held(), SLOTS);
+    zone.settle();
+    assert_eq!(zone.held(), SLOTS);
+}
