--- a/src/order/desk.rs
+++ b/src/order/desk.rs
@@ -90,6 +90,11 @@
         self.batcher.poll(now)
     }
 
+    /// Learns that an append ended; `is_stored` if it is known to be in the log.
+    pub fn appended(&mut self, id: &str, is_stored: bool) {
+        self.batcher.appended(id, is_stored);
+    }
+
     /// Whether no order is in progress and everything written is in the log.
     pub fn is_idle(&self) -> bool {
         self.orders.is_empty() && self.batcher.is_empty()
