--- a/src/bin/carobhitch/app.rs
+++ b/src/bin/carobhitch/app.rs
@@ -206,7 +206,11 @@
     });
     let accepted = |style| {
         let offset = done.outcome.as_ref().map(|outcome| outcome.offset).unwrap_or_default();
-        text::changes(&done.changes, style) + &format!("{step}: in force from offset {offset}\n")
+        let changes = match done.changes.as_slice() {
+            [] => String::new(),
+            changes => text::changes(changes, style),
+        };
+        changes + &format!("{step}: in force from offset {offset}\n")
     };
     match refusal {
         None => print(config, &done, accepted),
@@ -284,7 +288,7 @@
             return Err(Failure::new(format!("read status: wave {id:?} is not declared"), FAILED));
         }
     }
-    print(config, &waves, |style| text::waves(&waves, style))
+    print(config, &waves, |style| text::wave_list(&waves, style))
 }
 
 fn history(config: &Config, from: Offset, max: u32) -> Result {
--- a/src/bin/carobhitch/text.rs
+++ b/src/bin/carobhitch/text.rs
@@ -183,7 +183,7 @@
     section("Moves", heading, rows.collect())
 }
 
-pub(crate) fn waves(waves: &[proto::Wave], style: Style) -> String {
+fn waves(waves: &[proto::Wave], style: Style) -> String {
     let heading = row(["WAVE", "PHASE", "DONE", "ACTIVE", "LEFT", "FAILED", "ENDS IN", "REASON"]);
     let rows = waves.iter().map(|wave| {
         let name = json::phase_name(wave.phase);
@@ -207,6 +207,19 @@
     section("Waves", heading, rows.collect())
 }
 
+/// Waves on their own.
+pub(crate) fn wave_list(found: &[proto::Wave], style: Style) -> String {
+    or_none(waves(found, style))
+}
+
+/// Text without the line that sets it off from what is before.
+fn or_none(text: String) -> String {
+    match text.trim_start() {
+        "" => String::from("none\n"),
+        text => String::from(text),
+    }
+}
+
 pub(crate) fn history(changes: &[proto::Change], style: Style) -> String {
     let heading = row(["OFFSET", "TIME", "AUTHOR", "ACTION", "VERDICT", "REASON"]);
     let rows = changes.iter().map(|change| {
@@ -223,7 +236,7 @@
             change.reason.clone(),
         ]
     });
-    section("History", heading, rows.collect())
+    or_none(section("History", heading, rows.collect()))
 }
 
 pub(crate) fn burn(reply: &proto::BurnReply, style: Style) -> String {
--- a/src/units.rs
+++ b/src/units.rs
@@ -10,6 +10,9 @@
 
 /// A duration in its two longest units, such as `1 h 30 min`.
 pub fn duration(time: Duration) -> String {
+    if time.is_zero() {
+        return String::from("0 s");
+    }
     if time < Duration::from_secs(1) {
         return format!("{} ms", time.as_millis());
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -169,6 +169,17 @@
     assert_eq!(status(&call(entry.address, &["wave", "status", "autumn"])), 1);
 }
 
+#[test]
+fn a_change_prints_one_line() {
+    let entry = start(0);
+    let path = file("line", SOUND);
+    assert_eq!(status(&call(entry.address, &["apply", path.to_str().unwrap()])), 0);
+    let drained = text(&call(entry.address, &["drain", "vm-1"]).stdout);
+    assert_eq!(drained, "drain VM: in force from offset 1\n");
+    let shown = text(&call(entry.address, &["history"]).stdout);
+    assert!(shown.starts_with("History\nOFFSET"), "{shown}");
+}
+
 #[test]
 fn burn_is_printed_and_plotted() {
     let entry = start(0);
