Check budgets only until one VM can be taken

Cause: the controller checked the budgets of every VM left in a wave's pool in each tick, and each check counts the VMs of the pool for the window.

VMs are tried in the wave's order until one is affordable; a spent zone rules out its VMs, any other spent budget the pool. A test shows that the wave goes on in another zone; it was seen failing when a spent zone ended the search. Six weeks at 17,000 VMs in 209 pools leave 44,253 s for each VM at one VM at once.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -18,7 +18,7 @@
         lease::CONTROL,
         platform::{Health, List, Listed, Progress},
         record::{Body, Record, Step},
-        state::{State, Verdict},
+        state::{Reason, State, Verdict},
         wave::{self, Run, Taken},
     },
     indexmap::{IndexMap, IndexSet},
@@ -261,15 +261,15 @@
         declared: &'a Wave,
     ) {
         let state = view.state;
-        let listed = |vm: &VmId| plan.listed.get(vm.as_str()).filter(|l| l.health == Health::Live);
-        let free = |vm: &VmId| !state.lost.contains_key(vm) && state.held_by_wave(vm).is_none();
-        let ready = state
-            .left(declared, run)
-            .filter(|(id, vm)| free(id) && state.afford(id, vm).is_ok())
-            .filter_map(|(id, vm)| Some((id, vm, listed(id)?)));
-        let Some((vm, _, found)) = ready.min_by_key(|(id, vm, _)| rank(state, id, vm)) else {
-            return;
+        let listed = |vm: &VmId| {
+            let found = plan.listed.get(vm.as_str()).copied();
+            found.filter(|l| l.health == Health::Live)
         };
+        let free = |vm: &VmId| !state.lost.contains_key(vm) && state.held_by_wave(vm).is_none();
+        let ready = state.left(declared, run).filter(|(id, _)| free(id));
+        let mut ready: Vec<_> = ready.filter_map(|(id, vm)| Some((id, vm, listed(id)?))).collect();
+        ready.sort_unstable_by_key(|(id, vm, _)| rank(state, id, vm));
+        let Some((vm, found)) = affordable(state, &ready) else { return };
         plan.busy.insert(&declared.pool);
         let step = Step::Take { boots: found.boots };
         let key = format!("take/{wave}/{}/{vm}", run.began);
@@ -342,6 +342,26 @@
     }
 }
 
+/// First VM that the budgets allow to be drained. A spent budget of an availability zone forbids
+/// the VMs of that zone, any other the whole pool.
+fn affordable<'a>(
+    state: &State,
+    ready: &[(&'a VmId, &'a Vm, &'a Listed)],
+) -> Option<(&'a VmId, &'a Listed)> {
+    let mut spent = None;
+    for (id, vm, listed) in ready {
+        if spent.as_ref() == Some(&vm.zone) {
+            continue;
+        }
+        match state.afford(id, vm) {
+            Ok(()) => return Some((id, listed)),
+            Err(Reason::ZoneBudget { zone, .. }) => spent = Some(zone),
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
 /// Order in which a wave takes VMs: drained and empty ones first, then by zone and rack.
 fn rank<'a>(state: &State, id: &'a VmId, vm: &'a Vm) -> (bool, &'a str, &'a str, &'a str) {
     let empty = state.drains.get(id).is_some_and(|drain| drain.waiting.is_empty());
--- a/tests/wave_controller.rs
+++ b/tests/wave_controller.rs
@@ -9,7 +9,7 @@
         platform::{Health, List, Listed, Progress},
         record::{Body, Record},
         state::State,
-        wave::Pause,
+        wave::{self, Pause},
     },
     fleet::{Log, START, accepted, declaration, vm},
     indexmap::IndexMap,
@@ -363,3 +363,24 @@
     assert_eq!(world.log.state.declaration.vms.values().filter(inside).count(), 4);
     assert!(world.log.state.drains.is_empty());
 }
+
+#[test]
+fn a_spent_zone_leaves_the_other_zone_to_the_wave() {
+    let mut zones = declaration(8, 2);
+    zones.services["s"].budget.max_unavailable_zone = 1;
+    let mut world = World::new(zones);
+    accepted(world.log.add(Body::Drain { vm: "p0".into() }));
+    world.now = START + world.log.now;
+    world.drivers["f"].paused = true;
+    world.until(|s| s.waves["w"].active.keys().any(|vm| s.declaration.vms[vm].zone == "b"));
+}
+
+#[test]
+fn every_vm_is_maintained_within_six_weeks_at_full_size() {
+    let (vms, pools, six_weeks) = (17_000_u32, 209, Duration::from_secs(6 * 7 * 24 * 3600));
+    let pool = wave::duration(vms.div_ceil(pools), 1, wave::STEP_ESTIMATE);
+    assert_eq!(pool, Duration::from_secs(82 * 600));
+    assert!(pool < six_weeks);
+    let longest_step = six_weeks / vms.div_ceil(pools);
+    assert_eq!(longest_step.as_secs(), 44_253);
+}
