--- a/src/slot/group.rs
+++ b/src/slot/group.rs
@@ -85,6 +85,11 @@
         self.members.iter().filter(|(_, s)| **s != Standing::Gone).map(|(peer, _)| peer)
     }
 
+    /// Incarnations that have ended.
+    pub(super) fn ended(&self) -> impl Iterator<Item = &Peer> {
+        self.members.iter().filter(|(_, s)| **s == Standing::Gone).map(|(peer, _)| peer)
+    }
+
     /// Incarnations that answer.
     pub(super) fn alive(&self) -> impl Iterator<Item = &Peer> {
         self.members.iter().filter(|(_, s)| **s == Standing::Alive).map(|(peer, _)| peer)
--- a/src/slot/message.rs
+++ b/src/slot/message.rs
@@ -82,6 +82,8 @@
         runner: VmId,
         /// Round that begins.
         round: Round,
+        /// Incarnations that have ended, from which the receiver must take nothing any more.
+        ended: Vec<Peer>,
     },
     /// Answers a count.
     Held {
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -213,7 +213,10 @@
                 self.take(now, from, runner, &round, serial, slots)
             }
             Body::Taken { runner, serial } => self.note_taken(from, &runner, serial),
-            Body::Count { runner, round } => self.answer_count(now, from, runner, round),
+            Body::Count { runner, round, ended } => {
+                self.set_members(now, ended.into_iter().map(|peer| (peer, Standing::Gone)));
+                self.answer_count(now, from, runner, round);
+            }
             Body::Held { runner, round, slots } => {
                 self.note_held(now, from.clone(), &runner, &round, slots)
             }
@@ -350,8 +353,9 @@
 
     /// The runner; one that was not declared yet takes no work.
     fn runner(&mut self, now: Instant, vm: &VmId) -> &mut Runner {
-        let floor = self.floor;
-        self.runners.entry(vm.clone()).or_insert_with(|| Runner::new(floor, now))
+        let (floor, group) = (self.floor, &self.group);
+        let new = || Runner::new(floor, group.ended().cloned().collect(), now);
+        self.runners.entry(vm.clone()).or_insert_with(new)
     }
 
     fn share_runner(&mut self, now: Instant, vm: &VmId) {
--- a/src/slot/recount.rs
+++ b/src/slot/recount.rs
@@ -4,7 +4,9 @@
 //! what its sender held when it joined the round. Only when all have answered does the leader create
 //! the missing slots. If an incarnation ends meanwhile, the recount begins anew, since it may have
 //! joined the round and handed on slots that were not counted. Two leaders are harmless: whoever
-//! joins a later round abandons the recount of an earlier one.
+//! joins a later round abandons the recount of an earlier one. A count names the incarnations that
+//! have ended, since one of them may have begun a later round and granted slots in it: once everyone
+//! has answered, nobody takes them any more.
 
 use {
     super::{
@@ -59,7 +61,8 @@
         let Some(runner) = self.runners.get_mut(vm) else { return };
         let Some(recount) = &mut runner.recount else { return };
         recount.asked = now;
-        let body = Body::Count { runner: vm.clone(), round: runner.round.clone() };
+        let (round, ended) = (runner.round.clone(), runner.ended.clone());
+        let body = Body::Count { runner: vm.clone(), round, ended };
         let missing = self.group.running().filter(|peer| !recount.answers.contains_key(*peer));
         self.outbox.extend(missing.map(|peer| send(peer, body.clone())));
     }
@@ -124,6 +127,7 @@
         let rest = runner.settled_at.filter(|until| *until > now);
         let mut surplus = runner.settle(answers.values().sum(), rest);
         runner.recount = None;
+        runner.ended.clear();
         let round = runner.round.clone();
         for (peer, held) in answers.into_iter().filter(|(_, held)| *held > 0) {
             let slots = surplus.min(held);
@@ -147,6 +151,7 @@
         for runner in self.runners.values_mut() {
             runner.grants.swap_remove(gone);
             runner.recount = None;
+            runner.ended.push(gone.clone());
             runner.settled_at = Some(now + SETTLE);
             runner.due = Some(now);
         }
--- a/src/slot/runner.rs
+++ b/src/slot/runner.rs
@@ -47,6 +47,8 @@
     pub(super) recount: Option<Recount>,
     /// When this entry should begin a recount if it leads.
     pub(super) due: Option<Instant>,
+    /// Incarnations that ended since the last recount that was led here.
+    pub(super) ended: Vec<Peer>,
     /// Until when exchanges of an ended incarnation may still run.
     pub(super) settled_at: Option<Instant>,
     counted: u32,
@@ -57,7 +59,7 @@
 }
 
 impl Runner {
-    pub(super) fn new(floor: u64, now: Instant) -> Self {
+    pub(super) fn new(floor: u64, ended: Vec<Peer>, now: Instant) -> Self {
         Self {
             slots: 0,
             connections: 0,
@@ -69,6 +71,7 @@
             grants: IndexMap::new(),
             recount: None,
             due: Some(now),
+            ended,
             settled_at: None,
             counted: 0,
             debt: 0,
