--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -9,12 +9,17 @@
     crate::{
         admit::{self, Queue, Supply, Waiting},
         event::{Action, End, Finish, RequestId},
-        id::{AttemptId, ServiceId},
+        id::{AttemptId, ServiceId, ZoneId},
+        member::Health,
+        order::Ending,
         request::{Class, Outcome, Request},
         retry::{self, Budget, Failure, Verdict},
         slot::Permit,
     },
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// When a caller should come back if nothing better is known.
@@ -32,14 +37,44 @@
     pub(super) arrived: Instant,
     /// Its body is kept, so that it can be sent again.
     pub(super) repeatable: bool,
+    /// Another entry relayed it, so it is not relayed again.
+    relayed: bool,
     attempts: u32,
     may_have_run: bool,
     running: Option<Attempt>,
+    pub(super) claim: Claim,
+}
+
+impl Flight {
+    pub(super) fn new(now: Instant, request: Request, repeatable: bool, relayed: bool) -> Self {
+        Self {
+            request,
+            arrived: now,
+            repeatable,
+            relayed,
+            attempts: 0,
+            may_have_run: false,
+            running: None,
+            claim: Claim::None,
+        }
+    }
+}
+
+/// Claim to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Claim {
+    /// The request needs none, or another entry makes it.
+    None,
+    /// On its way to the log.
+    Waiting,
+    /// This entry may run the order.
+    Won,
 }
 
 struct Attempt {
     id: AttemptId,
-    permit: Permit,
+    /// Right to the endpoint's slot; none if the request was relayed.
+    permit: Option<Permit>,
 }
 
 /// What the engine keeps for one service.
@@ -60,9 +95,10 @@
         &mut self,
         now: Instant,
         id: RequestId,
-        request: Request,
-        repeatable: bool,
+        flight: Flight,
+        fingerprint: u64,
     ) {
+        let request = &flight.request;
         if self.stopping {
             return self.refuse(id, "the entry is stopping", RETRY_AFTER);
         }
@@ -72,19 +108,53 @@
         if !self.shared.state().declaration.services.contains_key(&request.service) {
             return self.refuse(id, "no such service", RETRY_AFTER);
         }
-        let flight = Flight {
-            request,
-            arrived: now,
-            repeatable,
-            attempts: 0,
-            may_have_run: false,
-            running: None,
-        };
-        self.enqueue(now, id, flight);
+        if let Some(link) = self.better_entry(now, &flight) {
+            return self.relay(now, id, flight, link);
+        }
+        if !self.joined() {
+            return self.refuse(id, "the entry has not joined yet", RETRY_AFTER);
+        }
+        match flight.request.key.clone().filter(|_| flight.request.class == Class::Order) {
+            Some(key) => self.claim(now, id, &key, fingerprint, flight),
+            None => self.enqueue(now, id, flight),
+        }
+    }
+
+    /// Another entry to relay to, if this one can't serve the request.
+    fn better_entry(&self, now: Instant, flight: &Flight) -> Option<SocketAddr> {
+        let service = &flight.request.service;
+        if flight.relayed || (self.joined() && self.slots.supply(service) > 0) {
+            return None;
+        }
+        let state = self.shared.state();
+        let serves = |zone: &ZoneId| state.endpoints(service).any(|(_, vm)| vm.zone == *zone);
+        let ready = self.peers.list(now).filter(|(peer, health)| {
+            let ready = peer.beat.as_ref().is_some_and(|beat| beat.ready);
+            *health == Health::Live && ready && serves(&peer.member.zone)
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            ready.map(|(peer, _)| &peer.member).partition(|m| m.zone == self.me.zone);
+        let found = if near.is_empty() { far } else { near };
+        let turn = self.attempts as usize % found.len().max(1);
+        found.get(turn).map(|member| member.link)
+    }
+
+    fn relay(&mut self, now: Instant, id: RequestId, mut flight: Flight, link: SocketAddr) {
+        let attempt = self.next_attempt();
+        flight.attempts += 1;
+        flight.running = Some(Attempt { id: attempt, permit: None });
+        let until = flight.request.deadline.max(now);
+        self.flights.insert(id, flight);
+        self.actions.push(Action::Relay { id, attempt, link, until });
+    }
+
+    fn next_attempt(&mut self) -> AttemptId {
+        self.attempts += 1;
+        (AttemptId::from(self.me.incarnation) << 64) | AttemptId::from(self.attempts)
     }
 
     /// Offers a request to its service's queue; a refusal is answered at once.
-    fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
+    pub(super) fn enqueue(&mut self, now: Instant, id: RequestId, flight: Flight) {
         let request = &flight.request;
         let waiting = Waiting {
             id,
@@ -113,6 +183,8 @@
 
     /// Answers a request that will not be tried (again).
     fn give_up(&mut self, id: RequestId, flight: &Flight, refusal: &admit::Refusal) {
+        let ending = if flight.may_have_run { Ending::Unknown } else { Ending::NotRun };
+        self.conclude(id, flight.claim, ending);
         if flight.may_have_run {
             return self.unknown(id, "an earlier attempt may have run", refusal.retry_after);
         }
@@ -131,9 +203,17 @@
         self.actions.push(Action::Finish { id, finish });
     }
 
-    pub(super) fn cancelled(&mut self, id: RequestId) {
-        if let Some(flight) = self.flights.remove(&id) {
-            self.service(&flight.request.service).queue.cancel(id);
+    pub(super) fn cancelled(&mut self, now: Instant, id: RequestId) {
+        let Some(flight) = self.flights.remove(&id) else {
+            return;
+        };
+        let queue = &mut self.service(&flight.request.service).queue;
+        queue.cancel(id);
+        queue.finish(now, id);
+        self.conclude(id, flight.claim, Ending::NotRun);
+        // The caller went before the attempt began.
+        if let Some(permit) = flight.running.and_then(|running| running.permit) {
+            self.slots.release(now, permit);
         }
     }
 
@@ -150,11 +230,13 @@
             queue.finish(now, id);
             queue.run_time(flight.request.class)
         };
-        self.blame(now, &running.permit, &end);
-        let failure = failure(&end);
-        self.give_back(now, running.permit, &end, run_time);
-        match failure {
+        if let Some(permit) = running.permit {
+            self.blame(now, &permit, &end);
+            self.give_back(now, permit, &end, run_time);
+        }
+        match failure(&end) {
             None => {
+                self.conclude(id, flight.claim, ending(&end));
                 let done = matches!(end, End::Answered { status, .. } if status < 500);
                 self.metrics.answered(if done { Outcome::Done } else { Outcome::Failed });
                 if done {
@@ -194,9 +276,11 @@
                 self.enqueue(now, id, flight);
             }
             Verdict::Answer(Outcome::NotRun) => {
+                self.conclude(id, flight.claim, Ending::NotRun);
                 self.refuse(id, "no endpoint took it", RETRY_AFTER);
             }
             Verdict::Answer(_) => {
+                self.conclude(id, flight.claim, Ending::Unknown);
                 self.unknown(id, "the endpoint gave no whole answer", RETRY_AFTER);
             }
         }
@@ -218,13 +302,18 @@
             End::Refused { leaving: true } => self.endpoint_leaves(now, vm),
             End::Silent | End::Broken if self.monitor.suspect(now, vm) => self.probe(vm.clone()),
             End::Unsent | End::Crossed => _ = self.monitor.fail(now, vm),
-            End::Refused { .. } | End::Silent | End::Broken | End::Cut | End::Caller => {}
+            End::Refused { .. }
+            | End::Relayed
+            | End::Silent
+            | End::Broken
+            | End::Cut
+            | End::Caller => {}
         }
     }
 
     fn give_back(&mut self, now: Instant, permit: Permit, end: &End, run_time: Duration) {
         match end {
-            End::Answered { .. } | End::Unsent => self.slots.release(now, permit),
+            End::Answered { .. } | End::Relayed | End::Unsent => self.slots.release(now, permit),
             End::Refused { .. } => self.slots.refuse(now, permit),
             End::Broken | End::Cut | End::Silent | End::Crossed | End::Caller => {
                 self.slots.abandon(now, permit, now + (run_time * 2).min(MAX_REST));
@@ -268,7 +357,7 @@
             return None;
         }
         let monitor = &self.monitor;
-        let permit = self.slots.acquire(name, |vm| monitor.is_usable(vm))?;
+        let permit = self.slots.acquire(now, name, |vm| monitor.is_usable(vm))?;
         match service.queue.take(now) {
             Some(waiting) => Some((waiting.id, permit)),
             None => {
@@ -283,13 +372,12 @@
         let (Some(address), Some(mut flight)) = (address, self.flights.remove(&id)) else {
             return self.slots.release(now, permit);
         };
-        self.attempts += 1;
-        let attempt = (AttemptId::from(self.me.incarnation) << 64) | AttemptId::from(self.attempts);
+        let attempt = self.next_attempt();
         flight.attempts += 1;
         let run_time = self.service(&flight.request.service).queue.run_time(flight.request.class);
         let until = until(now, &flight, run_time);
         let vm = permit.runner.clone();
-        flight.running = Some(Attempt { id: attempt, permit });
+        flight.running = Some(Attempt { id: attempt, permit: Some(permit) });
         self.metrics.waited(flight.request.class, now.duration_since(flight.arrived));
         self.flights.insert(id, flight);
         self.actions.push(Action::Run { id, attempt, vm, address, until });
@@ -310,9 +398,17 @@
 
 fn failure(end: &End) -> Option<Failure> {
     match end {
-        End::Answered { .. } | End::Cut | End::Caller => None,
+        End::Answered { .. } | End::Relayed | End::Cut | End::Caller => None,
         End::Refused { .. } => Some(Failure::Refused),
         End::Unsent => Some(Failure::NotSent),
         End::Broken | End::Silent | End::Crossed => Some(Failure::Lost),
     }
 }
+
+/// What an answer says of an order.
+fn ending(end: &End) -> Ending {
+    match end {
+        End::Answered { kept: Some(answer), .. } => Ending::Done(answer.clone()),
+        _ => Ending::Unknown,
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -6,7 +6,7 @@
         platform::{List, Page, Progress},
         record::{Answer, Record},
         request::Request,
-        state::Verdict,
+        state::{State, Verdict},
         wire,
     },
     std::{
@@ -27,6 +27,8 @@
     Fleet,
     /// Claims to orders.
     Orders,
+    /// Snapshots of the fleet's state.
+    Snapshots,
 }
 
 /// Something that the engine must decide on.
@@ -42,6 +44,8 @@
         fingerprint: u64,
         /// Whether it can be sent a second time.
         repeatable: bool,
+        /// Whether another entry relayed it.
+        relayed: bool,
     },
     /// The caller has gone before the answer.
     Cancelled {
@@ -71,6 +75,8 @@
         /// Lowest offset that the log still holds, if it has dropped what was asked for.
         first: Option<Offset>,
     },
+    /// A state was read from the snapshots in the log.
+    Found(Box<State>),
     /// An append ended.
     Appended {
         /// Stream.
@@ -151,6 +157,8 @@
         /// Answer to keep, for an order.
         kept: Option<Answer>,
     },
+    /// Another entry answered; its word on the outcome was passed on.
+    Relayed,
     /// The endpoint said that it did not run the request.
     Refused {
         /// Whether the endpoint said that it is leaving.
@@ -186,6 +194,17 @@
         /// When to give the attempt up.
         until: Instant,
     },
+    /// Relay a request to another entry.
+    Relay {
+        /// Number of the request.
+        id: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Link of the other entry.
+        link: SocketAddr,
+        /// When to give the attempt up.
+        until: Instant,
+    },
     /// Try a new connection to an endpoint.
     Probe {
         /// Endpoint's VM.
--- a/src/request.rs
+++ b/src/request.rs
@@ -42,6 +42,16 @@
     Order,
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Quick => "quick",
+            Self::Watch => "watch",
+            Self::Order => "order",
+        })
+    }
+}
+
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -80,4 +90,6 @@
     pub deadline: Instant,
     /// Key of an order.
     pub key: Option<OrderKey>,
+    /// The caller has sent the key before.
+    pub repeat: bool,
 }
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -41,6 +41,15 @@
     pub runner: VmId,
     /// Service that the exchange is for.
     pub service: ServiceId,
+    /// When the right ends; to be checked right before the exchange is sent.
+    pub lease: Option<Instant>,
+}
+
+impl Permit {
+    /// The exchange may still be sent.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.lease.is_none_or(|end| now < end)
+    }
 }
 
 /// A runner as declared.
@@ -65,6 +74,7 @@
     floor: u64,
     audit: usize,
     audited: Instant,
+    lease: Option<Instant>,
 }
 
 impl Table {
@@ -79,13 +89,13 @@
             floor: 0,
             audit: 0,
             audited: now,
+            lease: None,
         }
     }
 
     /// Sets the standing of the availability zone's other incarnations.
     ///
-    /// The first list must be at least as new as this incarnation's own joining, so that of two
-    /// that join at the same time at least one knows the other. Those left out stay members.
+    /// The first list may come from any entry that takes part. Those left out stay members.
     pub fn set_members(
         &mut self,
         now: Instant,
@@ -98,6 +108,14 @@
         }
     }
 
+    /// Lets this incarnation take part although no other one does.
+    ///
+    /// Its list of members must be at least as new as its own joining in the log, so that of two
+    /// that join at the same time at least one knows the other.
+    pub fn set_listed(&mut self) {
+        self.group.anchor();
+    }
+
     /// Incarnations that may still run, as far as this entry knows.
     pub fn running(&self) -> impl Iterator<Item = &Peer> {
         self.group.running()
@@ -134,12 +152,24 @@
         }
     }
 
+    /// Lets this incarnation use its slots until `end` only; unlimited if never called.
+    ///
+    /// An incarnation that may be paused can be declared gone once its lease has ended: when it
+    /// goes on, it finds the lease ended and sends nothing.
+    pub fn set_lease(&mut self, end: Instant) {
+        self.lease = Some(end);
+    }
+
     /// Takes a free slot of the service on a runner that `usable` accepts, the least used first.
     pub fn acquire(
         &mut self,
+        now: Instant,
         service: &ServiceId,
         usable: impl Fn(&VmId) -> bool,
     ) -> Option<Permit> {
+        if self.lease.is_some_and(|end| end <= now) {
+            return None;
+        }
         let found = self.services.get(service)?;
         let vm = found
             .runners
@@ -149,7 +179,7 @@
             .max_by_key(|vm| self.runners[*vm].free)?
             .clone();
         self.runners.get_mut(&vm)?.acquire();
-        Some(Permit { runner: vm, service: service.clone() })
+        Some(Permit { runner: vm, service: service.clone(), lease: self.lease })
     }
 
     /// Gives back a slot whose exchange has ended on the runner.
@@ -175,7 +205,7 @@
         self.group.learn(from);
         match message.body {
             Body::Hello => self.welcome(from),
-            Body::Welcome { known } => self.note_welcome(from, &known),
+            Body::Welcome { joined, known } => self.note_welcome(from, joined, &known),
             Body::Want { service, waiting, held } => {
                 self.note_want(now, from, &service, waiting, held)
             }
@@ -184,8 +214,8 @@
             }
             Body::Taken { runner, serial } => self.note_taken(from, &runner, serial),
             Body::Count { runner, round } => self.answer_count(now, from, runner, round),
-            Body::Held { runner, round, slots, known } => {
-                self.note_held(now, from.clone(), &runner, &round, slots, &known)
+            Body::Held { runner, round, slots } => {
+                self.note_held(now, from.clone(), &runner, &round, slots)
             }
             Body::Outdated { runner, round } => self.join(now, &runner, &round),
             Body::Shed { runner, round, slots } => self.shed(&runner, &round, slots),
@@ -227,11 +257,13 @@
         self.open_runners(service).map(Runner::held).sum()
     }
 
-    /// Slots of a service that this entry can count on: those it holds, or an even part of all.
+    /// Slots of a service that this entry can count on: an even part of all, or more if it holds
+    /// more and its peers' needs leave them here.
     pub fn supply(&self, service: &ServiceId) -> u32 {
         let all: u32 = self.open_runners(service).map(|runner| runner.slots).sum();
         let entries = self.group.alive().count() as u32 + 1;
-        self.held(service).max(all.div_ceil(entries))
+        let kept = self.services.get(service).map_or(0, |found| found.part_of(all));
+        self.held(service).min(kept).max(all.div_ceil(entries))
     }
 
     /// Exchanges that this entry has on a runner.
@@ -268,12 +300,15 @@
 
     fn welcome(&mut self, from: &Peer) {
         self.group.acquaint(from);
-        let known = self.group.known();
-        self.outbox.push(group::send(from, Body::Welcome { known }));
+        let (joined, known) = (self.group.joined(), self.group.known());
+        self.outbox.push(group::send(from, Body::Welcome { joined, known }));
     }
 
-    fn note_welcome(&mut self, from: &Peer, known: &[Peer]) {
+    fn note_welcome(&mut self, from: &Peer, joined: bool, known: &[Peer]) {
         self.group.acquaint(from);
+        if joined {
+            self.group.anchor();
+        }
         known.iter().for_each(|peer| self.group.learn(peer));
     }
 
