--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -69,15 +69,13 @@
     let incoming = incoming(listener).map_err(|e| local("listen for operators", &entry, &e))?;
     let (reporter, health) = tonic_health::server::health_reporter();
     let watch = tokio::spawn(report(reporter.clone(), gate.clone()));
-    let reflection = tonic_reflection::server::Builder::configure()
-        .register_encoded_file_descriptor_set(proto::DESCRIPTOR)
-        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
-        .build_v1()
-        .map_err(|e| local("read schema", &entry, &e))?;
+    let newer = reflection().build_v1().map_err(|e| local("read schema", &entry, &e))?;
+    let older = reflection().build_v1alpha().map_err(|e| local("read schema", &entry, &e))?;
     let (stopping, stopped) = oneshot::channel();
     let serving = builder()
         .add_service(health)
-        .add_service(reflection)
+        .add_service(newer)
+        .add_service(older)
         .add_service(operator(gate))
         .serve_with_incoming_shutdown(incoming, async move {
             stop.await;
@@ -95,6 +93,13 @@
     }
 }
 
+/// Reflection in the version of today's clients and in the one of older clients.
+fn reflection() -> tonic_reflection::server::Builder<'static> {
+    tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(proto::DESCRIPTOR)
+        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
+}
+
 fn builder() -> Server {
     Server::builder()
         .timeout(CALL_TIMEOUT)
--- a/tests/operators/mod.rs
+++ b/tests/operators/mod.rs
@@ -26,13 +26,13 @@
 pub struct Entry {
     pub address: SocketAddr,
     pub log: Arc<Mutex<Log>>,
-    stop: Option<oneshot::Sender<()>>,
+    pub stop: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<rpc::Result<()>>>,
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.stop.take().unwrap().send(()).unwrap();
+        self.stop.take().map(|stop| stop.send(()));
         self.thread.take().unwrap().join().unwrap().unwrap();
     }
 }
@@ -51,7 +51,7 @@
     Ok((decided, verdict))
 }
 
-fn gate(log: Arc<Mutex<Log>>) -> Gate {
+pub fn gate(log: Arc<Mutex<Log>>) -> Gate {
     let seen = log.clone();
     Gate {
         entry: String::from("entry-a"),
@@ -76,10 +76,13 @@
 }
 
 pub fn start(lose: usize) -> Entry {
+    let log = Arc::new(Mutex::new(Log { lose, ..Default::default() }));
+    serve(log.clone(), gate(log))
+}
+
+pub fn serve(log: Arc<Mutex<Log>>, gate: Gate) -> Entry {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let log = Arc::new(Mutex::new(Log { lose, ..Default::default() }));
-    let gate = gate(log.clone());
     let (stop, stopped) = oneshot::channel::<()>();
     let thread = thread::spawn(move || {
         rpc::run(listener, gate, async move {
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -5,16 +5,19 @@
 mod operators;
 
 use {
-    crate::operators::start,
+    crate::operators::{Entry, Log, start},
     carobhitch::{
         fleet::{Budget, Declaration, Pool, Service, Vm},
         record::Body,
         rpc::{self, Client, proto},
     },
     std::{
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{Arc, Mutex},
+        thread,
         time::Duration,
     },
+    tokio::sync::Semaphore,
     tonic::{Code, Request, transport::Channel},
     tonic_health::pb::{HealthCheckRequest, health_client::HealthClient},
     tonic_reflection::pb::v1::{
@@ -171,6 +174,47 @@
     assert!(matches!(error.cause, rpc::Cause::Invalid(_)), "{error}");
 }
 
+/// An entry whose verdicts wait for a permit.
+fn start_held(release: Arc<Semaphore>) -> Entry {
+    let log = Arc::new(Mutex::new(Log::default()));
+    let mut gate = operators::gate(log.clone());
+    let submit = gate.submit;
+    gate.submit = Box::new(move |record| {
+        let (decision, release) = (submit(record), release.clone());
+        Box::pin(async move {
+            let _permit = release.acquire().await.unwrap();
+            decision.await
+        })
+    });
+    operators::serve(log, gate)
+}
+
+#[test]
+fn a_stop_finishes_the_call_in_progress() {
+    let release = Arc::new(Semaphore::new(0));
+    let mut entry = start_held(release.clone());
+    let address = entry.address;
+    let caller = thread::spawn(move || {
+        // One try: a repeated one would find the entry gone.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let mut stub = proto::operator_client::OperatorClient::new(channel(address).await);
+            let request = proto::DrainRequest { call: call("one"), vm: String::from("vm-1") };
+            stub.drain(request).await
+        })
+    });
+    while entry.log.lock().unwrap().records.is_empty() {
+        thread::yield_now();
+    }
+    entry.stop.take().unwrap().send(()).unwrap();
+    while TcpStream::connect(address).is_ok() {
+        thread::yield_now();
+    }
+    release.add_permits(1);
+    let outcome = caller.join().unwrap().unwrap().into_inner();
+    assert!(!outcome.accepted && outcome.reason.contains("vm-1"), "{}", outcome.reason);
+}
+
 async fn channel(address: SocketAddr) -> Channel {
     Channel::from_shared(format!("http://{address}")).unwrap().connect().await.unwrap()
 }
