--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -58,7 +58,7 @@
     runtime.block_on(serve(listener, gate, stop))
 }
 
-/// Serves calls until `stop` resolves; calls in progress have [`STOP_TIMEOUT`] to finish.
+/// Serves calls until `stop` resolves; calls in progress have 5 s to finish.
 pub async fn serve(
     listener: TcpListener,
     gate: Gate,
