Pass over entries that are not ready

An entry that had not read the log answered calls from an empty state: a diff against it showed the whole fleet as new. It now answers status only, and the client asks the next entry. An apply that finds nothing to change names the version it compared with, so that a lagging entry shows.

--- a/src/bin/carobhitch/app.rs
+++ b/src/bin/carobhitch/app.rs
@@ -161,7 +161,7 @@
     let derived = operation.cloned().unwrap_or_else(|| name(None));
     if changes.is_empty() {
         let done = Done { operation: derived, outcome: None, changes };
-        return print(config, &done, |_| String::from("nothing to change\n"));
+        return print(config, &done, |_| text::unchanged(current.version));
     }
     let (operation, outcome) = match put(config, &client, &declaration, version, derived)? {
         // The same content was rejected earlier, when the state may have been another.
--- a/src/bin/carobhitch/text.rs
+++ b/src/bin/carobhitch/text.rs
@@ -91,6 +91,10 @@
     )
 }
 
+pub(crate) fn unchanged(found: Option<u64>) -> String {
+    format!("nothing to change: version {} is in force\n", version(found))
+}
+
 pub(crate) fn changes(changes: &[Change], style: Style) -> String {
     if changes.is_empty() {
         return String::from("nothing to change\n");
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -13,6 +13,7 @@
         burn,
         fleet::Declaration,
         record::{Body, Record},
+        state::State,
     },
     std::{
         future::Future,
@@ -145,7 +146,16 @@
 }
 
 impl Service {
+    /// State of this entry, once it has one; another entry may be asked instead.
+    fn state(&self) -> std::result::Result<Arc<State>, Status> {
+        match (self.gate.ready)() {
+            true => Ok((self.gate.view)()),
+            false => Err(local("read state", &self.gate.entry, &"not ready").into()),
+        }
+    }
+
     async fn submit(&self, call: Option<proto::Call>, body: Body) -> Answer<proto::Outcome> {
+        self.state()?;
         let record = record(call, body)?;
         let (offset, verdict) = (self.gate.submit)(record).await?;
         Ok(Response::new(reply::outcome(offset, &verdict)))
@@ -185,7 +195,7 @@
         let proto::ApplyRequest { call, declaration, expected } = request.into_inner();
         let declaration: Declaration = serde_json::from_slice(&declaration)
             .map_err(|e| Status::invalid_argument(format!("read declaration: {e}")))?;
-        let body = body::apply(&(self.gate.view)(), declaration, expected);
+        let body = body::apply(self.state()?.as_ref(), declaration, expected);
         self.submit(call, body).await
     }
 
@@ -201,7 +211,7 @@
 
     async fn r#move(&self, request: Request<proto::MoveRequest>) -> Answer<proto::Outcome> {
         let proto::MoveRequest { call, vm, pool } = request.into_inner();
-        let body = body::relocate(&(self.gate.view)(), vm, pool)?;
+        let body = body::relocate(self.state()?.as_ref(), vm, pool)?;
         self.submit(call, body).await
     }
 
@@ -233,7 +243,7 @@
         &self,
         _: Request<proto::DeclarationRequest>,
     ) -> Answer<proto::DeclarationReply> {
-        let state = (self.gate.view)();
+        let state = self.state()?;
         let declaration = serde_json::to_vec(&state.declared())
             .map_err(|e| Status::internal(format!("write declaration: {e}")))?;
         let (version, next) = (state.version, state.next);
@@ -244,12 +254,12 @@
         &self,
         request: Request<proto::HistoryRequest>,
     ) -> Answer<proto::HistoryReply> {
-        Ok(Response::new(reply::history(&(self.gate.view)(), request.get_ref())))
+        Ok(Response::new(reply::history(self.state()?.as_ref(), request.get_ref())))
     }
 
     async fn burn(&self, request: Request<proto::BurnRequest>) -> Answer<proto::BurnReply> {
         let windows = body::windows(request.get_ref())?;
-        let state = (self.gate.view)();
+        let state = self.state()?;
         let now = now().max(state.clock);
         let report = burn::report(&burn::promises(&state), &state.ledger, &windows, now);
         Ok(Response::new(reply::burn(&report)))
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -106,7 +106,8 @@
     let after = call(entry.address, &["--json", "diff", path]);
     assert_eq!(json(&after), Value::Array(Vec::new()));
     let again = call(entry.address, &["apply", path]);
-    assert_eq!((status(&again), text(&again.stdout).as_str()), (0, "nothing to change\n"));
+    let unchanged = "nothing to change: version 0 is in force\n";
+    assert_eq!((status(&again), text(&again.stdout).as_str()), (0, unchanged));
     assert_eq!(entry.log.lock().unwrap().records.len(), 1);
 }
 
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -108,6 +108,22 @@
     assert!(apply(&client(&[dead, entry.address]), "one", None).accepted);
 }
 
+#[test]
+fn an_entry_that_is_not_ready_is_passed_over() {
+    let log = Arc::new(Mutex::new(Log::default()));
+    let mut gate = operators::gate(log.clone());
+    gate.ready = Box::new(|| false);
+    let waiting = operators::serve(log, gate);
+    let entry = start(0);
+    assert!(apply(&client(&[waiting.address, entry.address]), "one", None).accepted);
+    assert!(waiting.log.lock().unwrap().records.is_empty());
+    let error = drain(&client(&[waiting.address]), "two", "vm-1").unwrap_err();
+    assert!(
+        error.to_string().ends_with("unavailable: read state at entry-a: not ready"),
+        "{error}"
+    );
+}
+
 #[test]
 fn a_rejected_drain_says_why() {
     let entry = start(0);
