Hold declaration files, differences and the state machine together

Random pairs of declarations go through the state machine: what is in force afterwards differs in nothing from the accepted one, and a repeated operation with other content changes nothing.

--- a/tests/declaration.rs
+++ b/tests/declaration.rs
@@ -7,6 +7,8 @@
         declaration,
         diff::{self, Effect, Kind},
         fleet::{Budget, Declaration, Pool, Service, Team, Vm, Wave},
+        record::{Body, Record},
+        state::{State, Verdict},
     },
     indexmap::IndexMap,
     proptest::{
@@ -14,6 +16,7 @@
         prelude::*,
         test_runner::{Config, RngSeed},
     },
+    std::time::Duration,
 };
 
 const SOUND: &str = r#"
@@ -137,6 +140,15 @@
     }
 }
 
+fn record(operation: &str, declaration: &Declaration, expected: Option<u64>) -> Record {
+    Record {
+        operation: String::from(operation),
+        author: String::from("astrid"),
+        at: Duration::from_secs(1),
+        body: Body::Declare { declaration: Box::new(declaration.clone()), expected },
+    }
+}
+
 proptest! {
     #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), ..Config::default() })]
 
@@ -158,4 +170,20 @@
         let there = diff::between(&old, &new).len();
         prop_assert_eq!(there, diff::between(&new, &old).len());
     }
+
+    #[test]
+    fn an_accepted_declaration_leaves_no_difference_and_repeats_without_effect(
+        old in declared(String::from("desk")),
+        new in declared(String::from("desk")),
+    ) {
+        let mut state = State::default();
+        prop_assert_eq!(state.apply(0, &record("one", &old, None)), Verdict::Accepted);
+        prop_assert!(diff::between(&state.declared(), &old).is_empty());
+        let verdict = state.apply(1, &record("two", &new, Some(0)));
+        let wanted = if verdict == Verdict::Accepted { &new } else { &old };
+        prop_assert!(diff::between(&state.declared(), wanted).is_empty());
+        let before = state.clone();
+        prop_assert_eq!(state.apply(2, &record("two", &old, Some(1))), verdict);
+        prop_assert_eq!(State { next: 2, ..state }, before);
+    }
 }
