--- a/src/server/intake.rs
+++ b/src/server/intake.rs
@@ -6,13 +6,18 @@
         body,
         exchange::Body,
         request::{
-            CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, Request, TEAM_HEADER,
+            CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, REPEAT_HEADER, Request,
+            TEAM_HEADER,
         },
         settings::Limits,
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::{HeaderMap, Method, Uri, body::Body as _},
+    hyper::{
+        HeaderMap, Method, Uri,
+        body::Body as _,
+        header::{CONTENT_LENGTH, HeaderValue},
+    },
     siphasher::sip::SipHasher13,
     std::{
         hash::{Hash, Hasher},
@@ -48,7 +53,9 @@
     };
     let deadline = now + Duration::from_millis(deadline.min(MAX_DEADLINE_MS));
     let (service, team) = (service.to_string(), team.to_string());
-    Ok(Request { service, team, class, deadline, key: key.map(str::to_string) })
+    let key = key.map(str::to_string);
+    let repeat = headers.contains_key(REPEAT_HEADER);
+    Ok(Request { service, team, class, deadline, key, repeat })
 }
 
 /// Longest deadline in milliseconds; a later one is cut to it.
@@ -91,12 +98,13 @@
 }
 
 impl Source {
-    /// Tells requests with the same order key apart.
+    /// Tells requests with the same order key apart; the same however the body arrived.
     pub(super) fn fingerprint(&self) -> u64 {
         let mut hasher = SipHasher13::new();
         self.method.hash(&mut hasher);
         self.uri.path_and_query().map(|p| p.as_str()).hash(&mut hasher);
-        self.held.hash(&mut hasher);
+        self.headers.get(CONTENT_LENGTH).map(HeaderValue::as_bytes).hash(&mut hasher);
+        self.held[..self.held.len().min(PREFETCH_BYTES)].hash(&mut hasher);
         hasher.finish()
     }
 
