--- a/benches/buffer.rs
+++ b/benches/buffer.rs
@@ -5,14 +5,16 @@
 
 use {
     carobhitch::buffer::{Planner, Weighting},
-    demand::{
-        Cost, Demand, Policy, TODAY, TODAY_SPARE, clairvoyant, fewest, hourly_peaks, peaks, run,
+    model::{
+        bound::{clairvoyant, fewest, hourly_peaks, peaks},
+        demand::{Demand, TODAY, TODAY_SPARE},
+        supply::{Cost, Policy, run},
     },
     std::time::Duration,
 };
 
-#[path = "../tests/support/demand.rs"]
-mod demand;
+#[path = "support/mod.rs"]
+mod model;
 
 const HOURS: usize = 26;
 /// Seconds that are not measured, while the planner learns.
--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -267,7 +267,7 @@
         let before = resident_bytes();
         let mut planner = Planner::new(Duration::from_secs(60));
         for second in 0..WINDOW {
-            let need = |pool: usize| if (second / 20 + pool) % 5 == 0 { 20 } else { 1 };
+            let need = |pool: usize| if (second / 20 + pool).is_multiple_of(5) { 20 } else { 1 };
             planner.observe(&(0..pools).map(|p| (format!("pool-{p}"), need(p))).collect());
         }
         let (_, time) = timed(|| planner.replan(Instant::now()));
--- a/tests/buffer.rs
+++ b/tests/buffer.rs
@@ -5,15 +5,19 @@
         buffer::{MIN_SAMPLES, Move, Planner, Standing, Weighting},
         id::PoolId,
     },
-    demand::{Cost, Demand, Policy, TODAY, TODAY_SPARE, name, peaks, run},
     indexmap::IndexMap,
+    model::{
+        bound::peaks,
+        demand::{Demand, TODAY, TODAY_SPARE, name},
+        supply::{Cost, Policy, run},
+    },
     proptest::prelude::*,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::time::{Duration, Instant},
 };
 
-#[path = "support/demand.rs"]
-mod demand;
+#[path = "../benches/support/mod.rs"]
+mod model;
 mod support;
 
 const HOURS: usize = 6;
--- a/tests/diagnose.rs
+++ b/tests/diagnose.rs
@@ -91,75 +91,114 @@
     judge
 }
 
-/// Runs jobs, one a second and up to 20 at once in flight, each for 10 s.
-fn play(seed: u64, correlated: bool, naive: bool) -> Score {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let truth = Truth::draw(&mut rng, correlated);
-    let (mut judge, begin) = (judge(), Instant::now());
-    let mut streaks = vec![0_u32; WORKERS as usize];
-    let (mut closed, mut ever) = (HashSet::new(), HashSet::new());
-    let mut score = Score::default();
-    let mut waiting: Vec<(u32, Vec<Key>)> = Vec::new();
-    for at in 0..JOBS + 200 {
-        let now = begin + Duration::from_secs(u64::from(at) * 2);
-        if at < JOBS {
-            waiting.push((at, Vec::new()));
-        }
-        for worker in judge.probes(now) {
-            closed.remove(&worker);
+/// Jobs that run on random open workers until they end or are given up.
+struct Game {
+    rng: SmallRng,
+    truth: Truth,
+    judge: Judge,
+    /// Counts three failures in place of the judge.
+    naive: bool,
+    streaks: Vec<u32>,
+    closed: HashSet<Key>,
+    ever_closed: HashSet<Key>,
+    score: Score,
+}
+
+impl Game {
+    fn new(seed: u64, correlated: bool, naive: bool) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let truth = Truth::draw(&mut rng, correlated);
+        Self {
+            rng,
+            truth,
+            judge: judge(),
+            naive,
+            streaks: vec![0; WORKERS as usize],
+            closed: HashSet::new(),
+            ever_closed: HashSet::new(),
+            score: Score::default(),
         }
-        for (job, mut tried) in std::mem::take(&mut waiting) {
-            let open: Vec<Key> =
-                (0..WORKERS).filter(|w| !closed.contains(w) && !tried.contains(w)).collect();
-            let worker = open[rng.random_range(0..open.len())];
-            let name = format!("j{job}");
-            let sound = !truth.bad_jobs.contains(&job);
-            if !truth.fails(&mut rng, worker, job, at) {
-                streaks[worker as usize] = 0;
-                judge.succeeded(now, worker, &name);
-                score.sound_jobs += 1;
-                continue;
+    }
+
+    /// One job a step, and the retries of the step before.
+    fn play(mut self) -> Score {
+        let (begin, mut waiting) = (Instant::now(), Vec::new());
+        for at in 0..JOBS + 200 {
+            let now = begin + Duration::from_secs(u64::from(at) * 2);
+            if at < JOBS {
+                waiting.push((at, Vec::new()));
             }
-            tried.push(worker);
-            score.most_tries = score.most_tries.max(tried.len());
-            streaks[worker as usize] += 1;
-            let verdict = match (naive, judge.failed(now, worker, &name)) {
-                (false, verdict) => verdict,
-                (true, _) if tried.len() >= 3 => Verdict::Impossible,
-                (true, _) => Verdict::Retry,
-            };
-            let aside = match naive {
-                true => streaks[worker as usize] >= 3,
-                false => judge.set_aside(now, worker),
-            };
-            if aside {
-                closed.insert(worker);
-                ever.insert(worker);
+            for worker in self.judge.probes(now) {
+                self.closed.remove(&worker);
             }
-            match verdict {
-                Verdict::Retry => waiting.push((job, tried)),
-                _ if sound => {
-                    score.sound_jobs += 1;
-                    score.sound_jobs_dropped += 1;
-                }
-                verdict => {
-                    score.bad_jobs += 1;
-                    score.tries_of_bad_jobs += tried.len();
-                    score.bad_jobs_missed += u32::from(verdict == Verdict::GiveUp);
-                }
+            let runs = std::mem::take(&mut waiting);
+            waiting = runs.into_iter().filter_map(|(job, on)| self.run(now, at, job, on)).collect();
+            self.score.most_aside = self.score.most_aside.max(self.judge.aside(0));
+        }
+        self.score.sound_workers_aside =
+            self.ever_closed.difference(&self.truth.bad_workers).count();
+        self.score.bad_workers = self.truth.bad_workers.len();
+        self.score.bad_workers_missed =
+            self.truth.bad_workers.difference(&self.ever_closed).count();
+        self.score
+    }
+
+    /// Runs a job on a worker that it did not fail on; returns it if it is to be tried again.
+    fn run(
+        &mut self,
+        now: Instant,
+        at: u32,
+        job: u32,
+        mut tried: Vec<Key>,
+    ) -> Option<(u32, Vec<Key>)> {
+        let open: Vec<Key> =
+            (0..WORKERS).filter(|w| !self.closed.contains(w) && !tried.contains(w)).collect();
+        let worker = open[self.rng.random_range(0..open.len())];
+        if !self.truth.fails(&mut self.rng, worker, job, at) {
+            self.streaks[worker as usize] = 0;
+            self.judge.succeeded(now, worker, &format!("j{job}"));
+            self.score.sound_jobs += 1;
+            return None;
+        }
+        tried.push(worker);
+        self.score.most_tries = self.score.most_tries.max(tried.len());
+        match self.fail(now, worker, job, tried.len()) {
+            Verdict::Retry => return Some((job, tried)),
+            _ if !self.truth.bad_jobs.contains(&job) => {
+                self.score.sound_jobs += 1;
+                self.score.sound_jobs_dropped += 1;
+            }
+            verdict => {
+                self.score.bad_jobs += 1;
+                self.score.tries_of_bad_jobs += tried.len();
+                self.score.bad_jobs_missed += u32::from(verdict == Verdict::GiveUp);
             }
         }
-        score.most_aside = score.most_aside.max(judge.aside(0));
+        None
+    }
+
+    fn fail(&mut self, now: Instant, worker: Key, job: u32, tries: usize) -> Verdict {
+        self.streaks[worker as usize] += 1;
+        let verdict = match (self.naive, self.judge.failed(now, worker, &format!("j{job}"))) {
+            (false, verdict) => verdict,
+            (true, _) if tries >= 3 => Verdict::Impossible,
+            (true, _) => Verdict::Retry,
+        };
+        let aside = match self.naive {
+            true => self.streaks[worker as usize] >= 3,
+            false => self.judge.set_aside(now, worker),
+        };
+        if aside {
+            self.closed.insert(worker);
+            self.ever_closed.insert(worker);
+        }
+        verdict
     }
-    score.sound_workers_aside = ever.difference(&truth.bad_workers).count();
-    score.bad_workers = truth.bad_workers.len();
-    score.bad_workers_missed = truth.bad_workers.difference(&ever).count();
-    score
 }
 
 fn total(correlated: bool, naive: bool) -> Score {
     let mut score = Score::default();
-    (0..20).for_each(|seed| score.add(&play(seed, correlated, naive)));
+    (0..20).for_each(|seed| score.add(&Game::new(seed, correlated, naive).play()));
     score
 }
 
