--- a/src/eject.rs
+++ b/src/eject.rs
@@ -92,6 +92,12 @@
         self.endpoints.get(vm).is_some_and(|e| !e.ejected() && e.leaving.is_empty())
     }
 
+    /// Some endpoint of the service is neither ejected nor leaving.
+    pub fn has_usable(&self, service: &ServiceId) -> bool {
+        let vms = self.services.get(service);
+        vms.is_some_and(|vms| vms.iter().any(|vm| self.is_usable(vm)))
+    }
+
     /// The endpoint is ejected.
     pub fn is_ejected(&self, vm: &VmId) -> bool {
         self.endpoints.get(vm).is_some_and(Endpoint::ejected)
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -7,7 +7,7 @@
 use {
     super::Engine,
     crate::{
-        admit::{self, Queue, Supply, Waiting},
+        admit::{self, Queue, Waiting},
         event::{Action, End, Finish, RequestId},
         id::{AttemptId, ServiceId, ZoneId},
         member::Health,
@@ -123,7 +123,7 @@
     /// Another entry to relay to, if this one can't serve the request.
     fn better_entry(&self, now: Instant, flight: &Flight) -> Option<SocketAddr> {
         let service = &flight.request.service;
-        if flight.relayed || (self.joined() && self.slots.supply(service) > 0) {
+        if flight.relayed || (self.joined() && self.supply(service).slots > 0) {
             return None;
         }
         let state = self.shared.state();
@@ -163,7 +163,7 @@
             arrived: flight.arrived,
             deadline: request.deadline,
         };
-        let supply = Supply { slots: self.slots.supply(&request.service) };
+        let supply = self.supply(&request.service);
         let service = self.service(&request.service.clone());
         match service.queue.offer(now, waiting, supply) {
             Ok(()) => {
@@ -323,13 +323,13 @@
 
     /// Gives up the requests that can't make their deadlines any more, at once.
     pub(super) fn expire(&mut self, now: Instant) {
-        for index in 0..self.services.len() {
-            let supply = self.services.get_index(index).map(|(name, _)| self.slots.supply(name));
-            let expired = self.services.get_index_mut(index).map(|(_, service)| {
-                service.queue.set_supply(Supply { slots: supply.unwrap_or(0) });
-                service.queue.expire(now)
-            });
-            for (waiting, refusal) in expired.unwrap_or_default() {
+        let names: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for name in names {
+            let supply = self.supply(&name);
+            let queue = &mut self.service(&name).queue;
+            queue.set_supply(supply);
+            let expired = queue.expire(now);
+            for (waiting, refusal) in expired {
                 if let Some(flight) = self.flights.remove(&waiting.id) {
                     self.metrics.refused(refusal.reason.word());
                     self.give_up(waiting.id, &flight, &refusal);
--- a/src/engine/routes.rs
+++ b/src/engine/routes.rs
@@ -3,9 +3,10 @@
 use {
     super::Engine,
     crate::{
+        admit::Supply,
         eject::Word,
         event::Action,
-        id::VmId,
+        id::{ServiceId, VmId},
         member::Health,
         platform::{self, List},
         slot::{Listed, Standing},
@@ -50,6 +51,12 @@
         }
     }
 
+    /// Slots that this entry can count on; none while no endpoint takes work.
+    pub(super) fn supply(&self, service: &ServiceId) -> Supply {
+        let usable = self.monitor.has_usable(service);
+        Supply { slots: if usable { self.slots.supply(service) } else { 0 } }
+    }
+
     /// Tells the slots' table who else is there.
     pub(super) fn learn_standings(&mut self, now: Instant) {
         if !self.joined() {
@@ -68,6 +75,7 @@
             })
             .collect();
         self.slots.set_members(now, standings);
+        self.slots.set_listed();
         self.slots.tick(now);
     }
 
--- /dev/null
+++ b/standin/tests/entries.rs
@@ -0,0 +1,127 @@
+//! What callers see while entries are killed, paused, stopped and started.
+
+mod fleet;
+
+use {
+    carobhitch_standin::fault,
+    fleet::{Fleet, run, wait},
+    std::{
+        io::{Read, Write},
+        net::TcpStream,
+        thread::sleep,
+        time::Duration,
+    },
+};
+
+const ZONES: &[(&str, usize, usize)] = &[("a", 2, 2), ("b", 1, 1)];
+const LOAD: Duration = Duration::from_secs(4);
+
+fn secs(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs)
+}
+
+#[test]
+fn a_killed_entry_loses_no_request_and_doubles_no_order() {
+    let mut fleet = Fleet::start("killed", ZONES);
+    let report = run(fleet.load(LOAD, &[0]), || {
+        sleep(secs(1.0));
+        fleet.entries[0].kill();
+    });
+    assert!(report.holds(), "{report}");
+}
+
+#[test]
+fn an_entry_killed_and_started_with_empty_memory_doubles_no_order() {
+    let mut fleet = Fleet::start("restarted", ZONES);
+    let report = run(fleet.load(LOAD, &[0]), || {
+        for _ in 0..2 {
+            sleep(secs(1.0));
+            fleet.entries[0].restart();
+        }
+    });
+    assert!(report.holds(), "{report}");
+    wait("the restarted entry to be ready", || fleet.entries[0].is_ready());
+}
+
+#[test]
+fn a_paused_entry_doubles_no_order_when_it_goes_on() {
+    let fleet = Fleet::start("paused", ZONES);
+    let report = run(fleet.load(secs(6.0), &[0]), || {
+        sleep(secs(1.0));
+        fleet.entries[0].signal("STOP");
+        sleep(secs(3.0));
+        fleet.entries[0].signal("CONT");
+    });
+    assert_eq!(report.audit.doubled, 0, "{report}");
+    assert_eq!(report.audit.false_not_run, 0, "{report}");
+    assert!(report.audit.most_in_flight <= 8, "{report}");
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request_and_exits_well() {
+    let mut fleet = Fleet::start("stopped", ZONES);
+    let mut status = None;
+    let report = run(fleet.load(LOAD, &[]), || {
+        sleep(secs(1.0));
+        status = Some(fleet.entries[0].stop());
+    });
+    assert!(report.holds(), "{report}");
+    assert!(status.is_some_and(|s| s.success()), "{status:?}");
+}
+
+#[test]
+fn a_planned_stop_waits_neither_for_idle_connections_nor_for_half_a_request() {
+    let mut fleet = Fleet::start("idle", &[("a", 1, 1)]);
+    let address = fleet.entries[0].callers;
+    let mut idle = TcpStream::connect(address).expect("connect");
+    idle.write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n").expect("ask");
+    let mut beginning = [0; 15];
+    idle.read_exact(&mut beginning).expect("read an answer");
+    assert_eq!(&beginning, b"HTTP/1.1 200 OK");
+    let mut half = TcpStream::connect(address).expect("connect");
+    half.write_all(b"POST /quotes/x HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nhal")
+        .expect("send half a body");
+    sleep(secs(0.2));
+    assert!(fleet.entries[0].stop().success());
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).expect("read what was said of half a body");
+    assert!(answer.contains("carobhitch-outcome: not-run"), "{answer}");
+}
+
+#[test]
+fn a_fresh_entry_starts_from_a_peer_while_the_log_is_out() {
+    let mut fleet = Fleet::start("fresh", ZONES);
+    fleet.platform_faults(&fault::Platform { outage_ms: 60_000, ..Default::default() });
+    let fresh = fleet.add_entry("a", "entry-fresh");
+    wait("the fresh entry to be ready", || fleet.entries[fresh].is_ready());
+    let version = |n: usize| fleet.entries[n].status().map(|s| s["version"].clone());
+    assert_eq!(version(fresh), version(0));
+    let mut load = fleet.load(secs(1.0), &[]);
+    load.entries = vec![fleet.entries[fresh].callers];
+    load.groups.truncate(2);
+    let report = run(load, || {});
+    assert!(report.holds(), "{report}");
+}
+
+#[test]
+fn a_fresh_entry_without_a_source_is_not_ready() {
+    let mut fleet = Fleet::start("alone", &[("a", 1, 1)]);
+    fleet.platform_faults(&fault::Platform { outage_ms: 60_000, ..Default::default() });
+    fleet.entries[0].kill();
+    let fresh = fleet.add_entry("a", "entry-fresh");
+    wait("the fresh entry to run", || fleet.entries[fresh].status().is_some());
+    sleep(secs(2.0));
+    assert!(!fleet.entries[fresh].is_ready());
+}
+
+#[test]
+fn a_fresh_entry_starts_from_a_snapshot_when_the_log_has_dropped_its_first_records() {
+    let mut fleet = Fleet::keeping("snapshot", &[("a", 1, 1)], 8);
+    for _ in 0..10 {
+        fleet.declare();
+    }
+    let fresh = fleet.add_entry("a", "entry-fresh");
+    wait("the fresh entry to be ready", || fleet.entries[fresh].is_ready());
+    let version = |n: usize| fleet.entries[n].status().map(|s| s["version"].clone());
+    assert_eq!(version(fresh), version(0));
+}
