--- a/src/admit/lane.rs
+++ b/src/admit/lane.rs
@@ -103,14 +103,14 @@
         let position =
             queue.map_or(0, |q| q.partition_point(|other| other.deadline <= waiting.deadline));
         if !(offer.idle && self.waiting == 0) {
-            let wait = pace.wait(position, self.waiting);
+            let wait = pace.wait(position);
             let allowed = self.latest(&waiting).saturating_duration_since(now);
             if wait > allowed * offer.wait_percent / 100 {
                 return Err(wait);
             }
             let delays_others = queue.into_iter().flatten().skip(position).enumerate();
             let mut delays_others = delays_others.filter(|(index, other)| {
-                now + pace.wait(position + index + 1, self.waiting + 1) > self.latest(other)
+                now + pace.wait(position + index + 1) > self.latest(other)
             });
             if delays_others.next().is_some() {
                 return Err(wait);
@@ -201,10 +201,9 @@
                 _ => continue,
             };
             let pace = self.pace(&team, weight, slots, expected);
-            let waiting = self.waiting;
             let mut kept = 0;
             self.flows[index].queue.retain(|request| {
-                let wait = pace.wait(kept, waiting);
+                let wait = pace.wait(kept);
                 if now + wait / speedup > latest(request, margin) {
                     expired.push((request.clone(), wait));
                     return false;
@@ -221,30 +220,28 @@
         latest(waiting, self.run.margin())
     }
 
+    /// A team gets the slots that the others leave, and at least its share among those that wait.
     fn pace(&self, team: &TeamId, weight: u32, slots: u32, expected: Duration) -> Pace {
-        let others: u32 = self
-            .flows
-            .iter()
-            .filter(|(other, flow)| *other != team && !flow.queue.is_empty())
-            .map(|(_, flow)| flow.weight)
-            .sum();
-        Pace { start_secs: expected.as_secs_f64() / f64::from(slots.max(1)), weight, others }
+        let others = || self.flows.iter().filter(|(other, _)| *other != team);
+        let waiting = others().filter(|(_, flow)| !flow.queue.is_empty());
+        let weights: u32 = waiting.map(|(_, flow)| flow.weight).sum();
+        let running: u32 = others().map(|(_, flow)| flow.running).sum();
+        let share = f64::from(slots) * f64::from(weight) / f64::from(weight + weights);
+        let left = f64::from(slots.saturating_sub(running));
+        Pace { run_secs: expected.as_secs_f64(), slots: share.max(left) }
     }
 }
 
 /// How fast a team's requests start.
 struct Pace {
-    start_secs: f64,
-    weight: u32,
-    others: u32,
+    run_secs: f64,
+    slots: f64,
 }
 
 impl Pace {
-    /// Projected wait at a position of the team's queue, while `waiting` requests of all teams wait.
-    fn wait(&self, position: usize, waiting: usize) -> Duration {
-        let share = f64::from(self.weight) / f64::from(self.weight + self.others);
-        let starts = ((position + 1) as f64 / share).min((waiting + 1) as f64);
-        Duration::from_secs_f64(self.start_secs * starts)
+    /// Projected wait at a position of the team's queue.
+    fn wait(&self, position: usize) -> Duration {
+        Duration::from_secs_f64(self.run_secs * (position + 1) as f64 / self.slots)
     }
 }
 
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -279,13 +279,16 @@
     }
 
     fn slots_for(&self, class: Class) -> u32 {
-        let rest = self.supply.slots.saturating_sub(self.watch.running()).max(1);
+        let watches = match self.watch.running() as usize + self.watch.waiting() {
+            0 => 0,
+            _ => self.watch.running().max(self.watch_floor()),
+        };
+        let rest = self.supply.slots.saturating_sub(watches).max(1);
         match class {
             Class::Watch if self.quick.waiting() + self.order.waiting() > 0 => self.watch_floor(),
             Class::Watch => self.watch_cap(),
-            Class::Quick if self.order.waiting() > 0 => rest.div_ceil(2),
-            Class::Order if self.quick.waiting() > 0 => rest.div_ceil(2),
-            Class::Quick | Class::Order => rest,
+            Class::Quick => rest.saturating_sub(self.order.running()).max(rest.div_ceil(2)),
+            Class::Order => rest.saturating_sub(self.quick.running()).max(rest.div_ceil(2)),
         }
     }
 
