--- a/standin/src/tally.rs
+++ b/standin/src/tally.rs
@@ -166,8 +166,11 @@
 }
 
 impl Report {
-    /// Nothing was lost, doubled or cut, and every outcome told was true.
+    /// Every class was served, nothing was lost, doubled or cut, and every outcome told was true.
     pub fn holds(&self) -> bool {
+        if self.rows.values().any(|r| r.sent > 0 && r.answered == 0) {
+            return false;
+        }
         let Audit { doubled, false_not_run, unrun, .. } = self.audit;
         let rows = self.rows.values();
         rows.map(|r| r.lost + r.cut).sum::<u64>() + doubled + false_not_run + unrun == 0
