--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -13,6 +13,7 @@
         burn,
         fleet::Declaration,
         record::{Body, Record},
+        state::State,
     },
     std::{
         future::Future,
@@ -58,7 +59,7 @@
     runtime.block_on(serve(listener, gate, stop))
 }
 
-/// Serves calls until `stop` resolves; calls in progress have [`STOP_TIMEOUT`] to finish.
+/// Serves calls until `stop` resolves; calls in progress have 5 s to finish.
 pub async fn serve(
     listener: TcpListener,
     gate: Gate,
@@ -69,15 +70,13 @@
     let incoming = incoming(listener).map_err(|e| local("listen for operators", &entry, &e))?;
     let (reporter, health) = tonic_health::server::health_reporter();
     let watch = tokio::spawn(report(reporter.clone(), gate.clone()));
-    let reflection = tonic_reflection::server::Builder::configure()
-        .register_encoded_file_descriptor_set(proto::DESCRIPTOR)
-        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
-        .build_v1()
-        .map_err(|e| local("read schema", &entry, &e))?;
+    let newer = reflection().build_v1().map_err(|e| local("read schema", &entry, &e))?;
+    let older = reflection().build_v1alpha().map_err(|e| local("read schema", &entry, &e))?;
     let (stopping, stopped) = oneshot::channel();
     let serving = builder()
         .add_service(health)
-        .add_service(reflection)
+        .add_service(newer)
+        .add_service(older)
         .add_service(operator(gate))
         .serve_with_incoming_shutdown(incoming, async move {
             stop.await;
@@ -95,6 +94,13 @@
     }
 }
 
+/// Reflection in the version of today's clients and in the one of older clients.
+fn reflection() -> tonic_reflection::server::Builder<'static> {
+    tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(proto::DESCRIPTOR)
+        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
+}
+
 fn builder() -> Server {
     Server::builder()
         .timeout(CALL_TIMEOUT)
@@ -140,7 +146,16 @@
 }
 
 impl Service {
+    /// State of this entry, once it has one; another entry may be asked instead.
+    fn state(&self) -> std::result::Result<Arc<State>, Status> {
+        match (self.gate.ready)() {
+            true => Ok((self.gate.view)()),
+            false => Err(local("read state", &self.gate.entry, &"not ready").into()),
+        }
+    }
+
     async fn submit(&self, call: Option<proto::Call>, body: Body) -> Answer<proto::Outcome> {
+        self.state()?;
         let record = record(call, body)?;
         let (offset, verdict) = (self.gate.submit)(record).await?;
         Ok(Response::new(reply::outcome(offset, &verdict)))
@@ -180,7 +195,7 @@
         let proto::ApplyRequest { call, declaration, expected } = request.into_inner();
         let declaration: Declaration = serde_json::from_slice(&declaration)
             .map_err(|e| Status::invalid_argument(format!("read declaration: {e}")))?;
-        let body = body::apply(&(self.gate.view)(), declaration, expected);
+        let body = body::apply(self.state()?.as_ref(), declaration, expected);
         self.submit(call, body).await
     }
 
@@ -196,7 +211,7 @@
 
     async fn r#move(&self, request: Request<proto::MoveRequest>) -> Answer<proto::Outcome> {
         let proto::MoveRequest { call, vm, pool } = request.into_inner();
-        let body = body::relocate(&(self.gate.view)(), vm, pool)?;
+        let body = body::relocate(self.state()?.as_ref(), vm, pool)?;
         self.submit(call, body).await
     }
 
@@ -228,7 +243,7 @@
         &self,
         _: Request<proto::DeclarationRequest>,
     ) -> Answer<proto::DeclarationReply> {
-        let state = (self.gate.view)();
+        let state = self.state()?;
         let declaration = serde_json::to_vec(&state.declared())
             .map_err(|e| Status::internal(format!("write declaration: {e}")))?;
         let (version, next) = (state.version, state.next);
@@ -239,12 +254,12 @@
         &self,
         request: Request<proto::HistoryRequest>,
     ) -> Answer<proto::HistoryReply> {
-        Ok(Response::new(reply::history(&(self.gate.view)(), request.get_ref())))
+        Ok(Response::new(reply::history(self.state()?.as_ref(), request.get_ref())))
     }
 
     async fn burn(&self, request: Request<proto::BurnRequest>) -> Answer<proto::BurnReply> {
         let windows = body::windows(request.get_ref())?;
-        let state = (self.gate.view)();
+        let state = self.state()?;
         let now = now().max(state.clock);
         let report = burn::report(&burn::promises(&state), &state.ledger, &windows, now);
         Ok(Response::new(reply::burn(&report)))
