Follow tasks that another controller started, and flood a fleet

Cause: after a change of controller a start that was already on its way runs on the first controller's worker, while the second one held another worker for it: the room of the first could be given away.

The scheduler now follows a task to the worker that usage names. Also shown: a team that floods the fleet keeps no other of 170 teams from its quota.

--- a/src/buffer.rs
+++ b/src/buffer.rs
@@ -232,11 +232,11 @@
 
     /// For each level, the rises of a pool's need above it after a time below.
     fn crossings(&self, pool: usize) -> Vec<u32> {
-        let mut below = vec![RETURN_AFTER; usize::from(u16::MAX)];
-        let mut counts = Vec::new();
+        let (mut below, mut counts) = (Vec::new(), Vec::new());
         for sample in &self.samples {
             let need = usize::from(at(sample, pool));
             counts.resize(counts.len().max(need), 0);
+            below.resize(counts.len(), RETURN_AFTER);
             for (level, count) in counts.iter_mut().enumerate() {
                 if level >= need {
                     below[level] += 1;
--- a/src/place/usage.rs
+++ b/src/place/usage.rs
@@ -64,6 +64,9 @@
         if task.worker == NONE {
             return;
         }
+        if let Some(key) = self.roster.key(&report.worker).filter(|key| *key != task.worker) {
+            return self.relocate(slot, key);
+        }
         let limit = u64::from(task.held.millicores);
         let wants_more = report.millicores * 100 >= limit * AT_LIMIT_PERCENT;
         let millicores = if wants_more { report.millicores * 3 / 2 } else { report.millicores };
@@ -84,6 +87,19 @@
         }
     }
 
+    /// Follows a task to the worker that runs it. A controller before this one may have started the
+    /// attempt there; the start from here then had no effect, since it bore the same name.
+    fn relocate(&mut self, slot: u32, to: Key) {
+        let Some(task) = self.tasks[slot as usize].as_mut() else { return };
+        let from = std::mem::replace(&mut task.worker, to);
+        let (kind, held, class) = (task.kind, task.held, task.class);
+        self.roster.free(from, kind, &held, class);
+        self.roster.detach(from, slot);
+        self.roster.hold(to, kind, &held, class);
+        self.roster.attach(to, slot);
+        self.changed.insert(self.roster.place(from).pool);
+    }
+
     /// Lets a running task hold what it uses; others give way if the worker is too small.
     fn hold_memory(&mut self, now: Instant, slot: u32, memory_bytes: u64) {
         let Some(task) = self.task_mut(slot) else { return };
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -3,7 +3,7 @@
 use {
     carobhitch::{
         job::{Job, Priority, Size},
-        place::{Action, LEASE, Outcome, Verb, index::Grid},
+        place::{Action, LEASE, Outcome, Scheduler, Verb, index::Grid},
         platform::Progress,
     },
     proptest::prelude::*,
@@ -144,6 +144,63 @@
     assert_eq!(fake.scheduler.adopt(now, &once("j"), 2, &"w1".into()), []);
 }
 
+#[test]
+fn a_new_controller_starts_nothing_twice_and_follows_tasks_to_their_workers() {
+    let slow_start = |action: &Action| match action.verb {
+        Verb::Start => Fate::After(SECOND),
+        _ => prompt(action),
+    };
+    let mut fake = Fake::new(slow_start, runs(600));
+    add_workers(&mut fake.scheduler, "pool", 6);
+    let jobs: Vec<Job> = (0..12).map(|i| once(&format!("j{i}"))).collect();
+    jobs[..6].iter().for_each(|job| fake.submit(job));
+    fake.advance(3 * SECOND);
+    jobs[6..].iter().for_each(|job| fake.submit(job));
+    fake.advance(Duration::from_millis(400));
+    // The second half is on its way when another controller takes over, with workers in another
+    // order, so that it chooses others.
+    fake.scheduler = Scheduler::default();
+    (0..6).rev().for_each(|i| {
+        let vm = support::vm("pool", i % 3, i / 12);
+        fake.scheduler.add_worker(&format!("w{i}"), &vm, size(16_000, 64));
+    });
+    for report in fake.reports() {
+        let job = jobs.iter().find(|job| report.task == format!("{}.0", job.id)).unwrap();
+        fake.scheduler.adopt(fake.now, job, 0, &report.worker);
+    }
+    jobs.iter().for_each(|job| fake.submit(job));
+    fake.advance(5 * SECOND);
+    assert!(fake.starts.values().all(|starts| *starts == 1));
+    fake.report();
+    for report in fake.reports() {
+        let (job, _) = report.task.rsplit_once('.').unwrap();
+        assert_eq!(fake.scheduler.worker_of(job), Some(&report.worker));
+    }
+    fake.advance(700 * SECOND);
+    assert!(
+        jobs.iter().all(|job| fake.left[&job.id] == Outcome::Done && fake.starts[&job.id] == 1)
+    );
+    assert!(fake.scheduler.workers().iter().all(|w| w.held == Size::default()));
+}
+
+#[test]
+fn only_tasks_that_no_one_knows_are_stopped_as_strays() {
+    let mut fake = Fake::new(prompt, runs(600));
+    add_workers(&mut fake.scheduler, "pool", 3);
+    fake.submit(&once("j"));
+    fake.submit(&once("k"));
+    fake.advance(2 * SECOND);
+    let reports = fake.reports();
+    assert_eq!(fake.scheduler.strays(&reports), []);
+    let mut other = Scheduler::default();
+    add_workers(&mut other, "pool", 3);
+    let worker = fake.scheduler.worker_of("j").unwrap().clone();
+    other.adopt(fake.now, &once("j"), 0, &worker);
+    let strays: Vec<(String, Verb)> =
+        other.strays(&reports).iter().map(|action| (action.task(), action.verb)).collect();
+    assert_eq!(strays, [("k.0".into(), Verb::Stop)]);
+}
+
 #[test]
 fn work_of_a_dead_worker_runs_elsewhere() {
     let mut fake = Fake::new(prompt, runs(60));
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -139,6 +139,31 @@
     assert_eq!(owned, [8_000, 8_000]);
 }
 
+#[test]
+fn each_of_170_teams_gets_its_quota_though_one_floods_the_fleet() {
+    let mut fake = Fake::new(delays(14, &[]), forever);
+    add_workers(&mut fake.scheduler, "pool", WORKERS);
+    let names: Vec<String> = (0..170).map(|i| format!("t{i}")).collect();
+    let quotas: Vec<(&str, u64)> = names.iter().map(|id| (id.as_str(), 4_000)).collect();
+    fake.scheduler.set_teams(&teams(&quotas));
+    for i in 0..1_000 {
+        fake.submit(&job(&format!("flood{i}"), "t0", size(1_000, 1), Priority::Normal));
+    }
+    fake.advance(5 * SECOND);
+    assert_eq!(fake.running(), WORKERS * 16);
+    for name in &names[1..] {
+        for i in 0..4 {
+            fake.submit(&job(&format!("{name}-{i}"), name, size(1_000, 1), Priority::Normal));
+        }
+    }
+    fake.advance(20 * SECOND);
+    let started = fake.started.keys().filter(|id| !id.starts_with("flood")).count();
+    let account = |name: &String| fake.scheduler.ledger().account(name).unwrap().owned_millicores;
+    assert_eq!(started, 169 * 4);
+    assert!(names.iter().all(|name| account(name) == 4_000));
+    assert_eq!(fake.overcommits, 0);
+}
+
 #[test]
 fn urgent_work_beyond_its_quota_takes_no_room_of_others() {
     let mut fake = full_fleet(delays(13, &[]), 16);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,7 @@
         id::{OperationId, VmId},
         job::{Job, JobId, Priority, Size},
         place::{Action, Answer, Event, Outcome, Scheduler, Verb},
-        platform::Progress,
+        platform::{Progress, Usage},
     },
     indexmap::IndexMap,
     proptest::test_runner::{Config as ProptestConfig, RngSeed},
@@ -115,6 +115,25 @@
         self.running.keys().filter(|(id, _)| id == job).count()
     }
 
+    /// What the platform reports of the tasks that run.
+    pub fn reports(&self) -> Vec<Usage> {
+        let report = |((job, attempt), (worker, size)): (&(JobId, u32), &(VmId, Size))| Usage {
+            task: format!("{job}.{attempt}"),
+            worker: worker.clone(),
+            millicores: u64::from(size.millicores / 2),
+            memory_bytes: size.memory_bytes,
+            ended: None,
+        };
+        self.running.iter().map(report).collect()
+    }
+
+    /// Hands the reports to the scheduler.
+    pub fn report(&mut self) {
+        let reports = self.reports();
+        let actions = self.scheduler.usage(self.now, &reports);
+        self.carry_out(actions);
+    }
+
     /// The platform declares a worker dead.
     pub fn kill(&mut self, worker: &VmId) {
         self.running.retain(|_, (found, _)| found != worker);
