--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 mod body;
 pub mod budget;
+pub mod buffer;
 pub mod burn;
 pub mod change;
 pub mod check;
