Count on the slots that peers' needs leave

An entry took more requests than it got slots for: it counted on an even part of all while a crowded peer was to get more. The part is now bounded by the needs that the peers told.

--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -260,13 +260,14 @@
         self.open_runners(service).map(Runner::held).sum()
     }
 
-    /// Slots of a service that this entry can count on: an even part of all, or more if it holds
-    /// more and its peers' needs leave them here.
+    /// Slots of a service that this entry can count on: those it holds, or an even part of all if
+    /// that is more, as far as its peers' needs leave them here.
     pub fn supply(&self, service: &ServiceId) -> u32 {
         let all: u32 = self.open_runners(service).map(|runner| runner.slots).sum();
         let entries = self.group.alive().count() as u32 + 1;
+        let even = all.div_ceil(entries);
         let kept = self.services.get(service).map_or(0, |found| found.part_of(all));
-        self.held(service).min(kept).max(all.div_ceil(entries))
+        self.held(service).max(even).min(kept.max(even / 2)).max(u32::from(all > 0))
     }
 
     /// Exchanges that this entry has on a runner.
