Test promotion of borrowed work and precedence of owned work

Cause: two seeded faults of the quotas were not seen by any test: never making borrowed work owned, and serving borrowers before owned work.

--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -2,7 +2,7 @@
 
 use {
     carobhitch::{
-        job::Priority,
+        job::{Job, Priority},
         place::{Action, Verb},
         platform::Progress,
         quota::{Charge, Ledger},
@@ -139,6 +139,42 @@
     assert_eq!(owned, [8_000, 8_000]);
 }
 
+#[test]
+fn borrowed_work_becomes_owned_once_the_quota_has_room() {
+    let mut fake = Fake::new(delays(15, &[]), forever);
+    add_workers(&mut fake.scheduler, "pool", 1);
+    fake.scheduler.set_teams(&teams(&[("a", 4_000), ("b", 16_000)]));
+    for id in ["a0", "a1"] {
+        fake.submit(&job(id, "a", size(4_000, 16), Priority::Normal));
+    }
+    fake.advance(5 * SECOND);
+    fake.cancel(&["a0".into()]);
+    fake.advance(5 * SECOND);
+    let account = fake.scheduler.ledger().account(&"a".into()).unwrap();
+    assert_eq!((account.owned_millicores, account.borrowed_millicores), (4_000, 0));
+    for i in 0..4 {
+        fake.submit(&job(&format!("b{i}"), "b", size(4_000, 16), Priority::Normal));
+    }
+    fake.advance(20 * SECOND);
+    assert_eq!(fake.started.keys().filter(|id| id.starts_with('b')).count(), 3);
+}
+
+#[test]
+fn room_that_frees_goes_to_owned_work_before_borrowers_that_came_first() {
+    let mut fake = Fake::new(delays(16, &[]), forever);
+    add_workers(&mut fake.scheduler, "pool", 1);
+    fake.scheduler.set_teams(&teams(&[("a", 0), ("b", 16_000)]));
+    let fill = Job { repeatable: false, ..job("fill", "a", size(16_000, 16), Priority::Normal) };
+    fake.submit(&fill);
+    fake.advance(5 * SECOND);
+    fake.submit(&job("a0", "a", size(16_000, 16), Priority::Normal));
+    fake.submit(&job("b0", "b", size(16_000, 16), Priority::Normal));
+    fake.advance(5 * SECOND);
+    fake.cancel(&["fill".into()]);
+    fake.advance(2 * SECOND);
+    assert!(fake.started.contains_key("b0") && !fake.started.contains_key("a0"));
+}
+
 #[test]
 fn each_of_170_teams_gets_its_quota_though_one_floods_the_fleet() {
     let mut fake = Fake::new(delays(14, &[]), forever);
