Open listeners before joining, end an expelled incarnation, claim retried orders

Cause: a test of a fleet's start waited for ever: an entry had joined before its link's listener was open, a peer met a refused connection, took it for the proof of an end and recorded it, and the entry was never a member again. Listeners now open before any thread starts, and an entry that reads its own end from the log stops itself with status 1, since others have taken over what it held. Found on reading: a keyed order whose relay could not be sent was queued without a claim; retries now go the way of arrivals. A peer that answers but doesn't know a fresh entry yet tells no readiness; it is taken as ready.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -43,7 +43,7 @@
         iterator::Signals,
     },
     std::{
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener},
         result,
         sync::{
             Arc, Mutex, PoisonError,
@@ -52,7 +52,7 @@
         time::{Duration, Instant, UNIX_EPOCH},
     },
     tokio::{
-        net::TcpListener,
+        net,
         runtime::{Builder, Runtime},
         sync::{mpsc, watch},
     },
@@ -76,6 +76,15 @@
     Part(supervise::Error),
     /// handle signals: {0}
     Signal(std::io::Error),
+    /// listen for {who} at {address}: {source}
+    Listen {
+        /// Who connects there.
+        who: &'static str,
+        /// Address of the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
     /// {0} requests were still in progress when the planned stop's time was over
     Unfinished(usize),
 }
@@ -97,6 +106,12 @@
 /// Both ends of a channel.
 type Queue<T> = (Sender<T>, Receiver<T>);
 
+/// Open listeners of the `io` part.
+struct Listeners {
+    callers: TcpListener,
+    links: TcpListener,
+}
+
 /// What the parts share.
 struct Daemon {
     settings: Settings,
@@ -111,7 +126,9 @@
     probe_inbox: Mutex<Option<mpsc::UnboundedReceiver<Probe>>>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
     outgoing_inbox: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
+    listeners: Mutex<Option<Listeners>>,
     stopping: watch::Sender<bool>,
+    expelled: AtomicBool,
     served: AtomicBool,
     unfinished: AtomicBool,
     shared: Arc<Shared>,
@@ -121,7 +138,7 @@
 
 /// Runs an entry until a planned stop or a failure that can't be mended.
 pub fn run(settings: Settings) -> Result<()> {
-    let daemon = Arc::new(Daemon::new(settings));
+    let daemon = Arc::new(Daemon::new(settings)?);
     catch_signals(daemon.events.clone())?;
     let settings = &daemon.settings;
     info!("daemon: Entry {} starts in availability zone {}.", settings.id, settings.zone);
@@ -160,7 +177,12 @@
 }
 
 impl Daemon {
-    fn new(settings: Settings) -> Self {
+    /// Opens the listeners first: a peer takes a refused connection for the proof of an end.
+    fn new(settings: Settings) -> Result<Self> {
+        let listeners = Listeners {
+            callers: bind("callers", settings.callers)?,
+            links: bind("links", settings.link)?,
+        };
         let (events, inbox) = unbounded();
         let (outgoing, outgoing_inbox) = mpsc::unbounded_channel();
         let (orders, order_inbox) = unbounded();
@@ -174,8 +196,9 @@
             link: settings.link,
             rpc: settings.rpc,
         };
-        Self {
+        Ok(Self {
             me,
+            listeners: Mutex::new(Some(listeners)),
             server: Arc::new(Server::new(events.clone(), limits, shared.clone())),
             settings,
             events,
@@ -189,11 +212,12 @@
             outgoing,
             outgoing_inbox: Mutex::new(Some(outgoing_inbox)),
             stopping: watch::channel(false).0,
+            expelled: AtomicBool::new(false),
             served: AtomicBool::new(false),
             unfinished: AtomicBool::new(false),
             shared,
             calls: Arc::default(),
-        }
+        })
     }
 
     /// Records that wait to be appended to a stream.
@@ -234,6 +258,7 @@
                 let _ = self.outgoing.send((link, message));
             }
             Action::Stopped => return true,
+            Action::Expelled => self.expelled.store(true, Ordering::Relaxed),
             Action::Reboot { vm, operation } => {
                 // Both ends of the channel are kept by the daemon itself.
                 let _ = self.orders.send((Some(vm), operation));
@@ -278,6 +303,9 @@
         for action in actions {
             stopped |= daemon.act(action);
         }
+        if daemon.expelled.load(Ordering::Relaxed) {
+            return Err(String::from("the log says that this incarnation has ended"));
+        }
         // An answer is on its way until its connection has ended.
         if stopped && daemon.server.open() == 0 && daemon.served.load(Ordering::Relaxed) {
             return Ok(());
@@ -292,8 +320,9 @@
 fn run_io(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
     let runtime = runtime()?;
     let ended = runtime.block_on(async {
-        let callers = listen("callers", daemon.settings.callers).await?;
-        let links = listen("links", daemon.settings.link).await?;
+        let opened = take(&daemon.listeners).ok_or("the listeners were taken already")?;
+        let callers = tokio_listener(opened.callers)?;
+        let links = tokio_listener(opened.links)?;
         let local = Arc::new(Local {
             id: daemon.me.id.clone(),
             incarnation: daemon.me.incarnation,
@@ -352,9 +381,16 @@
     runtime.map_err(|e| format!("start the runtime: {e}"))
 }
 
-async fn listen(who: &str, address: SocketAddr) -> result::Result<TcpListener, String> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|e| format!("listen for {who} at {address}: {e}"))
+fn bind(who: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    bound.map_err(|source| Error::Listen { who, address, source })
+}
+
+fn tokio_listener(listener: TcpListener) -> result::Result<net::TcpListener, String> {
+    net::TcpListener::from_std(listener).map_err(|e| format!("use a listener: {e}"))
 }
 
 async fn asked(stop: &Stop) {
@@ -365,7 +401,7 @@
 
 fn run_rpc(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
     let address = daemon.settings.rpc;
-    let listener = std::net::TcpListener::bind(address)
+    let listener = TcpListener::bind(address)
         .map_err(|e| format!("listen for operators at {address}: {e}"))?;
     let (entry, events) = (daemon.me.id.clone(), daemon.events.clone());
     let gate = operator::gate(entry, events, daemon.calls.clone(), daemon.shared.clone());
--- a/src/engine/facts.rs
+++ b/src/engine/facts.rs
@@ -44,6 +44,11 @@
             self.learn_routes(now);
         }
         let next = self.shared.state().next;
+        self.member |= self.joined();
+        if self.member && !self.joined() && !self.stopping {
+            warn!("engine: The log says that this incarnation has ended.");
+            return self.actions.push(Action::Expelled);
+        }
         if next >= page.end && !self.joined_once() {
             info!("engine: Caught up with the log at offset {next}.");
             self.sourced = true;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -129,6 +129,8 @@
     attempts: u64,
     beats: u64,
     sourced: bool,
+    /// It has been a member.
+    member: bool,
     unread: bool,
     fetched: Option<Instant>,
     shown: Option<Instant>,
@@ -168,6 +170,7 @@
             attempts: 0,
             beats: 0,
             sourced: false,
+            member: false,
             unread: false,
             fetched: None,
             shown: None,
@@ -195,8 +198,8 @@
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
             Event::Arrived { id, request, fingerprint, repeatable, relayed } => {
-                let flight = Flight::new(now, request, repeatable, relayed);
-                self.arrived(now, id, flight, fingerprint)
+                let flight = Flight::new(now, request, fingerprint, repeatable, relayed);
+                self.arrived(now, id, flight)
             }
             Event::Cancelled { id } => self.cancelled(now, id),
             Event::Ended { id, attempt, end } => self.ended(now, id, attempt, end),
--- a/src/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -25,14 +25,13 @@
         now: Instant,
         id: RequestId,
         key: &OrderKey,
-        fingerprint: u64,
         mut flight: Flight,
     ) {
         let request = &flight.request;
         let arrival = Arrival {
             id,
             key: Key::new(&request.service, &request.team, key),
-            request: fingerprint,
+            request: flight.fingerprint,
             deadline: request.deadline,
             is_repeat: request.repeat,
         };
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -34,6 +34,8 @@
 /// A request in progress.
 pub(super) struct Flight {
     pub(super) request: Request,
+    /// Fingerprint of its method, path and body.
+    pub(super) fingerprint: u64,
     pub(super) arrived: Instant,
     /// Its body is kept, so that it can be sent again.
     pub(super) repeatable: bool,
@@ -46,9 +48,16 @@
 }
 
 impl Flight {
-    pub(super) fn new(now: Instant, request: Request, repeatable: bool, relayed: bool) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        request: Request,
+        fingerprint: u64,
+        repeatable: bool,
+        relayed: bool,
+    ) -> Self {
         Self {
             request,
+            fingerprint,
             arrived: now,
             repeatable,
             relayed,
@@ -91,13 +100,7 @@
 }
 
 impl Engine {
-    pub(super) fn arrived(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        flight: Flight,
-        fingerprint: u64,
-    ) {
+    pub(super) fn arrived(&mut self, now: Instant, id: RequestId, flight: Flight) {
         let request = &flight.request;
         if self.stopping {
             return self.refuse(id, "the entry is stopping", RETRY_AFTER);
@@ -108,14 +111,22 @@
         if !self.shared.state().declaration.services.contains_key(&request.service) {
             return self.refuse(id, "no such service", RETRY_AFTER);
         }
+        self.route(now, id, flight);
+    }
+
+    /// Sends a request on its way: to another entry, to be claimed, or to its service's queue.
+    fn route(&mut self, now: Instant, id: RequestId, flight: Flight) {
+        if flight.claim == Claim::Won {
+            return self.enqueue(now, id, flight);
+        }
         if let Some(link) = self.better_entry(now, &flight) {
             return self.relay(now, id, flight, link);
         }
         if !self.joined() {
-            return self.refuse(id, "the entry has not joined yet", RETRY_AFTER);
+            return self.give_up(id, &flight, "the entry has not joined yet", RETRY_AFTER);
         }
         match flight.request.key.clone().filter(|_| flight.request.class == Class::Order) {
-            Some(key) => self.claim(now, id, &key, fingerprint, flight),
+            Some(key) => self.claim(now, id, &key, flight),
             None => self.enqueue(now, id, flight),
         }
     }
@@ -129,7 +140,8 @@
         let state = self.shared.state();
         let serves = |zone: &ZoneId| state.endpoints(service).any(|(_, vm)| vm.zone == *zone);
         let ready = self.peers.list(now).filter(|(peer, health)| {
-            let ready = peer.beat.as_ref().is_some_and(|beat| beat.ready);
+            // One that answers but does not know this entry yet tells nothing of itself.
+            let ready = peer.beat.as_ref().is_none_or(|beat| beat.ready);
             *health == Health::Live && ready && serves(&peer.member.zone)
         });
         let (near, far): (Vec<_>, Vec<_>) =
@@ -172,7 +184,7 @@
             }
             Err(refusal) => {
                 self.metrics.refused(refusal.reason.word());
-                self.give_up(id, &flight, &refusal);
+                self.give_up(id, &flight, &refusal.reason.to_string(), refusal.retry_after);
             }
         }
     }
@@ -182,13 +194,13 @@
     }
 
     /// Answers a request that will not be tried (again).
-    fn give_up(&mut self, id: RequestId, flight: &Flight, refusal: &admit::Refusal) {
+    fn give_up(&mut self, id: RequestId, flight: &Flight, reason: &str, retry_after: Duration) {
         let ending = if flight.may_have_run { Ending::Unknown } else { Ending::NotRun };
         self.conclude(id, flight.claim, ending);
         if flight.may_have_run {
-            return self.unknown(id, "an earlier attempt may have run", refusal.retry_after);
+            return self.unknown(id, "an earlier attempt may have run", retry_after);
         }
-        self.refuse(id, &refusal.reason.to_string(), refusal.retry_after);
+        self.refuse(id, reason, retry_after);
     }
 
     pub(super) fn refuse(&mut self, id: RequestId, reason: &str, retry_after: Duration) {
@@ -273,7 +285,7 @@
         match verdict {
             Verdict::Retry => {
                 self.metrics.retried();
-                self.enqueue(now, id, flight);
+                self.route(now, id, flight);
             }
             Verdict::Answer(Outcome::NotRun) => {
                 self.conclude(id, flight.claim, Ending::NotRun);
@@ -332,7 +344,8 @@
             for (waiting, refusal) in expired {
                 if let Some(flight) = self.flights.remove(&waiting.id) {
                     self.metrics.refused(refusal.reason.word());
-                    self.give_up(waiting.id, &flight, &refusal);
+                    let reason = refusal.reason.to_string();
+                    self.give_up(waiting.id, &flight, &reason, refusal.retry_after);
                 }
             }
         }
--- a/src/event.rs
+++ b/src/event.rs
@@ -256,6 +256,8 @@
     },
     /// Everything in progress has ended.
     Stopped,
+    /// The log says that this incarnation has ended: nothing it does may count any more.
+    Expelled,
 }
 
 /// Final answer to a request, decided by the engine.
--- a/standin/tests/entries.rs
+++ b/standin/tests/entries.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use {
+    carobhitch::record::Body,
     carobhitch_standin::fault,
     fleet::{Fleet, run, wait},
     std::{
@@ -127,3 +128,23 @@
     wait("the fresh entry to be ready", || fleet.entries[fresh].is_ready());
     assert_eq!(fleet.entries[fresh].status().map(|s| s["version"].clone()), version);
 }
+
+#[test]
+fn an_entry_that_the_log_calls_ended_stops_itself_and_a_new_incarnation_serves() {
+    let mut fleet = Fleet::start("expelled", &[("a", 1, 1)]);
+    let status = fleet.entries[0].status().expect("a status");
+    let incarnation = status["incarnation"].as_u64().expect("an incarnation");
+    fleet.append(Body::Gone { entry: fleet.entries[0].name.clone(), incarnation });
+    assert_eq!(fleet.entries[0].wait_end().code(), Some(1));
+    fleet.entries[0].restart();
+    wait("the new incarnation to be ready", || fleet.entries[0].is_ready());
+}
+
+#[test]
+fn an_entry_that_joins_while_others_look_for_it_is_not_taken_for_ended() {
+    let mut fleet = Fleet::start("joining", &[("a", 2, 1)]);
+    for _ in 0..3 {
+        fleet.entries[1].restart();
+        wait("the restarted entry to be ready", || fleet.entries[1].is_ready());
+    }
+}
--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
         fleet::{Declaration, Pool, Service, Vm},
         id::VmId,
         platform::{Append, Page},
-        record::FLEET_STREAM,
+        record::{Body, FLEET_STREAM, Record},
         request::Class,
         snapshot,
     },
@@ -29,7 +29,7 @@
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
         thread::sleep,
-        time::{Duration, Instant},
+        time::{Duration, Instant, UNIX_EPOCH},
     },
 };
 
@@ -215,6 +215,18 @@
         }
     }
 
+    /// Appends a fleet record.
+    pub fn append(&self, body: Body) {
+        let at = UNIX_EPOCH.elapsed().expect("a clock after 1970");
+        let operation = format!("test-{}", at.as_nanos());
+        let record = Record { operation: operation.clone(), author: "test".into(), at, body };
+        let data = serde_json::to_value(&record).expect("encode a record");
+        let path = format!("/streams/{FLEET_STREAM}/records");
+        let append = Append { id: operation, data };
+        let _: Value =
+            client::post(self.platform.public.address, &path, &append).expect("append a record");
+    }
+
     /// Offset of the newest snapshot of which a chunk is in the log.
     pub fn snapshot(&self) -> Option<u64> {
         let path = format!("/streams/{}/records?from=0", snapshot::STREAM);
@@ -324,6 +336,12 @@
         child.wait().expect("reap an entry")
     }
 
+    /// Waits until the process ends by itself.
+    pub fn wait_end(&mut self) -> ExitStatus {
+        let mut child = self.child.take().expect("an entry that runs");
+        child.wait().expect("reap an entry")
+    }
+
     pub fn status(&self) -> Option<Value> {
         client::get(self.callers, "/status").ok()
     }
