--- a/models/slots.pml
+++ b/models/slots.pml
@@ -19,17 +19,17 @@
 #define ALL(p, set) ((knows[p] & ~gone[p] & ~(set)) == 0)
 #define ROUND(number, p) ((number) * ENTRIES + (p))
 
-#ifdef SEED_NO_WELCOME
+#ifdef NO_WELCOME
 #define WELCOME_BY_ALL(p) true
 #else
 #define WELCOME_BY_ALL(p) ALL(p, acquainted[p])
 #endif
-#ifdef SEED_NO_ANCHOR
+#ifdef NO_ANCHOR
 #define ANCHORED(p) true
 #else
 #define ANCHORED(p) anchored[p]
 #endif
-#ifdef SEED_EARLY_MINT
+#ifdef EARLY_MINT
 #define ANSWERED_BY_ALL(p) true
 #else
 #define ANSWERED_BY_ALL(p) ALL(p, answered[p])
@@ -97,13 +97,13 @@
         :: kind == WELCOME ->
             meet();
             anchored[p] = !joined[p] && (anchored[p] || y);
-#ifndef SEED_NO_CLOSURE
+#ifndef NO_CLOSURE
             knows[p] = knows[p] | (x & ~BIT(p))
 #endif
         :: kind == GRANT ->
             enter(x);
             if
-#ifdef SEED_NO_ROUND
+#ifdef NO_ROUND
             :: true -> held[p]++; check()
 #else
             :: x == round[p] -> held[p]++; check()
@@ -111,7 +111,7 @@
 #endif
             fi
         :: kind == COUNT ->
-#ifndef SEED_NO_WORD
+#ifndef NO_WORD
             if
             :: y & ~gone[p] -> gone[p] = gone[p] | y; abandon()
             :: else
@@ -119,7 +119,7 @@
 #endif
             enter(x);
             if
-#ifdef SEED_ANSWER_ANEW
+#ifdef ANSWER_ANEW
             :: x == round[p] -> send(HELD, from, x, held[p])
 #else
             :: x == round[p] -> send(HELD, from, x, counted[p])
@@ -213,7 +213,7 @@
         if
         :: ended[q] && !(gone[p] & BIT(q)) ->
             gone[p] = gone[p] | BIT(q);
-#ifndef SEED_NO_RESTART
+#ifndef NO_RESTART
             abandon()
 #endif
         :: else
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -234,3 +234,43 @@
     zone.settle();
     assert_eq!(zone.held(), SLOTS);
 }
+
+#[test]
+fn an_entry_counts_on_no_more_slots_than_its_peers_needs_leave() {
+    let mut zone = Zone::new(2, 2);
+    let permits = zone.acquire_all(0);
+    assert_eq!(zone.tables[0].1.supply(&service()), 2 * SLOTS);
+    zone.tables[0].1.demand(zone.now, &service(), 100);
+    zone.tables[1].1.demand(zone.now, &service(), 300);
+    zone.deliver();
+    assert_eq!(zone.tables[0].1.supply(&service()), SLOTS / 2);
+    assert_eq!(permits.len() as u32, 2 * SLOTS);
+}
+
+#[test]
+fn a_late_grant_of_an_ended_entry_is_not_taken_after_a_count() {
+    let mut zone = Zone::new(3, 1);
+    let vm = String::from("vm-0");
+    zone.tables[1].1.demand(zone.now, &service(), 8);
+    zone.deliver();
+    zone.tables[1].1.demand(zone.now, &service(), 0);
+    zone.deliver();
+    zone.tables[2].1.demand(zone.now, &service(), 8);
+    let (wanting, greedy) = (zone.tables[2].0.clone(), zone.tables[1].0.clone());
+    let wants = zone.tables[2].1.sends();
+    let want = wants.into_iter().find(|send| send.to == greedy).expect("told to all");
+    zone.tables[1].1.receive(zone.now, &wanting, want.message);
+    let late = zone.tables[1].1.sends().remove(0);
+    let (gone, _) = zone.tables.remove(1);
+    zone.tables[0].1.set_members(zone.now, [(gone.clone(), Standing::Gone)]);
+    zone.tables[0].1.tick(zone.now);
+    zone.deliver();
+    assert_eq!(zone.tables[0].1.held_on(&vm), SLOTS, "brought back");
+    let (now, table) = (zone.now, &mut zone.tables[1].1);
+    let mut later = late.message;
+    if let carobhitch::slot::Body::Grant { round, .. } = &mut later.body {
+        round.number += 10;
+    }
+    table.receive(now, &gone, later);
+    assert_eq!(table.held_on(&vm), 0, "even if granted in a later round");
+}
