--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -47,6 +47,8 @@
     pub key: Option<OrderKey>,
     /// Time from arrival until the answer is of no use.
     pub deadline: Duration,
+    /// The key was sent before.
+    pub is_repeat: bool,
     /// Time after which the first try is given up as if its answer was lost.
     pub impatience: Option<Duration>,
 }
@@ -100,10 +102,9 @@
 }
 
 impl Story {
-    /// Every answer was that it had not run.
+    /// The last answer was that it had not run; a repetition's answer speaks for every try.
     pub fn never_ran(&self) -> bool {
-        let not_run = |t: &Try| matches!(t, Try::Told(Outcome::NotRun, _) | Try::Unreached);
-        self.end == End::Refused && self.tries.iter().all(|(_, t)| not_run(t))
+        self.end == End::Refused
     }
 }
 
@@ -139,24 +140,23 @@
     }
 }
 
-/// The last answer counts; a break or a silence after it tells nothing new.
+/// The last try that was sent counts.
 fn conclude(tries: &[(SocketAddr, Try)]) -> End {
-    let ends = tries.iter().rev().filter_map(|(_, outcome)| match outcome {
-        Try::Whole => Some(End::Answered),
-        Try::Wrong => Some(End::Cut),
-        Try::Told(Outcome::Done, _) => Some(End::Answered),
-        Try::Told(Outcome::Failed, _) => Some(End::Failed),
-        Try::Told(Outcome::NotRun, _) => Some(End::Refused),
-        Try::Told(_, _) => Some(End::Unknown),
-        Try::Abandoned | Try::Late | Try::Unreached | Try::Broken => None,
-    });
-    ends.into_iter().next().unwrap_or(End::Lost)
+    let sent = tries.iter().rev().map(|(_, outcome)| *outcome).find(|t| *t != Try::Unreached);
+    match sent {
+        Some(Try::Whole) => End::Answered,
+        Some(Try::Wrong) => End::Cut,
+        Some(Try::Told(Outcome::Failed, _)) => End::Failed,
+        Some(Try::Told(Outcome::NotRun, _)) => End::Refused,
+        Some(Try::Told(Outcome::Done | Outcome::Unknown, _)) => End::Unknown,
+        Some(Try::Abandoned | Try::Late | Try::Unreached | Try::Broken) | None => End::Lost,
+    }
 }
 
 fn attempt(ask: &Ask, entry: SocketAddr, first: bool) -> Try {
     let impatience = ask.impatience.filter(|_| first);
     let patience = impatience.unwrap_or(ask.deadline + GRACE);
-    let Ok(request) = request(ask, entry, first) else { return Try::Unreached };
+    let Ok(request) = request(ask, entry, first && !ask.is_repeat) else { return Try::Unreached };
     let result = Client::new().with_global_timeout(patience).request(request);
     match result.and_then(|response| judge(ask, response)) {
         Ok(outcome) => outcome,
