--- a/standin/tests/faults.rs
+++ b/standin/tests/faults.rs
@@ -42,6 +42,7 @@
         },
         key: (class == Class::Order).then(|| format!("key-{id}")),
         deadline: secs(5.0),
+        is_repeat: false,
         impatience: None,
     }
 }
