Keep records as JSON text until they are decoded; count control traffic

Cause: a page from the log was parsed into serde_json::Value, whose maps and strings take many times the text, and the engine cloned each Value before it decoded the record. The heap keeps what this peak needed.

Content of appends and records is now raw JSON text, decoded once into its own type, and a record's text is freed before the next one is read.

Bytes by links and with the platform are counted, shown in /status and sent as metrics.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -283,7 +283,5 @@
     let at = Duration::from_millis(1_796_000_000_123);
     let record =
         Record { operation: "operation-10000000".into(), author: "entry-38".into(), at, body };
-    let data = serde_json::to_value(&record).unwrap_or_default();
-    let append = Append { id: record.operation, data };
-    json(&append)
+    Append::new(record.operation.clone(), &record).map_or(0, |append| json(&append))
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -7,11 +7,12 @@
     crate::{
         id::{Offset, OperationId, VmId},
         platform::{Action, Append, Appended, List, Operation, Page},
+        traffic::Traffic,
     },
     displaydoc::Display,
     oxhttp::model::{Body, Method, Request, StatusCode, header::CONTENT_TYPE},
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, result, time::Duration},
+    std::{net::SocketAddr, result, sync::Arc, time::Duration},
 };
 
 /// Time allowed for connecting and for each read or write.
@@ -69,12 +70,13 @@
 pub struct Client {
     http: oxhttp::Client,
     peer: SocketAddr,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
-    /// Prepares calls to the platform at `peer`.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self { http: oxhttp::Client::new().with_global_timeout(IO_TIMEOUT), peer }
+    /// Prepares calls to the platform at `peer`, whose bytes are counted.
+    pub fn new(peer: SocketAddr, traffic: Arc<Traffic>) -> Self {
+        Self { http: oxhttp::Client::new().with_global_timeout(IO_TIMEOUT), peer, traffic }
     }
 
     /// Appends a record; repeating it with the same id has no further effect.
@@ -124,6 +126,7 @@
             Ok(text) => text,
             Err(source) => return Err(Error::Decode { step, peer: self.peer, source }),
         };
+        self.traffic.platform.send(text.len());
         self.call(step, Method::POST, path, Body::from(text))
     }
 
@@ -145,6 +148,7 @@
         let response = self.http.request(request).map_err(|e| fail(&step, e))?;
         let status = response.status();
         let text = response.into_body().to_vec().map_err(|e| fail(&step, e))?;
+        self.traffic.platform.receive(text.len());
         if status == StatusCode::GONE {
             let first = serde_json::from_slice::<Page>(&text).map_or(0, |page| page.first);
             return Err(Error::Trimmed { step, peer, first });
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -47,7 +47,7 @@
         result,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant, UNIX_EPOCH},
     },
@@ -196,6 +196,11 @@
         }
     }
 
+    /// A client of the platform's service.
+    fn client(&self) -> Client {
+        Client::new(self.settings.platform, self.shared.traffic().clone())
+    }
+
     /// Records that wait to be appended to a stream.
     fn queue(&self, stream: Stream) -> &Queue<(Stream, Append)> {
         match stream {
@@ -298,7 +303,7 @@
             id: daemon.me.id.clone(),
             incarnation: daemon.me.incarnation,
             events: daemon.events.clone(),
-            bytes: AtomicU64::new(0),
+            traffic: daemon.shared.traffic().clone(),
         });
         tokio::spawn(link::listen(links, local.clone(), daemon.server.clone()));
         if let Some(inbox) = take(&daemon.outgoing_inbox) {
@@ -375,7 +380,7 @@
 }
 
 fn run_append(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
-    let client = Client::new(daemon.settings.platform);
+    let client = daemon.client();
     let (_, inbox) = daemon.queue(stream);
     loop {
         let (stream, record) = select! {
@@ -395,7 +400,7 @@
 }
 
 fn run_follow(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
-    let client = Client::new(daemon.settings.platform);
+    let client = daemon.client();
     let mut from = 0;
     let mut wait = Duration::ZERO;
     while !stop.asked() {
@@ -446,7 +451,7 @@
         };
         from = last.offset + 1;
         for record in page.records {
-            let chunk = serde_json::from_value(record.data).map_err(|e| e.to_string());
+            let chunk = record.decode().map_err(|e| e.to_string());
             if let Err(error) = chunk.and_then(|c| collector.push(c).map_err(|e| e.to_string())) {
                 warn!("follow: {error}.");
             }
@@ -465,7 +470,7 @@
 }
 
 fn run_list(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let client = Client::new(daemon.settings.platform);
+    let client = daemon.client();
     while !stop.wait(LIST_INTERVAL) {
         match client.list() {
             Ok(list) => daemon.tell(Event::Listed(list)),
@@ -476,7 +481,7 @@
 }
 
 fn run_operate(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let client = Client::new(daemon.settings.platform);
+    let client = daemon.client();
     loop {
         let (vm, operation) = select! {
             recv(daemon.order_inbox) -> next => next.map_err(|e| e.to_string())?,
--- a/src/engine/facts.rs
+++ b/src/engine/facts.rs
@@ -30,8 +30,8 @@
         self.unread = false;
         self.snapshots.first_kept = page.first;
         let mut changed = false;
-        for entry in &page.records {
-            match serde_json::from_value::<Record>(entry.data.clone()) {
+        for entry in page.records {
+            match entry.decode::<Record>() {
                 Ok(record) => changed |= self.apply(entry.offset, &record),
                 Err(error) => {
                     warn!("engine: Record {} is unreadable: {error}.", entry.offset);
@@ -151,11 +151,8 @@
 
     pub(super) fn append(&mut self, record: Record) {
         let id = record.operation.clone();
-        match serde_json::to_value(&record) {
-            Ok(data) => {
-                let append = Append { id: id.clone(), data };
-                self.pending.insert(id, Pending { append, sent: None });
-            }
+        match Append::new(id.clone(), &record) {
+            Ok(append) => _ = self.pending.insert(id, Pending { append, sent: None }),
             Err(error) => warn!("engine: Record {id} can't be encoded: {error}."),
         }
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -18,12 +18,13 @@
         event::{Action, CallId, Event, RequestId, Stream},
         id::{EntryId, Incarnation, Offset, OperationId, ServiceId, VmId, ZoneId},
         member,
-        metrics::Metrics,
+        metrics::{Direction, Metrics},
         order::{Desk, Window},
         platform::List,
         record::{FLEET_STREAM, Member, ORDERS_STREAM},
         slot, snapshot,
         state::State,
+        traffic::{Account, Traffic, Volume},
     },
     indexmap::IndexMap,
     log::info,
@@ -58,6 +59,8 @@
     pub next: Offset,
     /// Whether it serves callers.
     pub ready: bool,
+    /// Bytes sent and received for control.
+    pub control: Account,
     /// Other entries, as it sees them.
     pub peers: IndexMap<EntryId, Sight>,
 }
@@ -85,6 +88,7 @@
     ready: AtomicBool,
     status: RwLock<Status>,
     state: RwLock<Arc<State>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Shared {
@@ -98,6 +102,11 @@
         self.status.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Counters of the entry's control traffic.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
     /// The agreed state as applied here.
     pub fn state(&self) -> Arc<State> {
         self.state.read().unwrap_or_else(PoisonError::into_inner).clone()
@@ -132,6 +141,7 @@
     unread: bool,
     fetched: Option<Instant>,
     shown: Option<Instant>,
+    told: Volume,
     stopping: bool,
     farewell: Option<Instant>,
     actions: Vec<Action>,
@@ -171,6 +181,7 @@
             unread: false,
             fetched: None,
             shown: None,
+            told: Volume::default(),
             stopping: false,
             farewell: None,
             actions: Vec::new(),
@@ -278,6 +289,8 @@
         let state = self.shared.state();
         self.metrics.in_flight(self.flights.len() as u64);
         self.metrics.applied(state.next);
+        let control = self.shared.traffic.account();
+        self.tell_control(control.total());
         self.metrics.flush();
         let peers = self.peers.list(now).map(|(peer, health)| {
             let beat = peer.beat.as_ref();
@@ -298,11 +311,19 @@
             version: state.version,
             next: state.next,
             ready,
+            control,
             peers: peers.collect(),
         };
         *self.shared.status.write().unwrap_or_else(PoisonError::into_inner) = status;
     }
 
+    /// Sends what the control traffic has grown by.
+    fn tell_control(&mut self, total: Volume) {
+        let told = std::mem::replace(&mut self.told, total);
+        self.metrics.control_bytes(Direction::Sent, total.sent_bytes - told.sent_bytes);
+        self.metrics.control_bytes(Direction::Received, total.received_bytes - told.received_bytes);
+    }
+
     fn stop(&mut self) {
         info!("engine: Stops with {} requests in progress.", self.flights.len());
         self.stopping = true;
--- a/src/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -94,7 +94,7 @@
     pub(super) fn read_orders(&mut self, now: Instant, page: Page) {
         for entry in page.records {
             let at = Duration::from_millis(entry.at_ms);
-            match serde_json::from_value::<Batch>(entry.data) {
+            match entry.decode::<Batch>() {
                 Ok(batch) => self.desk.read(now, entry.offset, at, &batch),
                 Err(error) => {
                     warn!("engine: Orders {} are unreadable: {error}.", entry.offset);
--- a/src/engine/snapshots.rs
+++ b/src/engine/snapshots.rs
@@ -42,10 +42,9 @@
             return;
         }
         let id = chunk.operation();
-        match serde_json::to_value(chunk) {
-            Ok(data) => {
+        match Append::new(id.clone(), chunk) {
+            Ok(record) => {
                 self.snapshots.sent = Some(now);
-                let record = Append { id, data };
                 self.actions.push(Action::Append { stream: Stream::Snapshots, record });
             }
             Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod state;
 pub mod step;
 pub mod supervise;
+pub mod traffic;
 pub mod units;
 pub mod verdict;
 pub mod wave;
--- a/src/link.rs
+++ b/src/link.rs
@@ -12,6 +12,7 @@
         exchange::Body,
         id::{EntryId, Incarnation},
         server::{self, Origin, Server},
+        traffic::Traffic,
         wire::{self, Frame, Message},
     },
     bytes::BytesMut,
@@ -23,16 +24,8 @@
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     log::debug,
     std::{
-        collections::HashMap,
-        convert::Infallible,
-        io::ErrorKind,
-        net::SocketAddr,
-        result,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
+        collections::HashMap, convert::Infallible, io::ErrorKind, net::SocketAddr, result,
+        sync::Arc, time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -95,8 +88,8 @@
     pub incarnation: Incarnation,
     /// Where received messages go.
     pub events: Sender<Event>,
-    /// Bytes sent and received on links.
-    pub bytes: AtomicU64,
+    /// Counters of its control traffic.
+    pub traffic: Arc<Traffic>,
 }
 
 impl Local {
@@ -108,10 +101,6 @@
         // The engine is gone only while the whole process ends.
         let _ = self.events.send(event);
     }
-
-    fn count(&self, bytes: usize) {
-        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-    }
 }
 
 /// Links to other entries, opened when there is something to send.
@@ -241,7 +230,7 @@
         peer,
         source,
     })?;
-    local.count(bytes.len());
+    local.traffic.links.send(bytes.len());
     stream.send_data(bytes, false).map_err(|source| Error::Http { step, peer, source })
 }
 
@@ -257,7 +246,7 @@
         return Ok(None);
     };
     let data = data.map_err(|source| Error::Http { step, peer, source })?;
-    local.count(data.len());
+    local.traffic.links.receive(data.len());
     // The stream has ended if its window can't be opened, which the next read reports.
     let _ = stream.flow_control().release_capacity(data.len());
     buffer.extend_from_slice(&data);
@@ -334,7 +323,7 @@
         let Some(data) = data.and_then(result::Result::ok).and_then(|f| f.into_data().ok()) else {
             return Ok(());
         };
-        local.count(data.len());
+        local.traffic.links.receive(data.len());
         buffer.extend_from_slice(&data);
         let decode = |buffer: &mut BytesMut| {
             wire::decode(buffer).map_err(|source| Error::Frame { step, peer, source })
@@ -347,7 +336,7 @@
                     peer,
                     source,
                 })?;
-                local.count(ack.len());
+                local.traffic.links.send(ack.len());
                 if answers.send(Ok(body::Frame::data(ack))).await.is_err() {
                     return Ok(());
                 }
--- a/src/order/batch.rs
+++ b/src/order/batch.rs
@@ -120,8 +120,7 @@
         let id = format!("orders-{entry}-{incarnation:016x}-{}", self.sequence);
         let batch = Batch { entry, incarnation, sequence: self.sequence, lines };
         // Lines are plain data, which always has a JSON form.
-        let data = serde_json::to_value(&batch).ok()?;
-        let append = Append { id, data };
+        let append = Append::new(id, &batch).ok()?;
         let sequence = self.sequence;
         self.flight =
             Some(Flight { append: append.clone(), sequence, begun: now, sent: Some(now) });
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,8 +16,8 @@
 
 use {
     crate::id::{Offset, OperationId, RackId, VmId, ZoneId},
-    serde::{Deserialize, Serialize},
-    serde_json::Value,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::value::{RawValue, to_raw_value},
     std::net::SocketAddr,
 };
 
@@ -26,8 +26,15 @@
 pub struct Append {
     /// Name that makes a repeated append idempotent.
     pub id: String,
-    /// Content.
-    pub data: Value,
+    /// Content, as JSON text until it is decoded.
+    pub data: Box<RawValue>,
+}
+
+impl Append {
+    /// Prepares the append of `content` under the name `id`.
+    pub fn new(id: String, content: &impl Serialize) -> serde_json::Result<Self> {
+        Ok(Self { id, data: to_raw_value(content)? })
+    }
 }
 
 /// Where a record was appended.
@@ -44,8 +51,15 @@
     pub offset: Offset,
     /// When the platform appended it, in milliseconds since the Unix epoch.
     pub at_ms: u64,
-    /// Content.
-    pub data: Value,
+    /// Content, as JSON text until it is decoded.
+    pub data: Box<RawValue>,
+}
+
+impl Entry {
+    /// Reads the content.
+    pub fn decode<T: DeserializeOwned>(&self) -> serde_json::Result<T> {
+        serde_json::from_str(self.data.get())
+    }
 }
 
 /// Consecutive records of a stream.
--- a/standin/src/operator.rs
+++ b/standin/src/operator.rs
@@ -112,7 +112,7 @@
                 return Ok(state);
             }
             for entry in page.records {
-                let record = serde_json::from_value(entry.data);
+                let record = entry.decode();
                 state.apply(entry.offset, &record.map_err(|e| Error::Record(entry.offset, e))?);
             }
         }
@@ -127,8 +127,7 @@
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let operation = format!("{AUTHOR}-{}", at.as_nanos());
         let record = Record { operation: operation.clone(), author: AUTHOR.into(), at, body };
-        let data = serde_json::to_value(&record).map_err(|e| Error::Record(0, e))?;
-        let append = Append { id: operation.clone(), data };
+        let append = Append::new(operation.clone(), &record).map_err(|e| Error::Record(0, e))?;
         let path = format!("/streams/{FLEET_STREAM}/records");
         let Appended { offset } = client::post(self.platform, &path, &append)?;
         match self.state()?.verdicts.get(&operation) {
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -137,7 +137,7 @@
             desk.miss(self.first as u64);
             let next = desk.ledger().next() as usize;
             let Some((at, append)) = self.log.get(next) else { break };
-            let batch: Batch = serde_json::from_value(append.data.clone()).expect("a batch");
+            let batch: Batch = serde_json::from_str(append.data.get()).expect("a batch");
             desk.read(now, next as u64, *at, &batch);
         }
         self.step(n);
