--- a/benches/order.rs
+++ b/benches/order.rs
@@ -73,7 +73,7 @@
 
     fn step(&mut self, time: Duration) {
         while let Some((_, append)) = self.coming.pop_front_if(|(at, _)| *at <= time) {
-            let batch = serde_json::from_value(append.data).expect("a batch");
+            let batch = serde_json::from_str(append.data.get()).expect("a batch");
             self.log.push(batch);
         }
         let now = self.begun + time;
