--- a/standin/src/bin/carobhitch-load/clap_app.rs
+++ b/standin/src/bin/carobhitch-load/clap_app.rs
@@ -12,7 +12,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([run(), ports(), ready(), declare(), maintain(), call()])
+        .subcommands([run(), ports(), ready(), declare(), maintain(), burst(), call()])
         .get_matches()
 }
 
@@ -68,6 +68,14 @@
     )
 }
 
+fn burst() -> Command {
+    operator(
+        Command::new("burst")
+            .about("Appends changes and prints when they were in force everywhere"),
+    )
+    .arg(number("count", "300", "Changes"))
+}
+
 fn maintain() -> Command {
     operator(Command::new("maintain").about("Drains a VM, reboots it and returns it to service"))
         .arg(Arg::new("vm").required(true).help("VM"))
--- a/standin/src/bin/carobhitch-load/main.rs
+++ b/standin/src/bin/carobhitch-load/main.rs
@@ -5,7 +5,7 @@
 use {
     carobhitch::{fleet::Declaration, request::Class},
     carobhitch_standin::{
-        client,
+        burst, client,
         load::{self, Config, Group},
         operator::{self, Operator},
     },
@@ -32,6 +32,7 @@
         Some(("ready", matches)) => ready(matches),
         Some(("declare", matches)) => declare(matches),
         Some(("maintain", matches)) => maintain(matches),
+        Some(("burst", matches)) => measure_burst(matches),
         Some(("call", matches)) => call(matches),
         _ => Err("no such subcommand".into()),
     };
@@ -102,6 +103,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn measure_burst(matches: &ArgMatches) -> Outcome {
+    let Operator { platform, entries } = operator(matches)?;
+    let count = matches.get_one::<u64>("count").copied().unwrap_or_default();
+    let times = burst::run(platform, &entries, count)?;
+    let at = |part: f64| times.get((times.len().saturating_sub(1) as f64 * part) as usize);
+    let ms = |part| at(part).map_or(0, |time| time.as_millis());
+    println!("p50 {} ms, p99 {} ms, max {} ms", ms(0.5), ms(0.99), ms(1.0));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn maintain(matches: &ArgMatches) -> Outcome {
     let vm = matches.get_one::<String>("vm").ok_or("no vm")?;
     let took = operator(matches)?.maintain(vm)?;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They take the place of what carobhitch talks to, in tests and on a developer's machine, and can
 //! be given faults while they run. Nothing here is part of the product.
 
+pub mod burst;
 pub mod caller;
 pub mod client;
 pub mod fault;
