--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -5,7 +5,10 @@
     carobhitch::{
         fleet::{Declaration, Pool, Service, Vm},
         id::VmId,
+        platform::{Append, Page},
+        record::{Body, FLEET_STREAM, Record},
         request::Class,
+        snapshot,
     },
     carobhitch_standin::{
         client, fault,
@@ -26,7 +29,7 @@
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
         thread::sleep,
-        time::{Duration, Instant},
+        time::{Duration, Instant, UNIX_EPOCH},
     },
 };
 
@@ -68,6 +71,11 @@
     listener.local_addr().expect("read the port")
 }
 
+/// A program of the product, built beside the stand-ins.
+fn binary(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_carobhitch-platform")).with_file_name(name)
+}
+
 /// Waits until `holds`, or fails with `what`.
 pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
     let until = Instant::now() + PATIENCE;
@@ -186,6 +194,53 @@
         declaration
     }
 
+    /// Runs the operators' command line at the first entry.
+    pub fn command(&self, arguments: &[&str]) {
+        let status = Command::new(binary("carobhitch"))
+            .args(arguments)
+            .arg("--entry")
+            .arg(self.entries[0].rpc.to_string())
+            .stdout(Stdio::null())
+            .status();
+        assert!(status.expect("run the command line").success(), "{arguments:?} failed");
+    }
+
+    /// Appends records that no entry can read; they count against the log's retention.
+    pub fn append_noise(&self, records: usize) {
+        let path = format!("/streams/{FLEET_STREAM}/records");
+        for n in 0..records {
+            let append = Append { id: format!("noise-{n}"), data: Value::Null };
+            let _: Value =
+                client::post(self.platform.public.address, &path, &append).expect("append noise");
+        }
+    }
+
+    /// Appends a fleet record.
+    pub fn append(&self, body: Body) {
+        let at = UNIX_EPOCH.elapsed().expect("a clock after 1970");
+        let operation = format!("test-{}", at.as_nanos());
+        let record = Record { operation: operation.clone(), author: "test".into(), at, body };
+        let data = serde_json::to_value(&record).expect("encode a record");
+        let path = format!("/streams/{FLEET_STREAM}/records");
+        let append = Append { id: operation, data };
+        let _: Value =
+            client::post(self.platform.public.address, &path, &append).expect("append a record");
+    }
+
+    /// Offset of the newest snapshot of which a chunk is in the log.
+    pub fn snapshot(&self) -> Option<u64> {
+        let path = format!("/streams/{}/records?from=0", snapshot::STREAM);
+        let page: Page = client::get(self.platform.public.address, &path).ok()?;
+        page.records.last()?.data["at"].as_u64()
+    }
+
+    /// Lowest offset that the log keeps of the fleet's records.
+    pub fn first_kept(&self) -> u64 {
+        let path = format!("/streams/{FLEET_STREAM}/records?from=1000000");
+        let page: Page = client::get(self.platform.public.address, &path).expect("read the log");
+        page.first
+    }
+
     pub fn operator(&self) -> Operator {
         let entries = self.entries.iter().filter(|e| e.child.is_some()).map(|e| e.callers);
         Operator { platform: self.platform.public.address, entries: entries.collect() }
@@ -243,9 +298,8 @@
 
 impl Entry {
     fn start(&mut self) {
-        let bin = PathBuf::from(env!("CARGO_BIN_EXE_carobhitch-platform"));
         let log = fs::File::create(self.settings.with_extension("log")).expect("create a log");
-        let child = Command::new(bin.with_file_name("carobhitch-entry"))
+        let child = Command::new(binary("carobhitch-entry"))
             .arg("--settings")
             .arg(&self.settings)
             .stdout(Stdio::null())
@@ -282,6 +336,12 @@
         child.wait().expect("reap an entry")
     }
 
+    /// Waits until the process ends by itself.
+    pub fn wait_end(&mut self) -> ExitStatus {
+        let mut child = self.child.take().expect("an entry that runs");
+        child.wait().expect("reap an entry")
+    }
+
     pub fn status(&self) -> Option<Value> {
         client::get(self.callers, "/status").ok()
     }
