--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -209,7 +209,7 @@
     pub fn append_noise(&self, records: usize) {
         let path = format!("/streams/{FLEET_STREAM}/records");
         for n in 0..records {
-            let append = Append { id: format!("noise-{n}"), data: Value::Null };
+            let append = Append::new(format!("noise-{n}"), &Value::Null).expect("a record");
             let _: Value =
                 client::post(self.platform.public.address, &path, &append).expect("append noise");
         }
@@ -220,9 +220,8 @@
         let at = UNIX_EPOCH.elapsed().expect("a clock after 1970");
         let operation = format!("test-{}", at.as_nanos());
         let record = Record { operation: operation.clone(), author: "test".into(), at, body };
-        let data = serde_json::to_value(&record).expect("encode a record");
         let path = format!("/streams/{FLEET_STREAM}/records");
-        let append = Append { id: operation, data };
+        let append = Append::new(operation, &record).expect("encode a record");
         let _: Value =
             client::post(self.platform.public.address, &path, &append).expect("append a record");
     }
@@ -231,7 +230,7 @@
     pub fn snapshot(&self) -> Option<u64> {
         let path = format!("/streams/{}/records?from=0", snapshot::STREAM);
         let page: Page = client::get(self.platform.public.address, &path).ok()?;
-        page.records.last()?.data["at"].as_u64()
+        page.records.last()?.decode::<Value>().ok()?["at"].as_u64()
     }
 
     /// Lowest offset that the log keeps of the fleet's records.
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -30,7 +30,7 @@
 }
 
 fn append(platform: &Platform, id: &str) -> client::Result<Appended> {
-    let append = Append { id: String::from(id), data: json!(id) };
+    let append = Append::new(String::from(id), &id).expect("a record");
     client::post(platform.public.address, RECORDS, &append)
 }
 
