Linger on a planned stop, and take the platform's word on dead entries

Cause: a stopping entry closed its listener at once, which reset 1 or 2 of about 1,700 tries that the kernel had queued. It now accepts for one second more. The report names the tries of requests that were cut.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -235,7 +235,7 @@
                 self.message(now, from, incarnation, message)
             }
             Event::Linked { peer, contact } => self.linked(now, peer, contact),
-            Event::Listed(list) => self.listed(list),
+            Event::Listed(list) => self.listed(now, list),
             Event::Operated { operation, progress } => self.operated(now, operation, progress),
             Event::Probed { vm, sound } => self.monitor.probed(now, &vm, sound),
             Event::Stop => self.stop(),
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -222,7 +222,8 @@
         let queue = &mut self.service(&flight.request.service).queue;
         queue.cancel(id);
         queue.finish(now, id);
-        self.conclude(id, flight.claim, Ending::NotRun);
+        let ending = if flight.may_have_run { Ending::Unknown } else { Ending::NotRun };
+        self.conclude(id, flight.claim, ending);
         // The caller went before the attempt began.
         if let Some(permit) = flight.running.and_then(|running| running.permit) {
             self.slots.release(now, permit);
--- a/src/engine/routes.rs
+++ b/src/engine/routes.rs
@@ -7,15 +7,18 @@
         eject::Word,
         event::Action,
         id::{ServiceId, VmId},
-        member::Health,
+        member::{Health, Proof},
         platform::{self, List},
         slot::{Listed, Standing},
         wire::Message,
     },
     indexmap::IndexMap,
+    log::info,
     std::time::{Duration, Instant},
 };
 
+/// Difference allowed between the platform's clock and an entry's.
+const CLOCK_SKEW: Duration = Duration::from_secs(10);
 /// Time after which an endpoint's own word that it leaves must be heard again.
 const WORD_KEPT: Duration = Duration::from_secs(30);
 
@@ -91,7 +94,8 @@
     }
 
     /// Takes the platform's word on leaving VMs.
-    pub(super) fn listed(&mut self, list: List) {
+    pub(super) fn listed(&mut self, now: Instant, list: List) {
+        self.note_dead_entries(now, &list);
         for vm in &list.vms {
             let leaving = vm.health != platform::Health::Live;
             self.monitor.set_leaving(&vm.id, Word::Platform, leaving);
@@ -99,6 +103,22 @@
         self.list = Some(list);
     }
 
+    /// Takes the platform's word that an entry's VM has ended since the entry joined.
+    fn note_dead_entries(&mut self, now: Instant, list: &List) {
+        let as_of = Duration::from_millis(list.as_of_ms);
+        let state = self.shared.state();
+        for vm in list.vms.iter().filter(|vm| vm.health == platform::Health::Dead) {
+            let joined = state.joined.get(&vm.id).is_some_and(|j| j.at + CLOCK_SKEW < as_of);
+            let Some(member) = state.members.get(&vm.id).filter(|_| joined) else {
+                continue;
+            };
+            if self.peers.gone(&vm.id, member.incarnation, Proof::Listed) {
+                info!("member: Entry {} has ended: its VM is listed as dead.", vm.id);
+                self.record_gone(now, vm.id.clone(), member.incarnation);
+            }
+        }
+    }
+
     /// Takes an endpoint's own word that it leaves.
     pub(super) fn endpoint_leaves(&mut self, now: Instant, vm: &VmId) {
         self.monitor.set_leaving(vm, Word::Endpoint, true);
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -40,14 +40,22 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::TcpListener,
-        sync::{Semaphore, mpsc, oneshot, watch},
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
+        time::timeout,
     },
 };
 
 /// Part of a body that is read before the request is admitted.
 pub const PREFETCH_BYTES: usize = 64 * 1024;
 
+/// Time for which a stopping entry still accepts connections.
+pub const LINGER: Duration = Duration::from_secs(1);
+/// Time in which a connection that the kernel has queued is accepted.
+const QUEUED: Duration = Duration::from_millis(5);
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What the engine tells the task that drives a request.
 #[derive(Debug)]
 pub enum Step {
@@ -113,6 +121,9 @@
 }
 
 /// Accepts callers until `stop` changes, then ends once every connection has finished.
+///
+/// After `stop` it accepts for [`LINGER`] more, and what the kernel has queued by then: a listener
+/// that is closed at once resets callers that have connected already. They are told `not-run`.
 pub async fn serve(
     listener: TcpListener,
     server: Arc<Server>,
@@ -120,22 +131,21 @@
 ) -> std::io::Result<()> {
     let places = Arc::new(Semaphore::new(server.limits.connections as usize));
     let (alive, mut ended) = mpsc::channel::<()>(1);
+    let mut until = None;
     loop {
-        let place = tokio::select! {
-            _ = stop.changed() => break,
-            place = places.clone().acquire_owned() => place,
-        };
         let accepted = tokio::select! {
-            _ = stop.changed() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let (socket, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!("server: Accept failed: {error}.");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+            accepted = accept_one(&listener, &places) => accepted,
+            _ = stop.changed(), if until.is_none() => {
+                until = Some(tokio::time::Instant::now() + LINGER);
                 continue;
             }
+            () = sleep_until(until) => match timeout(QUEUED, accept_one(&listener, &places)).await {
+                Ok(accepted) => accepted,
+                Err(_) => break,
+            },
+        };
+        let Some((socket, peer, place)) = accepted else {
+            continue;
         };
         let _ = socket.set_nodelay(true);
         let (server, stop, alive) = (server.clone(), stop.clone(), alive.clone());
@@ -149,8 +159,32 @@
     Ok(())
 }
 
+/// A connection and its place among the allowed ones; none if accepting failed.
+async fn accept_one(
+    listener: &TcpListener,
+    places: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let place = places.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((socket, peer)) => Some((socket, peer, place)),
+        Err(error) => {
+            warn!("server: Accept failed: {error}.");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+/// Waits for an instant; for ever without one.
+async fn sleep_until(until: Option<tokio::time::Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn connect(
-    socket: tokio::net::TcpStream,
+    socket: TcpStream,
     peer: SocketAddr,
     server: Arc<Server>,
     mut stop: watch::Receiver<bool>,
--- a/standin/src/tally.rs
+++ b/standin/src/tally.rs
@@ -14,6 +14,8 @@
 
 /// Greatest latency told apart.
 const MAX_LATENCY_MICROS: u64 = 600_000_000;
+/// Requests that were lost or cut of which a report tells the tries.
+const MAX_ODDITIES: usize = 5;
 /// Digits of the latencies kept.
 const LATENCY_DIGITS: u8 = 3;
 
@@ -72,6 +74,8 @@
     pub rows: IndexMap<String, Row>,
     /// Orders in the endpoints' ledgers.
     pub audit: Audit,
+    /// The first requests that were lost or cut, with their tries.
+    pub oddities: Vec<String>,
 }
 
 /// Requests so far.
@@ -81,6 +85,7 @@
     rows: IndexMap<String, Row>,
     latencies: IndexMap<String, Histogram<u64>>,
     orders: IndexMap<OrderKey, (End, bool)>,
+    oddities: Vec<String>,
 }
 
 impl Tally {
@@ -93,6 +98,7 @@
             rows: rows.into_iter().collect(),
             latencies: IndexMap::new(),
             orders: IndexMap::new(),
+            oddities: Vec::new(),
         }
     }
 
@@ -108,7 +114,12 @@
         row.retries += story.tries.len().saturating_sub(1) as u64;
         let broken =
             |(entry, t): &(SocketAddr, Try)| *t == Try::Broken && !self.killed.contains(entry);
-        row.cut += u64::from(story.end == End::Cut || story.tries.iter().any(broken));
+        let cut = story.end == End::Cut || story.tries.iter().any(broken);
+        row.cut += u64::from(cut);
+        if (cut || story.end == End::Lost) && self.oddities.len() < MAX_ODDITIES {
+            self.oddities
+                .push(format!("{class} {}: {:?} {:?}", ask.work.id, story.end, story.tries));
+        }
         match story.end {
             End::Answered => row.answered += 1,
             End::Failed => row.failed += 1,
@@ -141,7 +152,7 @@
             row.p99_ms = millis(latencies.value_at_quantile(0.99));
             row.max_ms = millis(latencies.max());
         }
-        Report { rows, audit: self.audit(ledgers) }
+        Report { rows, audit: self.audit(ledgers), oddities: self.oddities.clone() }
     }
 
     fn audit(&self, ledgers: &[Ledger]) -> Audit {
@@ -207,7 +218,8 @@
         write!(f, "on one endpoint, at most: {} exchanges, ", a.most_in_flight)?;
         writeln!(f, "{} connections at once", a.most_connections)?;
         write!(f, "endpoints: {} requests past their slots, ", a.refused)?;
-        write!(f, "{} misrouted, {} broken by a reboot", a.misrouted, a.broken)
+        write!(f, "{} misrouted, {} broken by a reboot", a.misrouted, a.broken)?;
+        self.oddities.iter().try_for_each(|oddity| write!(f, "\n{oddity}"))
     }
 }
 
