--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -209,7 +209,7 @@
     pub fn append_noise(&self, records: usize) {
         let path = format!("/streams/{FLEET_STREAM}/records");
         for n in 0..records {
-            let append = Append::new(format!("noise-{n}"), &Value::Null).expect("a record");
+            let append = Append::new(format!("noise-{n}"), &Value::Null).expect("encode noise");
             let _: Value =
                 client::post(self.platform.public.address, &path, &append).expect("append noise");
         }
@@ -230,7 +230,8 @@
     pub fn snapshot(&self) -> Option<u64> {
         let path = format!("/streams/{}/records?from=0", snapshot::STREAM);
         let page: Page = client::get(self.platform.public.address, &path).ok()?;
-        page.records.last()?.decode::<Value>().ok()?["at"].as_u64()
+        let chunk: Value = serde_json::from_str(page.records.last()?.data.get()).ok()?;
+        chunk["at"].as_u64()
     }
 
     /// Lowest offset that the log keeps of the fleet's records.
