--- a/src/controller.rs
+++ b/src/controller.rs
@@ -158,7 +158,7 @@
             return true;
         }
         let rank = state.members.get_index_of(&self.entry).unwrap_or(0) as u32;
-        now >= lease.until + STAGGER * rank
+        now >= lease.until.saturating_add(STAGGER * rank)
     }
 
     /// Appends a record under a name made of the epoch and `key`, once until it is due again.
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,9 @@
 /// Verdicts that are kept at least, newest first; twice as many at most.
 pub const MIN_VERDICTS: usize = 4096;
 
+/// Time since the Unix epoch from which on records are rejected: the year 2242.
+pub const MAX_TIME: Duration = Duration::from_secs(1 << 33);
+
 /// State at one offset of the fleet's stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -94,9 +97,8 @@
         if let Some(verdict) = known {
             return verdict;
         }
-        self.clock = self.clock.max(record.at);
-        let context = Context { offset, at: record.at, fenced: false };
-        let verdict = match self.change(context, &record.body) {
+        let context = Context { offset, at: record.at.min(MAX_TIME), fenced: false };
+        let verdict = match self.change_at(context, &record.body) {
             Ok(()) => Verdict::Accepted,
             Err(reason) => Verdict::Rejected(reason),
         };
@@ -119,6 +121,14 @@
         self.verdicts.insert(record.operation.clone(), (offset, verdict.clone()));
     }
 
+    fn change_at(&mut self, context: Context, body: &Body) -> Result {
+        if context.at == MAX_TIME {
+            return Err(Reason::Invalid("the record's time lies centuries ahead".into()));
+        }
+        self.clock = self.clock.max(context.at);
+        self.change(context, body)
+    }
+
     fn change(&mut self, context: Context, body: &Body) -> Result {
         let Context { offset, at, fenced } = context;
         match body {
@@ -141,10 +151,12 @@
                 self.settle(context, vm)
             }
             Body::Acquire { lease, entry, incarnation, epoch, term } => {
-                let (incarnation, epoch, until) = (*incarnation, *epoch, at + *term);
+                let (incarnation, epoch, until) = (*incarnation, *epoch, at.saturating_add(*term));
                 self.acquire(Claim { lease, entry, incarnation, epoch, until }, at)
             }
-            Body::Renew { lease, epoch, term } => self.renew(lease, *epoch, at + *term),
+            Body::Renew { lease, epoch, term } => {
+                self.renew(lease, *epoch, at.saturating_add(*term))
+            }
             Body::Release { lease, epoch } => self.release(lease, *epoch),
             Body::Fenced { lease, epoch, body } => {
                 self.fence(lease, *epoch)?;
--- a/tests/state_declare.rs
+++ b/tests/state_declare.rs
@@ -147,3 +147,21 @@
     let newest = format!("op-{}", 3 * MIN_VERDICTS - 1);
     assert!(log.state.verdicts.contains_key(&newest));
 }
+
+#[test]
+fn a_record_from_a_broken_clock_is_rejected_and_harms_nothing() {
+    let mut log = Log::new(declaration(2, 1), &["e"]);
+    let clock = log.state.clock;
+    let mut record = log.records[1].clone();
+    record.operation = "broken".into();
+    record.at = std::time::Duration::MAX;
+    record.body = Body::Drain { vm: "p0".into() };
+    assert!(matches!(rejected(log.state.apply(2, &record)), Reason::Invalid(_)));
+    assert_eq!(log.state.clock, clock);
+    assert!(log.state.drains.is_empty());
+    record.operation = "lease".into();
+    record.at = clock;
+    let (lease, entry, term) = ("control".into(), "e".into(), std::time::Duration::MAX);
+    record.body = Body::Acquire { lease, entry, incarnation: 1, epoch: 0, term };
+    accepted(log.state.apply(3, &record));
+}
