--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -190,7 +190,9 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let head = Duration::from_millis(server.limits.head_ms);
+    let (begin, mut begun) = watch::channel(false);
     let service = service_fn(move |request| {
+        begin.send_replace(true);
         let server = server.clone();
         async move { Ok::<_, Infallible>(handle(server, request).await) }
     });
@@ -201,7 +203,8 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        // A connection without a request yet would be closed though one may be on its way.
+        () = both(&mut stop, &mut begun) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -211,9 +214,11 @@
     }
 }
 
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    // A dropped sender means that the process ends.
-    let _ = stop.wait_for(|stop| *stop).await;
+async fn both(first: &mut watch::Receiver<bool>, second: &mut watch::Receiver<bool>) {
+    for flag in [first, second] {
+        // A dropped sender means that the process, or the connection, ends.
+        let _ = flag.wait_for(|set| *set).await;
+    }
 }
 
 async fn handle(server: Arc<Server>, request: Request<Incoming>) -> Response<Body> {
