Split the daemon and the engine's dispatch into modules of one job

The parts on asynchronous runtimes, the parts that call the platform, and the way from queue to endpoint have files of their own.

--- a/src/daemon.rs
+++ b/src/daemon/mod.rs
@@ -13,22 +13,21 @@
 //! The loss of `engine` or `io` ends the process: requests in progress live in their memory. The
 //! others keep nothing and are started again.
 
+mod io;
+mod platform;
+
 use {
     crate::{
-        client::{self, Client},
-        engine::{self, Engine, Shared},
+        client::Client,
+        engine::{Engine, Shared},
         event::{Action, Event, Stream},
-        exchange,
         id::{OperationId, VmId},
-        link::{self, Links, Local},
         metrics::Metrics,
-        operator::{self, Calls},
+        operator::Calls,
         platform::Append,
         record::Member,
-        rpc,
-        server::{self, Server, Step},
+        server::{Server, Step},
         settings::Settings,
-        snapshot::{self, Collector},
         supervise::{self, Part, Policy, Stop, Tree},
         wire,
     },
@@ -46,16 +45,12 @@
         net::{SocketAddr, TcpListener},
         result,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant, UNIX_EPOCH},
     },
-    tokio::{
-        net,
-        runtime::{Builder, Runtime},
-        sync::{mpsc, watch},
-    },
+    tokio::sync::{mpsc, watch},
 };
 
 /// Time between two looks at what the passing of time asks for.
@@ -148,14 +143,14 @@
     };
     let parts = vec![
         part("engine", Policy::Escalate, run_engine),
-        part("io", Policy::Escalate, run_io),
-        part("rpc", Policy::Restart, run_rpc),
-        part("append", Policy::Restart, |d, stop| run_append(d, stop, Stream::Fleet)),
-        part("claim", Policy::Restart, |d, stop| run_append(d, stop, Stream::Orders)),
-        part("follow", Policy::Restart, |d, stop| run_follow(d, stop, Stream::Fleet)),
-        part("orders", Policy::Restart, |d, stop| run_follow(d, stop, Stream::Orders)),
-        part("list", Policy::Restart, run_list),
-        part("operate", Policy::Restart, run_operate),
+        part("io", Policy::Escalate, io::run),
+        part("rpc", Policy::Restart, io::run_rpc),
+        part("append", Policy::Restart, |d, stop| platform::append(d, stop, Stream::Fleet)),
+        part("claim", Policy::Restart, |d, stop| platform::append(d, stop, Stream::Orders)),
+        part("follow", Policy::Restart, |d, stop| platform::follow(d, stop, Stream::Fleet)),
+        part("orders", Policy::Restart, |d, stop| platform::follow(d, stop, Stream::Orders)),
+        part("list", Policy::Restart, platform::list),
+        part("operate", Policy::Restart, platform::operate),
     ];
     Tree::start(parts).and_then(Tree::join).map_err(Error::Part)?;
     if daemon.unfinished.load(Ordering::Relaxed) {
@@ -322,70 +317,6 @@
     }
 }
 
-fn run_io(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let runtime = runtime()?;
-    let ended = runtime.block_on(async {
-        let opened = take(&daemon.listeners).ok_or("the listeners were taken already")?;
-        let callers = tokio_listener(opened.callers)?;
-        let links = tokio_listener(opened.links)?;
-        let local = Arc::new(Local {
-            id: daemon.me.id.clone(),
-            incarnation: daemon.me.incarnation,
-            events: daemon.events.clone(),
-            traffic: daemon.shared.traffic().clone(),
-        });
-        tokio::spawn(link::listen(links, local.clone(), daemon.server.clone()));
-        if let Some(inbox) = take(&daemon.outgoing_inbox) {
-            tokio::spawn(send_messages(Links::new(local), inbox));
-        }
-        if let Some(inbox) = take(&daemon.probe_inbox) {
-            tokio::spawn(probe_endpoints(daemon.events.clone(), inbox));
-        }
-        info!("server: Accepts callers at {}.", daemon.settings.callers);
-        let serve = server::serve(callers, daemon.server.clone(), daemon.stopping.subscribe());
-        let served = async {
-            let served = serve.await;
-            daemon.served.store(true, Ordering::Relaxed);
-            // Links stay open until the engine ends the tree.
-            asked(stop).await;
-            served
-        };
-        tokio::select! {
-            served = served => served.map_err(|e| format!("serve callers: {e}")),
-            () = asked(stop) => Ok(()),
-        }
-    });
-    // Connections that are still open end with the process.
-    runtime.shutdown_background();
-    ended
-}
-
-async fn send_messages(mut links: Links, mut inbox: mpsc::UnboundedReceiver<Outgoing>) {
-    while let Some((link, message)) = inbox.recv().await {
-        links.send(link, message);
-    }
-}
-
-fn take<T>(place: &Mutex<Option<T>>) -> Option<T> {
-    place.lock().unwrap_or_else(PoisonError::into_inner).take()
-}
-
-async fn probe_endpoints(events: Sender<Event>, mut inbox: mpsc::UnboundedReceiver<Probe>) {
-    while let Some((vm, address)) = inbox.recv().await {
-        let events = events.clone();
-        tokio::spawn(async move {
-            let sound = exchange::probe(address).await;
-            // The engine is gone only while the whole process ends.
-            let _ = events.send(Event::Probed { vm, sound });
-        });
-    }
-}
-
-fn runtime() -> result::Result<Runtime, String> {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("start the runtime: {e}"))
-}
-
 fn bind(who: &'static str, address: SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).and_then(|listener| {
         listener.set_nonblocking(true)?;
@@ -393,146 +324,3 @@
     });
     bound.map_err(|source| Error::Listen { who, address, source })
 }
-
-fn tokio_listener(listener: TcpListener) -> result::Result<net::TcpListener, String> {
-    net::TcpListener::from_std(listener).map_err(|e| format!("use a listener: {e}"))
-}
-
-async fn asked(stop: &Stop) {
-    while !stop.asked() {
-        tokio::time::sleep(TICK).await;
-    }
-}
-
-fn run_rpc(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let address = daemon.settings.rpc;
-    let listener = TcpListener::bind(address)
-        .map_err(|e| format!("listen for operators at {address}: {e}"))?;
-    let (entry, events) = (daemon.me.id.clone(), daemon.events.clone());
-    let gate = operator::gate(entry, events, daemon.calls.clone(), daemon.shared.clone());
-    let stop = stop.clone();
-    let stopped = async move { asked(&stop).await };
-    rpc::run(listener, gate, stopped).map_err(|e| e.to_string())
-}
-
-fn run_append(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
-    let client = daemon.client();
-    let (_, inbox) = daemon.queue(stream);
-    loop {
-        let (stream, record) = select! {
-            recv(inbox) -> next => next.map_err(|e| e.to_string())?,
-            recv(stop.channel()) -> _ => return Ok(()),
-        };
-        let offset = match client.append(engine::stream_name(stream), &record) {
-            Ok(appended) => Some(appended.offset),
-            Err(error) => {
-                warn!("append: {error}.");
-                stop.wait(PAUSE);
-                None
-            }
-        };
-        daemon.tell(Event::Appended { stream, id: record.id, offset });
-    }
-}
-
-fn run_follow(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
-    let client = daemon.client();
-    let mut from = 0;
-    let mut wait = Duration::ZERO;
-    while !stop.asked() {
-        let event = match client.read(engine::stream_name(stream), from, PAGE_RECORDS, wait) {
-            Ok(page) => {
-                from = page.records.last().map_or(from, |last| last.offset + 1);
-                wait = if from >= page.end { client::READ_WAIT } else { Duration::ZERO };
-                Event::Read { stream, page }
-            }
-            Err(error) => {
-                warn!("follow: {error}.");
-                stop.wait(PAUSE);
-                let first = trimmed(&error);
-                from = match (stream, first) {
-                    (Stream::Fleet, Some(_)) => {
-                        find_snapshot(daemon, &client);
-                        daemon.shared.state().next
-                    }
-                    (Stream::Fleet, None) => daemon.shared.state().next,
-                    (_, first) => from.max(first.unwrap_or(0)),
-                };
-                Event::Unread { stream, first }
-            }
-        };
-        daemon.tell(event);
-    }
-    Ok(())
-}
-
-/// Reads the newest snapshot in the log.
-fn find_snapshot(daemon: &Daemon, client: &Client) {
-    let mut collector = Collector::default();
-    let mut from = 0;
-    loop {
-        let page = match client.read(snapshot::STREAM, from, PAGE_CHUNKS, Duration::ZERO) {
-            Ok(page) => page,
-            Err(client::Error::Trimmed { first, .. }) if first > from => {
-                from = first;
-                continue;
-            }
-            Err(error) => {
-                warn!("follow: {error}.");
-                break;
-            }
-        };
-        let Some(last) = page.records.last() else {
-            break;
-        };
-        from = last.offset + 1;
-        for record in page.records {
-            let chunk = record.decode().map_err(|e| e.to_string());
-            if let Err(error) = chunk.and_then(|c| collector.push(c).map_err(|e| e.to_string())) {
-                warn!("follow: {error}.");
-            }
-        }
-    }
-    if let Some(state) = collector.newest() {
-        daemon.tell(Event::Found(Box::new(state)));
-    }
-}
-
-fn trimmed(error: &client::Error) -> Option<crate::id::Offset> {
-    match error {
-        client::Error::Trimmed { first, .. } => Some(*first),
-        _ => None,
-    }
-}
-
-fn run_list(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let client = daemon.client();
-    while !stop.wait(LIST_INTERVAL) {
-        match client.list() {
-            Ok(list) => daemon.tell(Event::Listed(list)),
-            Err(error) => warn!("list: {error}."),
-        }
-    }
-    Ok(())
-}
-
-fn run_operate(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
-    let client = daemon.client();
-    loop {
-        let (vm, operation) = select! {
-            recv(daemon.order_inbox) -> next => next.map_err(|e| e.to_string())?,
-            recv(stop.channel()) -> _ => return Ok(()),
-        };
-        let found = match vm {
-            Some(vm) => client.reboot(&vm, &operation).map(Some),
-            None => client.operation(&operation),
-        };
-        match found {
-            Ok(found) => {
-                let progress = found.map(|found| found.progress);
-                daemon.tell(Event::Operated { operation, progress });
-            }
-            Err(error) => warn!("operate: {error}."),
-        }
-    }
-}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! input or output, so the same code runs in a daemon, in a test and in a measurement.
 
 mod control;
+mod dispatch;
 mod facts;
 mod orders;
 mod peers;
