--- a/src/client.rs
+++ b/src/client.rs
@@ -93,9 +93,13 @@
         self.call(step, Method::GET, &path, Body::empty())
     }
 
-    /// Reads the list of VMs.
-    pub fn list(&self) -> Result<List> {
-        self.call(String::from("list VMs"), Method::GET, "/vms", Body::empty())
+    /// Reads the list of VMs, or what has changed in it since a time in its own `as_of_ms`.
+    pub fn list(&self, since_ms: Option<u64>) -> Result<List> {
+        let path = match since_ms {
+            Some(since) => format!("/vms?since_ms={since}"),
+            None => String::from("/vms"),
+        };
+        self.call(String::from("list VMs"), Method::GET, &path, Body::empty())
     }
 
     /// Reboots a VM; repeating it with the same operation has no further effect.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -64,6 +64,9 @@
 /// Time between two reads of the list of VMs.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after which the whole list is read again, as VMs may have left it.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(600);
+
 /// Why the daemon ended.
 #[derive(Debug, Display)]
 pub enum Error {
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -1,7 +1,7 @@
 //! The parts that call the platform: each blocks in its own thread and keeps nothing.
 
 use {
-    super::{Daemon, LIST_INTERVAL, PAGE_CHUNKS, PAGE_RECORDS, PAUSE},
+    super::{Daemon, LIST_INTERVAL, PAGE_CHUNKS, PAGE_RECORDS, PAUSE, WHOLE_INTERVAL},
     crate::{
         client::{self, Client},
         engine,
@@ -12,7 +12,10 @@
     },
     crossbeam::select,
     log::warn,
-    std::{result, time::Duration},
+    std::{
+        result,
+        time::{Duration, Instant},
+    },
 };
 
 pub(super) fn append(daemon: &Daemon, stop: &Stop, stream: Stream) -> result::Result<(), String> {
@@ -105,11 +108,23 @@
     }
 }
 
+/// Reads the whole list at first and now and then, in between only what has changed.
 pub(super) fn list(daemon: &Daemon, stop: &Stop) -> result::Result<(), String> {
     let client = daemon.client();
+    let mut since = None;
+    let mut whole = Instant::now();
     while !stop.wait(LIST_INTERVAL) {
-        match client.list() {
-            Ok(list) => daemon.tell(Event::Listed(list)),
+        if whole.elapsed() >= WHOLE_INTERVAL {
+            since = None;
+        }
+        match client.list(since) {
+            Ok(list) => {
+                if list.since_ms.is_none() {
+                    whole = Instant::now();
+                }
+                since = Some(list.as_of_ms);
+                daemon.tell(Event::Listed(list));
+            }
             Err(error) => warn!("list: {error}."),
         }
     }
--- a/src/engine/control.rs
+++ b/src/engine/control.rs
@@ -29,7 +29,7 @@
         let state = self.shared.state();
         let view = View {
             state: &state,
-            list: self.list.as_ref(),
+            list: self.list.whole(),
             operations: &self.operations,
             now: wall,
         };
--- a/src/engine/routes.rs
+++ b/src/engine/routes.rs
@@ -43,6 +43,10 @@
             listed.insert(name.clone(), runners);
         }
         self.monitor.set_endpoints(known);
+        for vm in self.addresses.keys().filter_map(|vm| self.list.find(vm)) {
+            let leaving = vm.health != platform::Health::Live;
+            self.monitor.set_leaving(&vm.id, Word::Platform, leaving);
+        }
         self.slots.set_runners(now, listed);
         self.addresses.retain(|vm, _| state.declaration.vms.contains_key(vm));
         for (name, service) in &mut self.services {
@@ -101,7 +105,7 @@
             let leaving = vm.health != platform::Health::Live;
             self.monitor.set_leaving(&vm.id, Word::Platform, leaving);
         }
-        self.list = Some(list);
+        self.list.merge(list);
     }
 
     /// Takes the platform's word that an entry's VM has ended since the entry joined.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod relay;
 pub mod request;
 pub mod retry;
+pub mod roster;
 pub mod rpc;
 pub mod server;
 pub mod settings;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | `POST /streams/{stream}/records` with [`Append`] | [`Appended`] |
 //! | `GET /streams/{stream}/records?from=&max=&wait_ms=` | [`Page`]; waits up to `wait_ms` for a record |
-//! | `GET /vms` | [`List`] |
+//! | `GET /vms?since_ms=` | [`List`]; with `since_ms` only the VMs that changed after that time |
 //! | `POST /vms/{vm}/reboot` with [`Action`] | [`Operation`] |
 //! | `GET /operations/{operation}` | [`Operation`]; 404 if never begun |
 //! | `POST /tasks/{task}/{start,checkpoint,throttle,stop,renew}` with [`Task`] | [`Operation`] |
@@ -109,6 +109,9 @@
 pub struct List {
     /// Time that the list describes, in milliseconds since the Unix epoch.
     pub as_of_ms: u64,
+    /// Time after which the VMs in the list changed; none if it names every VM.
+    #[serde(default)]
+    pub since_ms: Option<u64>,
     /// VMs.
     pub vms: Vec<Listed>,
 }
--- a/standin/src/machine.rs
+++ b/standin/src/machine.rs
@@ -53,7 +53,7 @@
 #[derive(Debug, Default)]
 pub struct Machines {
     machines: IndexMap<VmId, Machine>,
-    seen: IndexMap<VmId, Listed>,
+    seen: IndexMap<VmId, (Duration, Listed)>,
     unseen: VecDeque<(Duration, Listed)>,
     reboots: IndexMap<OperationId, Reboot>,
 }
@@ -78,16 +78,19 @@
         self.machines.get(vm).map(|m| &m.listed.zone)
     }
 
-    /// List as it was a `lag` ago.
-    pub fn list(&mut self, now: Duration, lag: Duration) -> List {
+    /// List as it was a `lag` ago, or what had changed in it since a time in milliseconds.
+    pub fn list(&mut self, now: Duration, lag: Duration, since_ms: Option<u64>) -> List {
         self.tick(now);
         let as_of = now.saturating_sub(lag);
         while self.unseen.front().is_some_and(|(at, _)| *at <= as_of) {
-            if let Some((_, listed)) = self.unseen.pop_front() {
-                self.seen.insert(listed.id.clone(), listed);
+            if let Some((at, listed)) = self.unseen.pop_front() {
+                self.seen.insert(listed.id.clone(), (at, listed));
             }
         }
-        List { as_of_ms: as_of.as_millis() as u64, vms: self.seen.values().cloned().collect() }
+        let since = since_ms.map(Duration::from_millis);
+        let changed = self.seen.values().filter(|(at, _)| since.is_none_or(|since| *at > since));
+        let vms = changed.map(|(_, listed)| listed.clone()).collect();
+        List { as_of_ms: as_of.as_millis() as u64, since_ms, vms }
     }
 
     /// Begins a reboot, once for each operation, and tells where the VM's stand-in must hear of it,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -198,7 +198,9 @@
         match call.segments()[..] {
             ["streams", stream, "records"] => self.page(call, stream).await,
             ["vms"] => {
-                Reply::json(200, &lock(&self.state).machines.list(now(), self.config.list_lag))
+                let since_ms = call.param("since_ms");
+                let lag = self.config.list_lag;
+                Reply::json(200, &lock(&self.state).machines.list(now(), lag, since_ms))
             }
             ["operations", operation] => self.operation(&operation.into()),
             ["usage"] => self.usage(call.param("zone")),
--- a/tests/wave_controller.rs
+++ b/tests/wave_controller.rs
@@ -89,7 +89,7 @@
             Listed { id: id.clone(), zone, rack, address, health, boots }
         };
         let vms = self.log.state.declaration.vms.iter().map(listed).collect();
-        List { as_of_ms: at.as_millis() as u64, vms }
+        List { as_of_ms: at.as_millis() as u64, since_ms: None, vms }
     }
 
     fn progress(&self, operation: &str) -> Option<Progress> {
