Hold bodies up to 512 KiB, so that their requests can be sent again

Bodies beyond 64 KiB are now held up to 512 KiB while at most 32 of them are; others are streamed as before. Ruled out: holding all, which 1,024 connections would make 512 MiB.

--- a/src/server/drive.rs
+++ b/src/server/drive.rs
@@ -39,7 +39,7 @@
     let deadline = request.deadline.into();
     let mut attempts = Attempts { server: server.clone(), id, request: request.clone(), deadline };
     let fingerprint = source.fingerprint();
-    let repeatable = source.rest.is_none();
+    let repeatable = source.held.rest.is_none();
     let relayed = origin == Origin::Entry;
     server.tell(Event::Arrived { id, request, fingerprint, repeatable, relayed });
     loop {
--- a/src/server/intake.rs
+++ b/src/server/intake.rs
@@ -1,7 +1,7 @@
 //! Reads a caller's request: its head, and its body as far as it is read before admission.
 
 use {
-    super::PREFETCH_BYTES,
+    super::{LONG_BYTES, PREFETCH_BYTES},
     crate::{
         body,
         exchange::Body,
@@ -22,9 +22,13 @@
     std::{
         hash::{Hash, Hasher},
         result,
+        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::timeout,
+    },
 };
 
 /// Reads what the decisions need from a request's head.
@@ -68,24 +72,46 @@
     value.to_str().map(Some).map_err(|_| format!("{name}: not plain text"))
 }
 
+/// A body as far as it was read.
+pub(super) struct Held {
+    pub(super) bytes: Bytes,
+    /// What is still with the caller.
+    pub(super) rest: Option<Body>,
+    /// Room for a longer body, given back when this is dropped.
+    pub(super) _room: Option<OwnedSemaphorePermit>,
+}
+
 /// Reads the beginning of a body; the rest, if any, stays with the caller.
+///
+/// A body that is read whole can be sent again. One longer than [`PREFETCH_BYTES`] is read on, up
+/// to [`LONG_BYTES`], while there is room for it.
 pub(super) async fn prefetch(
     mut body: Body,
     idle: Duration,
-) -> result::Result<(Bytes, Option<Body>), &'static str> {
-    let mut held = BytesMut::new();
-    while held.len() < PREFETCH_BYTES && !body.is_end_stream() {
+    room: &Arc<Semaphore>,
+) -> result::Result<Held, &'static str> {
+    let mut bytes = BytesMut::new();
+    let mut limit = PREFETCH_BYTES;
+    let mut taken = None;
+    while !body.is_end_stream() {
+        if bytes.len() >= PREFETCH_BYTES && taken.is_none() {
+            taken = room.clone().try_acquire_owned().ok();
+            limit = if taken.is_some() { LONG_BYTES } else { PREFETCH_BYTES };
+        }
+        if bytes.len() >= limit {
+            break;
+        }
         match timeout(idle, body.frame()).await {
             Err(_) => return Err("the body came too slowly"),
             Ok(Some(Err(_))) => return Err("the body broke off"),
             Ok(Some(Ok(frame))) => {
-                held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+                bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
             }
-            Ok(None) => return Ok((held.freeze(), None)),
+            Ok(None) => return Ok(Held { bytes: bytes.freeze(), rest: None, _room: taken }),
         }
     }
-    let ended = body.is_end_stream();
-    Ok((held.freeze(), (!ended).then_some(body)))
+    let rest = (!body.is_end_stream()).then_some(body);
+    Ok(Held { bytes: bytes.freeze(), rest, _room: taken })
 }
 
 /// A caller's request as it is sent to endpoints.
@@ -93,8 +119,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) held: Bytes,
-    pub(super) rest: Option<Body>,
+    pub(super) held: Held,
 }
 
 impl Source {
@@ -104,15 +129,15 @@
         self.method.hash(&mut hasher);
         self.uri.path_and_query().map(|p| p.as_str()).hash(&mut hasher);
         self.headers.get(CONTENT_LENGTH).map(HeaderValue::as_bytes).hash(&mut hasher);
-        self.held[..self.held.len().min(PREFETCH_BYTES)].hash(&mut hasher);
+        self.held.bytes[..self.held.bytes.len().min(PREFETCH_BYTES)].hash(&mut hasher);
         hasher.finish()
     }
 
     /// The request for one attempt; its body's rest can be taken only once.
     pub(super) fn take(&mut self, limit: u64, idle: Duration) -> hyper::Request<Body> {
-        let body = match self.rest.take() {
-            None => body::whole(self.held.clone()),
-            Some(rest) => body::chain(self.held.clone(), rest, limit, idle),
+        let body = match self.held.rest.take() {
+            None => body::whole(self.held.bytes.clone()),
+            Some(rest) => body::chain(self.held.bytes.clone(), rest, limit, idle),
         };
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
         let mut request = hyper::Request::new(body);
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -49,6 +49,10 @@
 /// Part of a body that is read before the request is admitted.
 pub const PREFETCH_BYTES: usize = 64 * 1024;
 
+/// Part of a longer body that is read before the request is admitted, while there is room.
+pub const LONG_BYTES: usize = 512 * 1024;
+/// Longer bodies that are held at once.
+const LONG_BODIES: usize = 32;
 /// Time for which a stopping entry still accepts connections.
 pub const LINGER: Duration = Duration::from_secs(1);
 /// Time in which a connection that the kernel has queued is accepted.
@@ -90,6 +94,7 @@
     limits: Limits,
     shared: Arc<Shared>,
     relays: Relays,
+    room: Arc<Semaphore>,
 }
 
 impl Server {
@@ -97,7 +102,8 @@
     pub fn new(events: Sender<Event>, limits: Limits, shared: Arc<Shared>) -> Self {
         let (next, open) = (AtomicU64::new(1), AtomicUsize::new(0));
         let (waiters, relays) = (Mutex::default(), Relays::default());
-        Self { events, waiters, next, open, limits, shared, relays }
+        let room = Arc::new(Semaphore::new(LONG_BODIES));
+        Self { events, waiters, next, open, limits, shared, relays, room }
     }
 
     /// Hands the engine's word to the task that drives the request.
@@ -253,12 +259,11 @@
         return answer::refusal(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None);
     }
     let idle = Duration::from_millis(limits.idle_ms);
-    let (held, rest) = match intake::prefetch(body, idle).await {
+    let held = match intake::prefetch(body, idle, &server.room).await {
         Ok(read) => read,
         Err(reason) => return answer::refusal(StatusCode::REQUEST_TIMEOUT, reason, None),
     };
-    let source =
-        Source { method: parts.method, uri: parts.uri, headers: parts.headers, held, rest };
+    let source = Source { method: parts.method, uri: parts.uri, headers: parts.headers, held };
     let (answer, answered) = oneshot::channel();
     tokio::spawn(drive::drive(server, parsed, source, origin, answer));
     answered.await.unwrap_or_else(|_| {
