Test the engine's decisions event by event

Cause: what an entry decides between its modules was tested with real processes only, where a fault shows by chance. The tests feed the real engine with events and a log in memory.

--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,261 @@
+//! What an entry's engine asks for, event by event.
+
+use {
+    carobhitch::{
+        engine::{Engine, Shared},
+        event::{Action, End, Event, Finish, Stream},
+        fleet::{Declaration, Pool, Service, Vm},
+        id::{AttemptId, Incarnation, Offset},
+        platform::{Append, Entry, Page},
+        record::{Body, Member, Record},
+        request::{Class, Request},
+        state::State,
+        wire::Message,
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const TICK: Duration = Duration::from_millis(10);
+const WALL: Duration = Duration::from_secs(1_000_000);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn member(id: &str, incarnation: Incarnation, port: u16) -> Member {
+    let (link, rpc) = (address(port), address(port + 1));
+    Member { id: id.into(), incarnation, zone: "a".into(), link, rpc }
+}
+
+fn declaration() -> Declaration {
+    let mut declaration = Declaration::default();
+    declaration.pools.insert("pool".into(), Pool::default());
+    let service: Service = serde_json::from_str(r#"{"pool": "pool"}"#).expect("a service");
+    declaration.services.insert("quotes".into(), service);
+    let (zone, rack) = (String::from("a"), String::from("r"));
+    let vm = Vm { pool: "pool".into(), zone, rack, address: address(9) };
+    declaration.vms.insert("vm".into(), vm);
+    declaration
+}
+
+/// An engine with its log in memory.
+struct Bench {
+    engine: Engine,
+    now: Instant,
+    log: Vec<Append>,
+    orders: Vec<Append>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Instant::now();
+        let me = member("e1", 1, 100);
+        let mut engine = Engine::new(now, me, vec![address(200)], Arc::new(Shared::default()));
+        engine.set_wall(now, WALL);
+        Self { engine, now, log: Vec::new(), orders: Vec::new() }
+    }
+
+    /// A bench whose engine has joined and holds the endpoint's slots.
+    fn joined() -> Self {
+        let mut bench = Self::new();
+        bench.write(Body::Declare { declaration: Box::new(declaration()), expected: None });
+        bench.read();
+        bench.run(Duration::from_secs(1));
+        bench.read();
+        bench.run(Duration::from_secs(1));
+        bench
+    }
+
+    fn write(&mut self, body: Body) {
+        let operation = format!("write-{}", self.log.len());
+        let record = Record { operation: operation.clone(), author: "op".into(), at: WALL, body };
+        self.log.push(Append::new(operation, &record).expect("encode a record"));
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let actions = self.engine.handle(self.now, event);
+        self.keep(&actions);
+        actions
+    }
+
+    /// Lets time pass.
+    fn run(&mut self, time: Duration) -> Vec<Action> {
+        let end = self.now + time;
+        let mut all = Vec::new();
+        while self.now < end {
+            self.now += TICK;
+            let actions = self.engine.tick(self.now);
+            self.keep(&actions);
+            all.extend(actions);
+        }
+        all
+    }
+
+    /// Keeps what the engine appends, once.
+    fn keep(&mut self, actions: &[Action]) {
+        for action in actions {
+            let Action::Append { stream, record } = action else { continue };
+            let log = match stream {
+                Stream::Fleet => &mut self.log,
+                Stream::Orders => &mut self.orders,
+                Stream::Snapshots => continue,
+            };
+            if log.iter().all(|known| known.id != record.id) {
+                log.push(record.clone());
+            }
+        }
+    }
+
+    /// Reads the fleet's records back.
+    fn read(&mut self) -> Vec<Action> {
+        let page = page(&self.log);
+        self.handle(Event::Read { stream: Stream::Fleet, page })
+    }
+
+    fn arrive(&mut self, id: u64, class: Class, key: Option<&str>) -> Vec<Action> {
+        let request = Request {
+            service: "quotes".into(),
+            team: "team".into(),
+            class,
+            deadline: self.now + Duration::from_secs(5),
+            key: key.map(String::from),
+            repeat: false,
+        };
+        let (fingerprint, repeatable, relayed) = (7, true, false);
+        self.handle(Event::Arrived { id, request, fingerprint, repeatable, relayed })
+    }
+}
+
+fn page(log: &[Append]) -> Page {
+    let records = log.iter().zip(0..).map(|(append, offset)| Entry {
+        offset,
+        at_ms: WALL.as_millis() as u64,
+        data: append.data.clone(),
+    });
+    Page { first: 0, end: log.len() as Offset, records: records.collect() }
+}
+
+fn runs(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Run { .. })).count()
+}
+
+fn attempt(actions: &[Action]) -> AttemptId {
+    let attempt = actions.iter().find_map(|action| match action {
+        Action::Run { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    attempt.expect("an attempt")
+}
+
+fn refusals(actions: &[Action]) -> usize {
+    let refused = |a: &&Action| matches!(a, Action::Finish { finish: Finish::NotRun { .. }, .. });
+    actions.iter().filter(refused).count()
+}
+
+#[test]
+fn a_quick_call_runs_at_once_on_a_free_slot() {
+    let mut bench = Bench::joined();
+    assert_eq!(runs(&bench.arrive(1, Class::Quick, None)), 1);
+}
+
+#[test]
+fn no_more_exchanges_run_than_the_endpoint_has_slots() {
+    let mut bench = Bench::joined();
+    let run: usize = (0..20).map(|id| runs(&bench.arrive(id, Class::Quick, None))).sum();
+    assert_eq!(run, 8);
+}
+
+#[test]
+fn an_order_runs_only_after_its_claim_was_read_back() {
+    let mut bench = Bench::joined();
+    let mut before = bench.arrive(1, Class::Order, Some("key"));
+    before.extend(bench.run(Duration::from_millis(500)));
+    assert_eq!(runs(&before), 0);
+    let page = page(&bench.orders);
+    assert_eq!(runs(&bench.handle(Event::Read { stream: Stream::Orders, page })), 1);
+}
+
+#[test]
+fn an_order_whose_claim_is_never_read_back_is_refused_long_before_its_deadline() {
+    let mut bench = Bench::joined();
+    bench.arrive(1, Class::Order, Some("key"));
+    let actions = bench.run(Duration::from_secs(3));
+    assert_eq!((runs(&actions), refusals(&actions)), (0, 1));
+}
+
+#[test]
+fn an_entry_that_has_not_joined_relays_and_runs_nothing() {
+    let mut bench = Bench::new();
+    let mut state = State::default();
+    let bodies = [
+        Body::Declare { declaration: Box::new(declaration()), expected: None },
+        Body::Join { entry: member("e2", 2, 200) },
+    ];
+    for (offset, body) in bodies.into_iter().enumerate() {
+        let (operation, author) = (offset.to_string(), "op".into());
+        state.apply(offset as Offset, &Record { operation, author, at: WALL, body });
+    }
+    bench.handle(Event::Unread { stream: Stream::Fleet, first: None });
+    let message = Message::State(Box::new(state));
+    bench.handle(Event::Message { from: "e2".into(), incarnation: 2, message });
+    let actions = bench.arrive(1, Class::Quick, None);
+    assert_eq!(runs(&actions), 0);
+    let relayed = |a: &Action| matches!(a, Action::Relay { link, .. } if *link == address(200));
+    assert!(actions.iter().any(relayed), "{actions:?}");
+}
+
+#[test]
+fn an_entry_cut_off_from_the_log_goes_on_serving() {
+    let mut bench = Bench::joined();
+    for _ in 0..60 {
+        bench.handle(Event::Unread { stream: Stream::Fleet, first: None });
+        bench.run(Duration::from_secs(1));
+    }
+    assert_eq!(runs(&bench.arrive(1, Class::Quick, None)), 1);
+}
+
+#[test]
+fn a_drained_endpoint_gets_nothing_and_its_callers_are_refused_at_once() {
+    let mut bench = Bench::joined();
+    bench.write(Body::Drain { vm: "vm".into() });
+    bench.read();
+    let actions = bench.arrive(1, Class::Quick, None);
+    assert_eq!((runs(&actions), refusals(&actions)), (0, 1));
+}
+
+#[test]
+fn callers_are_refused_at_once_after_the_only_endpoint_said_that_it_leaves() {
+    let mut bench = Bench::joined();
+    let attempt = attempt(&bench.arrive(1, Class::Quick, None));
+    let end = End::Answered { status: 200, leaving: true, kept: None };
+    bench.handle(Event::Ended { id: 1, attempt, end });
+    let actions = bench.arrive(2, Class::Quick, None);
+    assert_eq!((runs(&actions), refusals(&actions)), (0, 1));
+}
+
+#[test]
+fn a_drain_is_confirmed_only_once_the_last_exchange_has_ended() {
+    let mut bench = Bench::joined();
+    let attempt = attempt(&bench.arrive(1, Class::Quick, None));
+    bench.write(Body::Drain { vm: "vm".into() });
+    bench.read();
+    let confirmed = |log: &[Append]| log.iter().any(|record| record.id.starts_with("emptied-"));
+    bench.run(Duration::from_secs(2));
+    assert!(!confirmed(&bench.log));
+    let end = End::Answered { status: 200, leaving: false, kept: None };
+    bench.handle(Event::Ended { id: 1, attempt, end });
+    bench.run(Duration::from_secs(1));
+    assert!(confirmed(&bench.log));
+}
+
+#[test]
+fn an_incarnation_that_the_log_calls_ended_asks_to_be_stopped() {
+    let mut bench = Bench::joined();
+    bench.write(Body::Gone { entry: "e1".into(), incarnation: 1 });
+    let actions = bench.read();
+    assert!(actions.iter().any(|action| matches!(action, Action::Expelled)), "{actions:?}");
+}
