--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -28,6 +28,7 @@
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
         thread::sleep,
         time::{Duration, Instant, UNIX_EPOCH},
     },
@@ -37,6 +38,12 @@
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(20);
+/// Lowest port of the entries.
+const FIRST_PORT: u16 = 10_000;
+/// Blocks of ports, of which each test program uses one.
+const PORT_BLOCKS: u32 = 40;
+/// Ports in a block.
+const PORTS_PER_BLOCK: u16 = 500;
 /// The service that every fleet runs.
 pub const SERVICE: &str = "quotes";
 
@@ -65,10 +72,20 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-/// An address that was free a moment ago.
+/// An address that nobody uses, given once.
+///
+/// Below the ports that the kernel gives to connections and to port 0, so that none takes it between
+/// this look and the entry's start.
 pub fn free() -> SocketAddr {
-    let listener = TcpListener::bind(any()).expect("bind a free port");
-    listener.local_addr().expect("read the port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + (std::process::id() % PORT_BLOCKS) as u16 * PORTS_PER_BLOCK;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_BLOCK;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A program of the product, built beside the stand-ins.
