--- a/src/bin/carobhitch-entry/app.rs
+++ b/src/bin/carobhitch-entry/app.rs
@@ -1,9 +1,10 @@
 //! Runs what the command line asks for.
 
 use {
-    crate::config,
-    carobhitch::{daemon, fault, logging},
+    crate::config::{self, Role},
+    carobhitch::{daemon, fault, job, logging, settings::Settings},
     clap::ArgMatches,
+    log::LevelFilter,
 };
 
 /// Exit status for a failure while running.
@@ -31,7 +32,22 @@
         println!("settings are valid");
         return Ok(());
     }
-    logging::init(&config.settings.log)
-        .map_err(|e| Failure { text: e.to_string(), status: FAILED })?;
-    daemon::run(config.settings).map_err(|e| Failure { text: e.to_string(), status: FAILED })
+    match config.role {
+        Role::Requests(settings) => requests(settings),
+        Role::Jobs(settings) => jobs(settings),
+    }
+}
+
+fn failed(e: impl std::fmt::Display) -> Failure {
+    Failure { text: e.to_string(), status: FAILED }
+}
+
+fn requests(settings: Settings) -> Result<(), Failure> {
+    logging::init(&settings.log).map_err(failed)?;
+    daemon::run(settings).map_err(failed)
+}
+
+fn jobs(settings: job::settings::Settings) -> Result<(), Failure> {
+    job::daemon::init_log(LevelFilter::Info).map_err(failed)?;
+    job::daemon::run(settings).map_err(failed)
 }
--- a/src/bin/carobhitch-entry/clap_app.rs
+++ b/src/bin/carobhitch-entry/clap_app.rs
@@ -11,10 +11,17 @@
             Arg::new("settings")
                 .long("settings")
                 .value_name("FILE")
-                .required(true)
+                .required_unless_present("jobs")
                 .value_parser(value_parser!(std::path::PathBuf))
                 .help("TOML file with the settings of this entry"),
         )
+        .arg(
+            Arg::new("jobs")
+                .long("jobs")
+                .action(ArgAction::SetTrue)
+                .help("Place jobs on runners, with the platform's settings file")
+                .long_help("Place jobs on runners. The settings file is the platform's; the variable CAROBHITCH_CONFIG names it if --settings does not"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/src/bin/carobhitch-entry/config.rs
+++ b/src/bin/carobhitch-entry/config.rs
@@ -1,22 +1,40 @@
 //! Matches and settings file in, one checked struct out.
 
 use {
-    carobhitch::{fault, settings::Settings},
+    carobhitch::{adapter, fault, job, settings::Settings},
     clap::ArgMatches,
-    std::path::PathBuf,
+    std::{env, path::PathBuf},
 };
 
+/// What the entry does, with its checked settings.
+pub(crate) enum Role {
+    /// Serves callers' requests at endpoints.
+    Requests(Settings),
+    /// Places callers' jobs on runners.
+    Jobs(job::settings::Settings),
+}
+
 /// Everything the daemon is told at start.
 pub(crate) struct Config {
-    /// Checked settings.
-    pub(crate) settings: Settings,
+    /// Role, with its settings.
+    pub(crate) role: Role,
     /// Only check them.
     pub(crate) check: bool,
 }
 
 /// Reads the settings file that the command line names; reports every fault in it.
 pub(crate) fn load(matches: &ArgMatches) -> fault::Result<Config> {
-    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let settings = Settings::load(&path)?;
-    Ok(Config { settings, check: matches.get_flag("check") })
+    let named = matches.get_one::<PathBuf>("settings").cloned();
+    let role = if matches.get_flag("jobs") {
+        let path = named.unwrap_or_else(platform_path);
+        Role::Jobs(adapter::settings::load(&path)?)
+    } else {
+        Role::Requests(Settings::load(&named.unwrap_or_default())?)
+    };
+    Ok(Config { role, check: matches.get_flag("check") })
+}
+
+fn platform_path() -> PathBuf {
+    let named = env::var_os(adapter::settings::VARIABLE);
+    named.map_or_else(|| PathBuf::from(adapter::settings::PATH), PathBuf::from)
 }
--- /dev/null
+++ b/src/job/answer.rs
@@ -0,0 +1,64 @@
+//! Answers to callers.
+
+use {
+    super::ledger::Outcome,
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Answer to a caller's request.
+#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    /// the job is stored
+    Accepted,
+    /// the job is cancelled
+    Cancelled,
+    /// the job is {outcome:?}
+    State {
+        /// How it stands.
+        outcome: Outcome,
+        /// Whether a task of it has started.
+        started: bool,
+    },
+    /// {0} jobs wait
+    Pending(usize),
+    /// no such queue
+    NoQueue,
+    /// no such job
+    NoJob,
+    /// {0}
+    Malformed(String),
+    /// the method is not allowed here
+    Method,
+    /// not accepted, and nothing will run: {why}
+    Refused {
+        /// Reason.
+        why: String,
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+    /// the outcome is not known: {0}
+    Unknown(String),
+}
+
+impl Answer {
+    /// Status code of the answer.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Accepted | Self::Cancelled | Self::State { .. } | Self::Pending(_) => 200,
+            Self::NoQueue => 404,
+            Self::NoJob => 410,
+            Self::Malformed(_) => 400,
+            Self::Method => 405,
+            Self::Refused { .. } => 503,
+            Self::Unknown(_) => 504,
+        }
+    }
+
+    /// Refuses a request that has not been passed on.
+    pub fn refused(why: impl Into<String>) -> Self {
+        Self::Refused { why: why.into(), retry_after: Duration::from_secs(1) }
+    }
+}
--- /dev/null
+++ b/src/job/cell/accept.rs
@@ -0,0 +1,127 @@
+//! Callers' requests: submit, ask, cancel, count.
+
+use {
+    super::{Cell, Effect, Job, RequestId, Status, job::Phase},
+    crate::job::{
+        answer::Answer,
+        cell::Action,
+        ledger::Outcome,
+        spec::{self, Spec},
+    },
+    log::info,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+impl Cell {
+    /// Submits a job; its answer follows once the ledger has stored it.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        at_ms: u64,
+        request: RequestId,
+        queue: &str,
+        id: spec::Id,
+        spec: Spec,
+    ) {
+        if let Some(job) = self.jobs.get(&id) {
+            let stored = job.stored;
+            self.answer_when_stored(request, stored, Answer::Accepted);
+            return;
+        }
+        let manifest = Rc::clone(&self.manifest);
+        let Some(queue) = manifest.queue(queue) else {
+            self.actions.push(Action::Answer(request, Answer::NoQueue));
+            return;
+        };
+        let spec = Rc::new(spec);
+        self.load.submitted(&queue.service, &spec);
+        self.jobs.insert(id, Job::new(spec, queue, at_ms, now, Duration::ZERO));
+        self.accepted.push(id);
+        self.mark(id);
+        self.waiting.insert(id);
+        self.effects.push(Effect::Show(id));
+        self.effects.push(Effect::Answer(request, Answer::Accepted));
+        self.place_due = true;
+        info!("accept: job={id:016x} queue={} version={}", queue.name, manifest.version);
+    }
+
+    /// Asks for a job's state.
+    pub fn ask(&mut self, request: RequestId, id: spec::Id) {
+        match self.jobs.get(&id) {
+            Some(job) if job.stored => {
+                let answer = Answer::State { outcome: job.shown, started: job.started };
+                self.actions.push(Action::Answer(request, answer));
+            }
+            Some(job) => {
+                let answer = Answer::State { outcome: job.shown, started: false };
+                self.effects.push(Effect::Answer(request, answer));
+            }
+            None => self.deny(request),
+        }
+    }
+
+    /// Cancels a job; its answer follows once the ledger has stored that.
+    pub fn cancel(&mut self, request: RequestId, id: spec::Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return self.deny(request) };
+        if job.outcome == Outcome::Open {
+            info!("cancel: job={id:016x} started={}", job.started);
+            job.outcome = Outcome::Cancelled;
+            self.waiting.swap_remove(&id);
+            self.unplan(id);
+            self.mark(id);
+            self.effects.push(Effect::Show(id));
+            self.effects.push(Effect::StopAll(id));
+        }
+        let stored = self.jobs.get(&id).is_some_and(|job| job.shown != Outcome::Open);
+        self.answer_when_stored(request, stored, Answer::Cancelled);
+    }
+
+    /// Counts a queue's jobs of which no task has started.
+    pub fn count(&mut self, request: RequestId, queue: &str) {
+        let waits = |job: &&Job| {
+            *job.queue == *queue && job.stored && !job.started && job.outcome == Outcome::Open
+        };
+        let pending = self.jobs.values().filter(waits).count();
+        self.actions.push(Action::Answer(request, Answer::Pending(pending)));
+    }
+
+    /// Says that there is no such job, once the ledger has shown that no newer owner knows it.
+    fn deny(&mut self, request: RequestId) {
+        self.effects.push(Effect::Answer(request, Answer::NoJob));
+    }
+
+    fn answer_when_stored(&mut self, request: RequestId, stored: bool, answer: Answer) {
+        if stored {
+            self.actions.push(Action::Answer(request, answer));
+        } else {
+            self.effects.push(Effect::Answer(request, answer));
+        }
+    }
+
+    /// Takes back placements that were not sent.
+    pub(super) fn unplan(&mut self, id: spec::Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let mut freed = Vec::new();
+        for (step, tasks) in job.steps.iter_mut().enumerate() {
+            for (index, state) in tasks.iter_mut().enumerate() {
+                let Status::Placed(placement) = &state.status else { continue };
+                if placement.phase == Phase::Planned {
+                    let task = spec::Task {
+                        job: id,
+                        occurrence: 0,
+                        step: step as u16,
+                        index: index as u16,
+                    };
+                    freed.push((task, Rc::clone(&placement.runner)));
+                    state.status = Status::Waiting;
+                }
+            }
+        }
+        for (task, runner) in freed {
+            self.release(&runner, &task);
+        }
+    }
+}
--- /dev/null
+++ b/src/job/cell/commit.rs
@@ -0,0 +1,172 @@
+//! Batches for the ledger, and what follows once they are stored.
+
+use {
+    super::{Action, Batch, Cell, Effect, Phase, RunnerId, Status},
+    crate::job::{
+        answer::Answer,
+        ledger::{self, Outcome, Record},
+        manifest::Manifest,
+        runner::{Born, EndNumber, Start},
+        spec::{self, Task},
+    },
+    log::{error, info},
+    std::{rc::Rc, time::Instant},
+};
+
+impl Cell {
+    /// Next batch to append, if none is on its way and something waits for one.
+    pub fn next_batch(&mut self) -> Option<Batch> {
+        if self.in_flight.is_some() || self.effects.is_empty() {
+            return None;
+        }
+        let mut records = Vec::new();
+        if let Some(manifest) = &self.next_manifest {
+            push(&mut records, ledger::manifest(manifest));
+        }
+        for id in std::mem::take(&mut self.accepted) {
+            if let Some(job) = self.jobs.get(&id) {
+                let content = ledger::Accepted {
+                    queue: job.queue.to_string(),
+                    service: job.service.to_string(),
+                    at_ms: job.at_ms,
+                    spec: (*job.spec).clone(),
+                };
+                push(&mut records, ledger::accepted(id, &content));
+            }
+        }
+        for id in std::mem::take(&mut self.dirty) {
+            if let Some(job) = self.jobs.get(&id) {
+                push(&mut records, ledger::progress(id, &job.progress()));
+            }
+        }
+        records.extend(std::mem::take(&mut self.removed).into_iter().flat_map(ledger::removal));
+        if records.is_empty() {
+            records.push(ledger::barrier());
+        }
+        self.in_flight = Some(std::mem::take(&mut self.effects));
+        Some(Batch { records })
+    }
+
+    /// The ledger has stored the batch on its way.
+    pub fn committed(&mut self, now: Instant) {
+        for effect in self.in_flight.take().into_iter().flatten() {
+            self.follow(now, effect);
+        }
+    }
+
+    /// Refuses the submissions that are not on their way to the ledger: they will not run.
+    pub fn refuse_unstored(&mut self, why: &str) {
+        let refused: Vec<_> = std::mem::take(&mut self.accepted);
+        for id in &refused {
+            self.unplan(*id);
+            self.jobs.swap_remove(id);
+            self.waiting.swap_remove(id);
+            self.dirty.swap_remove(id);
+            info!("refuse: job={id:016x} why={why:?}");
+        }
+        let effects = std::mem::take(&mut self.effects);
+        for effect in effects {
+            match effect {
+                Effect::Answer(request, Answer::Accepted) => {
+                    self.actions.push(Action::Answer(request, Answer::refused(why)));
+                }
+                Effect::Show(id) if refused.contains(&id) => {}
+                other => self.effects.push(other),
+            }
+        }
+    }
+
+    /// Puts a newer manifest into force once the ledger has a copy of it.
+    pub fn declare(&mut self, manifest: Manifest) {
+        let newest = self.next_manifest.as_ref().map_or(self.manifest.version, |m| m.version);
+        if manifest.version <= newest {
+            return;
+        }
+        self.next_manifest = Some(manifest);
+        self.effects.push(Effect::Declare);
+    }
+
+    fn follow(&mut self, now: Instant, effect: Effect) {
+        match effect {
+            Effect::Answer(request, answer) => self.actions.push(Action::Answer(request, answer)),
+            Effect::Start(runner, task, run) => self.send_start(now, runner, task, run),
+            Effect::Seen(runner, born, number) => self.forget_ends(&runner, born, number),
+            Effect::Show(id) => self.show(now, id),
+            Effect::StopAll(id) => self.stop_all(now, id),
+            Effect::Declare => self.put_into_force(),
+        }
+    }
+
+    fn put_into_force(&mut self) {
+        let Some(manifest) = self.next_manifest.take() else { return };
+        info!("manifest: version={} before={}", manifest.version, self.manifest.version);
+        self.manifest = Rc::new(manifest);
+        self.place_due = true;
+    }
+
+    fn show(&mut self, now: Instant, id: spec::Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.stored = true;
+        if job.shown == Outcome::Open && job.outcome != Outcome::Open {
+            self.ended.push_back((now, id));
+        }
+        job.shown = job.outcome;
+    }
+
+    fn forget_ends(&mut self, runner: &RunnerId, born: Option<Born>, number: EndNumber) {
+        let Some(worker) = self.workers.get_mut(runner) else { return };
+        if worker.born == born {
+            worker.forgettable = worker.forgettable.max(number);
+            worker.uncommitted = worker.uncommitted.saturating_sub(1);
+        }
+    }
+
+    fn send_start(&mut self, now: Instant, runner: RunnerId, task: Task, run: u32) {
+        let fence = self.fence;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let (text, open) = (job.spec.text.clone(), job.outcome == Outcome::Open);
+        let Some(state) = job.task_mut(&task) else { return };
+        let Status::Placed(placement) = &mut state.status else { return };
+        if state.run != run || placement.phase != Phase::Planned || placement.runner != runner {
+            return;
+        }
+        let worker = self.workers.get_mut(&runner).filter(|worker| open && worker.can_start());
+        let Some(until_ms) = worker.and_then(|worker| worker.grant(now)) else {
+            self.unstart(&task, "its runner can't take it any more");
+            return;
+        };
+        placement.phase = Phase::Sent;
+        placement.since = now;
+        let checkpoint = state.checkpoint.clone();
+        let start = Start { task, run, text, until_ms, fence, checkpoint };
+        self.actions.push(Action::Start(runner, start));
+    }
+
+    fn stop_all(&mut self, now: Instant, id: spec::Id) {
+        for (task, runner, run) in self.runs_of(id) {
+            self.stop_run(now, &task, &runner, run);
+        }
+    }
+
+    /// Runs of a job that are on runners, or may be.
+    fn runs_of(&self, id: spec::Id) -> Vec<(Task, RunnerId, u32)> {
+        let mut runs = Vec::new();
+        let Some(job) = self.jobs.get(&id) else { return runs };
+        for (step, tasks) in job.steps.iter().enumerate() {
+            for (index, state) in tasks.iter().enumerate() {
+                let Status::Placed(placement) = &state.status else { continue };
+                let (step, index) = (step as u16, index as u16);
+                let task = Task { job: id, occurrence: 0, step, index };
+                runs.push((task, Rc::clone(&placement.runner), state.run));
+            }
+        }
+        runs
+    }
+}
+
+fn push(records: &mut Vec<Record>, record: ledger::Result<Record>) {
+    match record {
+        Ok(record) => records.push(record),
+        Err(e) => error!("ledger: {e}."),
+    }
+}
--- /dev/null
+++ b/src/job/cell/mod.rs
@@ -0,0 +1,198 @@
+//! The owner's state of a cell: its jobs, and the runners that it places their tasks on.
+//!
+//! One entry owns the cell under a fence that rises with each change of owner; every start, stop and
+//! renewal carries it, and the ledger refuses records of a lower one. The struct does no input or
+//! output: calls and answers come in as events with the time, and go out as [`Action`]s.
+//!
+//! A change is noted in the job's record first. Its effects (an answer to the caller, a start, a
+//! later end that a runner may forget) wait in [`Effect`]s until the ledger has stored the record.
+
+mod accept;
+mod commit;
+mod job;
+mod load;
+mod look;
+mod order;
+mod place;
+mod pools;
+mod restore;
+mod workers;
+
+pub use {
+    job::{Job, Phase, Placement, Status},
+    load::Load,
+    pools::Pools,
+    workers::Worker,
+};
+
+use {
+    super::{
+        answer::Answer,
+        ledger::Record,
+        manifest::Manifest,
+        runner::{self, Fence, Hold, Start},
+        settings::Bounds,
+        spec::{self, Task},
+        upkeep,
+    },
+    indexmap::{IndexMap, IndexSet},
+    std::{
+        collections::VecDeque,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Name of a runner, shared by the tasks on it.
+pub type RunnerId = Rc<str>;
+/// Number of a caller's request that waits for its answer.
+pub type RequestId = u64;
+
+/// Lease that a runner gets with each renewal.
+pub const LEASE: Duration = Duration::from_millis(5_000);
+/// Rate error that a runner's clock may have.
+pub const CLOCK_ERROR: f64 = 0.02;
+
+/// What the owner does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Answers a caller.
+    Answer(RequestId, Answer),
+    /// Starts a task.
+    Start(RunnerId, Start),
+    /// Stops a run.
+    Stop(RunnerId, Task, u32),
+    /// Sets the share at which a run works, in percent.
+    Pace(RunnerId, Task, u32, u32),
+    /// Renews a lease and looks.
+    Look(RunnerId, Hold),
+    /// Acts on a VM.
+    Machine(upkeep::Action),
+    /// Reports a wave: whether it is complete.
+    Report(upkeep::Number, bool),
+}
+
+/// What follows once the ledger has stored the records before it.
+#[derive(Clone, Debug, PartialEq)]
+enum Effect {
+    Answer(RequestId, Answer),
+    Start(RunnerId, Task, u32),
+    Seen(RunnerId, Option<runner::Born>, runner::EndNumber),
+    Show(spec::Id),
+    StopAll(spec::Id),
+    Declare,
+}
+
+/// Records to append, in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Records.
+    pub records: Vec<Record>,
+}
+
+/// Jobs and runners of a cell, in the hands of its owner.
+pub struct Cell {
+    fence: Fence,
+    bounds: Bounds,
+    manifest: Rc<Manifest>,
+    next_manifest: Option<Manifest>,
+    jobs: IndexMap<spec::Id, Job>,
+    workers: IndexMap<RunnerId, Worker>,
+    waiting: IndexSet<spec::Id>,
+    ended: VecDeque<(Instant, spec::Id)>,
+    dirty: IndexSet<spec::Id>,
+    accepted: Vec<spec::Id>,
+    removed: Vec<spec::Id>,
+    effects: Vec<Effect>,
+    in_flight: Option<Vec<Effect>>,
+    deposed: bool,
+    actions: Vec<Action>,
+    pools: Pools,
+    load: Load,
+    place_due: bool,
+}
+
+impl Cell {
+    /// Empty cell of an owner with the fence `fence`.
+    pub fn new(fence: Fence, bounds: Bounds, now: Instant) -> Self {
+        Self {
+            fence,
+            bounds,
+            manifest: Rc::default(),
+            next_manifest: None,
+            jobs: IndexMap::new(),
+            workers: IndexMap::new(),
+            waiting: IndexSet::new(),
+            ended: VecDeque::new(),
+            dirty: IndexSet::new(),
+            accepted: Vec::new(),
+            removed: Vec::new(),
+            effects: Vec::new(),
+            in_flight: None,
+            deposed: false,
+            actions: Vec::new(),
+            pools: Pools::new(now),
+            load: Load::new(now),
+            place_due: false,
+        }
+    }
+
+    /// Fence of this owner.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Manifest in force.
+    pub fn manifest(&self) -> &Manifest {
+        &self.manifest
+    }
+
+    /// Whether a runner has seen a newer owner.
+    pub fn deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// A newer owner has written.
+    pub fn depose(&mut self) {
+        self.deposed = true;
+    }
+
+    /// Jobs that are known.
+    pub fn jobs(&self) -> &IndexMap<spec::Id, Job> {
+        &self.jobs
+    }
+
+    /// Runners that are known.
+    pub fn workers(&self) -> &IndexMap<RunnerId, Worker> {
+        &self.workers
+    }
+
+    /// Takes the actions that are due.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Does what is due at `now`: looks at runners, losses, placement, moves and upkeep.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire_leases(now);
+        self.forget_ended(now);
+        self.load.advance(now);
+        if self.place_due {
+            self.place(now);
+        }
+        self.steer_pools(now);
+        self.look_at_runners(now);
+    }
+
+    /// Places tasks if something has changed since the last time.
+    pub fn settle(&mut self, now: Instant) {
+        if self.place_due {
+            self.place(now);
+        }
+        self.look_at_runners(now);
+    }
+
+    fn mark(&mut self, id: spec::Id) {
+        self.dirty.insert(id);
+    }
+}
--- /dev/null
+++ b/src/job/cell/restore.rs
@@ -0,0 +1,116 @@
+//! A new owner's start: the ledger's records, and the runners they name.
+
+use {
+    super::{
+        Cell, Job, LEASE, Worker,
+        job::{Phase, Placement, Status},
+    },
+    crate::job::{
+        ledger::{Accepted, Content, Outcome, Progress},
+        manifest::{Manifest, Queue},
+        spec::{self, Task},
+    },
+    log::warn,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which an owner that can't reach the ledger may still have extended leases.
+pub const FORMER_OWNER: Duration = Duration::from_millis(1_500);
+
+impl Cell {
+    /// Takes in a record; `wall_ms` is the time of day in milliseconds since the Unix epoch.
+    pub fn restore(&mut self, now: Instant, wall_ms: u64, content: Content) {
+        match content {
+            Content::Accepted(id, accepted) => self.restore_job(now, wall_ms, id, accepted),
+            Content::Progress(id, progress) => self.restore_progress(now, id, progress),
+            Content::Manifest(manifest) => self.restore_manifest(manifest),
+            Content::Barrier => {}
+        }
+    }
+
+    fn restore_manifest(&mut self, manifest: Manifest) {
+        if manifest.version > self.manifest.version {
+            self.manifest = Rc::new(manifest);
+        }
+    }
+
+    fn restore_job(&mut self, now: Instant, wall_ms: u64, id: spec::Id, accepted: Accepted) {
+        let manifest = Rc::clone(&self.manifest);
+        let named = manifest.queue(&accepted.queue).cloned();
+        let mut queue = named.unwrap_or_else(|| Queue {
+            name: accepted.queue.clone(),
+            attempts: 1,
+            ..Queue::default()
+        });
+        queue.service.clone_from(&accepted.service);
+        let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
+        let job = Job::new(Rc::new(accepted.spec), &queue, accepted.at_ms, now, age);
+        self.jobs.insert(id, job);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stored = true;
+        }
+        self.waiting.insert(id);
+        self.place_due = true;
+    }
+
+    fn restore_progress(&mut self, now: Instant, id: spec::Id, progress: Progress) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            warn!("restore: job={id:016x} has progress but was not accepted");
+            return;
+        };
+        job.outcome = progress.outcome;
+        job.shown = progress.outcome;
+        let mut placed = Vec::new();
+        for (step, tasks) in progress.steps.into_iter().enumerate() {
+            for (index, stored) in tasks.into_iter().enumerate() {
+                let task = Task { job: id, occurrence: 0, step: step as u16, index: index as u16 };
+                let Some(state) = job.task_mut(&task) else { continue };
+                state.run = stored.run;
+                state.failures = stored.failures;
+                state.checkpoint = stored.checkpoint;
+                let runner = usize::from(stored.runner).checked_sub(1);
+                if stored.done {
+                    state.status = Status::Done;
+                    if let Some(left) = job.left.get_mut(step) {
+                        *left = left.saturating_sub(1);
+                    }
+                } else if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
+                    placed.push((task, name.clone()));
+                }
+                job.started |= stored.run > 0;
+            }
+        }
+        if job.outcome != Outcome::Open {
+            self.waiting.swap_remove(&id);
+            self.ended.push_back((now, id));
+        }
+        for (task, name) in placed {
+            self.restore_placement(now, task, &name);
+        }
+    }
+
+    fn restore_placement(&mut self, now: Instant, task: Task, name: &str) {
+        let lapse = now + FORMER_OWNER + LEASE.max(self.bounds.lease).mul_f64(1.05);
+        let id = match self.workers.get_full(name) {
+            Some((_, id, _)) => Rc::clone(id),
+            None => {
+                let id = Rc::from(name);
+                self.workers.insert(Rc::clone(&id), Worker::new(None, now, lapse));
+                id
+            }
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let need = job.step(&task).map(|step| step.counted()).unwrap_or_default();
+        let Some(state) = job.task_mut(&task) else { return };
+        let runner = Rc::clone(&id);
+        state.status = Status::Placed(Placement { runner, phase: Phase::Restored, since: now });
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.used = worker.used.plus(&need);
+            worker.tasks.insert(task, need);
+            worker.lapse = worker.lapse.max(lapse);
+        }
+    }
+}
--- /dev/null
+++ b/src/job/cell/workers.rs
@@ -0,0 +1,229 @@
+//! Runners as the owner knows them: registration, lease, and the room that tasks take.
+
+use {
+    super::{CLOCK_ERROR, Cell, LEASE, RunnerId},
+    crate::job::{
+        runner::{Born, EndNumber, Entry},
+        spec::{Need, Task},
+    },
+    indexmap::IndexMap,
+    log::info,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time beyond a lease before its tasks count as ended.
+const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+/// Time after which a runner that is not listed and has no tasks is forgotten.
+const FORGET: Duration = Duration::from_secs(5);
+
+/// A runner.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Registration; none if only the ledger names it.
+    pub entry: Option<Entry>,
+    /// Whether the store lists it.
+    pub listed: bool,
+    /// Since when the store has not listed it.
+    pub absent: Instant,
+    /// Incarnation that answers.
+    pub born: Option<Born>,
+    /// Its clock in milliseconds, and when it was read.
+    pub clock: Option<(Instant, u64)>,
+    /// Room that tasks take.
+    pub used: Need,
+    /// Tasks on it, or that may be.
+    pub tasks: IndexMap<Task, Need>,
+    /// Whether it has taken this owner's fence.
+    pub held: bool,
+    /// When the look on its way was sent.
+    pub looking: Option<Instant>,
+    /// When to look next.
+    pub next_look: Instant,
+    /// When every lease given so far has ended.
+    pub lapse: Instant,
+    /// Last end that was read.
+    pub read: EndNumber,
+    /// Last end that may be forgotten.
+    pub forgettable: EndNumber,
+    /// Last end that it was told to forget.
+    pub told: EndNumber,
+    /// Reports whose ends the ledger has not stored yet.
+    pub uncommitted: u32,
+    /// Since when it has not answered.
+    pub failing: Option<Instant>,
+    /// Until when nothing is started on it.
+    pub shunned: Option<Instant>,
+    /// Runs that failed on it since one was done there.
+    pub strikes: u32,
+    /// Whether it is being emptied for a move or for upkeep.
+    pub reserved: bool,
+}
+
+impl Worker {
+    /// Runner that this owner hears of at `now`, with tasks that may run until `lapse`.
+    pub fn new(entry: Option<Entry>, now: Instant, lapse: Instant) -> Self {
+        Self {
+            listed: entry.is_some(),
+            absent: now,
+            born: entry.as_ref().and_then(|entry| entry.born),
+            entry,
+            clock: None,
+            used: Need::default(),
+            tasks: IndexMap::new(),
+            held: false,
+            looking: None,
+            next_look: now,
+            lapse,
+            read: 0,
+            forgettable: 0,
+            told: 0,
+            uncommitted: 0,
+            failing: None,
+            shunned: None,
+            strikes: 0,
+            reserved: false,
+        }
+    }
+
+    /// Whether a task may be sent to it.
+    pub fn can_start(&self) -> bool {
+        let ready = self.entry.as_ref().is_some_and(|entry| !entry.draining);
+        ready && self.listed && self.held && self.failing.is_none() && !self.reserved
+    }
+
+    /// Whether tasks are placed on it at `now`.
+    pub fn takes_tasks(&self, now: Instant) -> bool {
+        self.can_start() && self.shunned.is_none_or(|until| until <= now)
+    }
+
+    /// Whether it leaves.
+    pub fn draining(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.draining)
+    }
+
+    /// Room that no task takes.
+    pub fn free(&self) -> Need {
+        self.entry.as_ref().map_or_else(Need::default, |entry| entry.room.minus(&self.used))
+    }
+
+    /// Labels.
+    pub fn labels(&self) -> &[String] {
+        self.entry.as_ref().map_or(&[], |entry| &entry.labels)
+    }
+
+    /// Extends the lease at `now`; returns its end on the runner's clock, if that clock is known.
+    pub fn grant(&mut self, now: Instant) -> Option<u64> {
+        let (at, clock_ms) = self.clock?;
+        let elapsed = now.saturating_duration_since(at);
+        let until_ms = clock_ms + (elapsed + LEASE).as_millis() as u64;
+        let most = (LEASE + elapsed.mul_f64(CLOCK_ERROR)).mul_f64(1.0 + CLOCK_ERROR);
+        self.lapse = self.lapse.max(now + most + LAPSE_MARGIN);
+        Some(until_ms)
+    }
+
+    /// Forgets all that belongs to one incarnation.
+    pub fn renew(&mut self, born: Option<Born>, now: Instant) {
+        self.born = born;
+        self.clock = None;
+        self.held = false;
+        self.next_look = now;
+        self.read = 0;
+        self.forgettable = 0;
+        self.told = 0;
+        self.uncommitted = 0;
+        self.failing = None;
+        self.shunned = None;
+        self.strikes = 0;
+        self.lapse = now;
+    }
+}
+
+impl Cell {
+    /// The store lists a runner as `entry`, or no longer.
+    pub fn list(&mut self, now: Instant, id: &str, entry: Option<Entry>) {
+        let Some(entry) = entry else {
+            if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.listed) {
+                info!("runner: id={id} listed=false tasks={}", worker.tasks.len());
+                worker.listed = false;
+                worker.absent = now;
+            }
+            return;
+        };
+        let machine = entry.machine.clone();
+        match self.workers.get_mut(id) {
+            Some(worker) => {
+                let reborn =
+                    entry.born.is_some() && worker.born.is_some_and(|b| entry.born > Some(b));
+                let drains = entry.draining && !worker.draining();
+                let returns = !worker.listed;
+                worker.listed = true;
+                if drains || returns || reborn {
+                    let state = if entry.draining { "draining" } else { "ready" };
+                    info!(
+                        "runner: id={id} listed=true state={state} reborn={reborn} sequence={}",
+                        entry.sequence
+                    );
+                    self.place_due = true;
+                }
+                let born = entry.born;
+                worker.entry = Some(entry);
+                if reborn {
+                    self.reborn(now, id, born);
+                }
+            }
+            None => {
+                info!("runner: id={id} new service={} sequence={}", entry.service, entry.sequence);
+                self.workers.insert(Rc::from(id), Worker::new(Some(entry), now, now));
+            }
+        }
+        self.end_former_lives(now, id, &machine);
+    }
+
+    /// Runners of the same VM that are not its newest have ended.
+    fn end_former_lives(&mut self, now: Instant, id: &str, machine: &str) {
+        if machine.is_empty() {
+            return;
+        }
+        let born = self.workers.get(id).and_then(|worker| worker.born);
+        let former = |(other, worker): (&RunnerId, &Worker)| {
+            let entry = worker.entry.as_ref()?;
+            let older = worker.born < born || born.is_none() && !worker.listed;
+            (**other != *id && entry.machine == machine && older).then(|| Rc::clone(other))
+        };
+        let former: Vec<_> = self.workers.iter().filter_map(former).collect();
+        for other in former {
+            self.lose_all(now, &other, "its VM has a newer runner");
+            self.workers.swap_remove(&other);
+        }
+    }
+
+    /// A runner has started again under its name: what ran on it has ended.
+    pub(super) fn reborn(&mut self, now: Instant, id: &str, born: Option<Born>) {
+        self.lose_all(now, id, "it has started again");
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.renew(born, now);
+        }
+    }
+
+    /// Ends what ran on runners whose leases have lapsed without an answer.
+    pub(super) fn expire_leases(&mut self, now: Instant) {
+        let lapsed = |worker: &Worker| {
+            let silent = worker.failing.is_some() || worker.entry.is_none();
+            silent && worker.lapse <= now && !worker.tasks.is_empty()
+        };
+        let ids: Vec<RunnerId> =
+            self.workers.iter().filter(|(_, w)| lapsed(w)).map(|(id, _)| Rc::clone(id)).collect();
+        for id in ids {
+            self.lose_all(now, &id, "its lease has lapsed");
+        }
+        let gone = |worker: &Worker| {
+            !worker.listed
+                && worker.tasks.is_empty()
+                && now.saturating_duration_since(worker.absent) > FORGET
+        };
+        self.workers.retain(|_, worker| !gone(worker));
+    }
+}
--- /dev/null
+++ b/src/job/daemon/channel.rs
@@ -0,0 +1,168 @@
+//! Connections to another server, kept open between calls.
+//!
+//! A connection carries one call at a time. One whose call got no answer is closed, with all idle
+//! ones to the same server, as whatever has lost track of it may have lost track of them too.
+
+use {
+    crate::job::call::{Call, Reply},
+    bytes::Bytes,
+    displaydoc::Display,
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request,
+        client::conn::http1::{Builder, SendRequest},
+        header::{CONTENT_TYPE, HOST},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::{net::TcpStream, sync::Semaphore, task::spawn_local, time::timeout},
+};
+
+/// Time for opening a connection.
+const CONNECT: Duration = Duration::from_millis(700);
+
+/// Outcome of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call has no reply.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// connect to {0}: {1}
+    Connect(SocketAddr, String),
+    /// send to {0}: {1}
+    Send(SocketAddr, String),
+    /// receive from {0}: {1}
+    Receive(SocketAddr, String),
+    /// no answer from {0} after {1:?}
+    Timeout(SocketAddr, Duration),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Whether the call surely did not reach the server.
+    pub fn not_sent(&self) -> bool {
+        matches!(self, Self::Connect(..))
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Connections to one server.
+pub struct Channel {
+    address: SocketAddr,
+    idle: RefCell<Vec<Sender>>,
+    permits: Semaphore,
+    opened: Cell<u64>,
+}
+
+impl Channel {
+    /// Channel to `address` with at most `most` calls at once.
+    pub fn new(address: SocketAddr, most: usize) -> Self {
+        Self {
+            address,
+            idle: RefCell::default(),
+            permits: Semaphore::new(most),
+            opened: Cell::new(0),
+        }
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Sends a call and waits for its whole reply, at most `limit`.
+    pub async fn call(&self, call: &Call, limit: Duration) -> Result<Reply> {
+        let Ok(_permit) = self.permits.acquire().await else {
+            return Err(Error::Connect(self.address, String::from("the channel is closed")));
+        };
+        let outcome = timeout(limit, self.exchange(call)).await;
+        let outcome = outcome.unwrap_or(Err(Error::Timeout(self.address, limit)));
+        if outcome.is_err() {
+            self.idle.borrow_mut().clear();
+        }
+        outcome
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<Reply> {
+        let mut request = self.request(call)?;
+        loop {
+            let pooled = self.idle.borrow_mut().pop();
+            let reused = pooled.is_some();
+            let mut sender = match pooled {
+                Some(sender) if sender.is_closed() => continue,
+                Some(sender) => sender,
+                None => self.connect().await?,
+            };
+            if let Err(e) = sender.ready().await {
+                if reused {
+                    continue;
+                }
+                return Err(Error::Connect(self.address, e.to_string()));
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => return self.receive(sender, response).await,
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => {
+                        return Err(Error::Connect(self.address, e.into_error().to_string()));
+                    }
+                    None => return Err(Error::Send(self.address, e.into_error().to_string())),
+                },
+            }
+        }
+    }
+
+    async fn receive(
+        &self,
+        sender: Sender,
+        response: hyper::Response<hyper::body::Incoming>,
+    ) -> Result<Reply> {
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|e| Error::Receive(self.address, e.to_string()))?;
+        self.idle.borrow_mut().push(sender);
+        Ok(Reply { status, body: body.to_bytes().to_vec() })
+    }
+
+    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>> {
+        let mut builder = Request::builder()
+            .method(call.method)
+            .uri(call.path.as_str())
+            .header(HOST, self.address.to_string());
+        if !call.body.is_empty() {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+        }
+        for (name, value) in &call.headers {
+            builder = builder.header(*name, value.as_str());
+        }
+        builder
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .map_err(|e| Error::Connect(self.address, e.to_string()))
+    }
+
+    async fn connect(&self) -> Result<Sender> {
+        let failed = |why: String| Error::Connect(self.address, why);
+        let stream = match timeout(CONNECT, TcpStream::connect(self.address)).await {
+            Ok(stream) => stream.map_err(|e| failed(e.to_string()))?,
+            Err(_) => return Err(failed(format!("no answer after {CONNECT:?}"))),
+        };
+        stream.set_nodelay(true).map_err(|e| failed(e.to_string()))?;
+        let io = TokioIo::new(stream);
+        let handshake = Builder::new().max_buf_size(1 << 20).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|e| failed(e.to_string()))?;
+        self.opened.set(self.opened.get() + 1);
+        let address = self.address;
+        spawn_local(async move {
+            if let Err(e) = connection.await {
+                log::debug!("channel: The connection to {address} ended: {e}.");
+            }
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/src/job/daemon/claimant.rs
@@ -0,0 +1,206 @@
+//! Follows the claims to the cell, claims it when its owner is silent, and beats while it is owned.
+
+use {
+    super::{owner, shared::Shared, store::Store},
+    crate::{
+        adapter::store::{CLAIMS, Error},
+        job::{
+            claim::{BEAT, Claim, Epoch, Kind, Owner, SILENCE},
+            ledger::Record,
+        },
+    },
+    log::{info, warn},
+    rand::Rng,
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::{JoinHandle, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Key of the claims.
+const KEY: &str = "owner";
+/// Pause after the store did not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Spread of the time after which several entries claim at once.
+const SPREAD_MS: u64 = 250;
+
+struct Claimant {
+    shared: Rc<Shared>,
+    store: Rc<Store>,
+    end: u64,
+    owning: Option<(Epoch, JoinHandle<()>)>,
+}
+
+/// Follows the claims until the process ends.
+pub async fn run(shared: Rc<Shared>, store: Rc<Store>) {
+    let mut claimant = Claimant { shared, store, end: 0, owning: None };
+    claimant.resume().await;
+    loop {
+        match claimant.owning.take() {
+            Some((epoch, task)) => claimant.beat(epoch, task).await,
+            None => claimant.follow().await,
+        }
+    }
+}
+
+impl Claimant {
+    /// Reads the newest claim.
+    async fn resume(&mut self) {
+        loop {
+            match self.store.newest(CLAIMS, "").await {
+                Ok(newest) => {
+                    self.end = newest.end;
+                    if let Some(record) = newest.records.first() {
+                        self.learn(newest.end.saturating_sub(1), record);
+                    }
+                    return;
+                }
+                Err(e) => {
+                    warn!("claim: read newest: {e}");
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, offset: u64, record: &Record) {
+        let claim = match Claim::decode(&record.value) {
+            Ok(claim) => claim,
+            Err(e) => return warn!("claim: record at {offset}: {e}"),
+        };
+        let owner = claim.owner(offset);
+        let known = self.shared.owner.borrow().clone();
+        if known.as_ref() == Some(&owner) {
+            return;
+        }
+        if known.is_none_or(|known| known.epoch != owner.epoch || owner.released) {
+            info!("owner: epoch={} node={} released={}", owner.epoch, owner.node, owner.released);
+        }
+        self.shared.owner.send_replace(Some(owner));
+    }
+
+    fn owner(&self) -> Option<Owner> {
+        self.shared.owner.borrow().clone()
+    }
+
+    /// Waits for news of the owner, or for its silence.
+    async fn follow(&mut self) {
+        let vacant = self.owner().is_none_or(|owner| owner.released);
+        let spread = Duration::from_millis(rand::rng().random_range(0..SPREAD_MS));
+        let wait = if vacant { spread / 3 } else { SILENCE + spread };
+        let read = if wait.as_millis() < 20 && vacant {
+            self.read(Duration::ZERO).await
+        } else {
+            self.read(wait).await
+        };
+        if *self.shared.stopping.borrow() {
+            return;
+        }
+        match read {
+            Some(0) => self.claim().await,
+            Some(_) => {
+                let own = self.owner().filter(|owner| {
+                    owner.incarnation == self.shared.incarnation && !owner.released
+                });
+                if let Some(owner) = own {
+                    self.lead(owner.epoch);
+                }
+            }
+            None => sleep(PAUSE).await,
+        }
+    }
+
+    /// Reads records; returns how many, or none if the store did not answer.
+    async fn read(&mut self, wait: Duration) -> Option<usize> {
+        match self.store.read(CLAIMS, self.end, wait).await {
+            Ok(page) => {
+                let count = page.records.len();
+                let first = page.end.saturating_sub(count as u64).max(self.end);
+                for (offset, record) in (first..).zip(page.records.iter().flatten()) {
+                    self.learn(offset, record);
+                }
+                self.end = page.end;
+                Some(count)
+            }
+            Err(Error::Gone(_)) => {
+                self.resume().await;
+                Some(1)
+            }
+            Err(e) => {
+                warn!("claim: read from {}: {e}", self.end);
+                None
+            }
+        }
+    }
+
+    fn record(&self, kind: Kind) -> Option<Record> {
+        let claim = Claim {
+            node: self.shared.settings.node.clone(),
+            incarnation: self.shared.incarnation,
+            peer: self.shared.settings.peer,
+            kind,
+        };
+        match claim.encode() {
+            Ok(value) => Some(Record { key: String::from(KEY), value }),
+            Err(e) => {
+                warn!("claim: encode: {e}");
+                None
+            }
+        }
+    }
+
+    async fn claim(&mut self) {
+        let Some(record) = self.record(Kind::Claim) else { return };
+        match self.store.append_at(CLAIMS, &record, self.end).await {
+            Ok(offset) => {
+                self.end = offset + 1;
+                self.learn(offset, &record);
+                self.lead(offset + 1);
+            }
+            Err(Error::Moved) => {}
+            Err(e) => warn!("claim: append at {}: {e}", self.end),
+        }
+    }
+
+    fn lead(&mut self, epoch: Epoch) {
+        let (shared, store) = (Rc::clone(&self.shared), Rc::clone(&self.store));
+        let task = spawn_local(owner::run(shared, store, epoch));
+        self.owning = Some((epoch, task));
+    }
+
+    /// Shows that the owner lives, or finds that it has lost the cell.
+    async fn beat(&mut self, epoch: Epoch, task: JoinHandle<()>) {
+        sleep(BEAT).await;
+        let stopping = *self.shared.stopping.borrow();
+        let kind =
+            if stopping || task.is_finished() { Kind::Release(epoch) } else { Kind::Beat(epoch) };
+        let Some(record) = self.record(kind) else { return };
+        match self.store.append_at(CLAIMS, &record, self.end).await {
+            Ok(offset) => {
+                self.end = offset + 1;
+                if matches!(kind, Kind::Release(_)) {
+                    self.learn(offset, &record);
+                    return self.depose(epoch, &task, "it was given up");
+                }
+            }
+            Err(Error::Moved) => {
+                self.read(Duration::ZERO).await;
+                if self.owner().is_none_or(|owner| owner.epoch != epoch || owner.released) {
+                    return self.depose(epoch, &task, "another entry has claimed it");
+                }
+            }
+            Err(e) => {
+                warn!("claim: beat at {}: {e}", self.end);
+                sleep(PAUSE).await;
+            }
+        }
+        self.owning = Some((epoch, task));
+    }
+
+    fn depose(&mut self, epoch: Epoch, task: &JoinHandle<()>, why: &str) {
+        info!("owner: epoch={epoch} lost=true why={why:?}");
+        task.abort();
+        self.shared.desk.borrow_mut().take();
+    }
+}
--- /dev/null
+++ b/src/job/daemon/follow.rs
@@ -0,0 +1,162 @@
+//! What the owner follows on the platform: the operators' records, the runners and the VMs.
+
+use {
+    super::{channel::Channel, owner::Event, shared::Shared, store::Store},
+    crate::{
+        adapter::{self, manifest, runner, store::Error},
+        job::ledger::Record,
+    },
+    indexmap::IndexSet,
+    log::{info, warn},
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::mpsc::UnboundedSender, task::JoinSet, time::sleep},
+};
+
+/// Time for which a read of the operators' records waits for one.
+const RECORDS_WAIT: Duration = Duration::from_millis(600);
+/// Time between two reads of the runners' registrations.
+const RUNNERS_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two reads of the list of VMs.
+const MACHINES_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time for an answer of the platform's list of VMs.
+pub const FLEET_ANSWER: Duration = Duration::from_millis(1_500);
+/// Pause after the store did not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Spawns what follows the platform.
+pub fn spawn(
+    tasks: &mut JoinSet<()>,
+    shared: &Rc<Shared>,
+    store: &Rc<Store>,
+    events: &UnboundedSender<Event>,
+) {
+    tasks.spawn_local(records(Rc::clone(store), events.clone()));
+    tasks.spawn_local(runners(Rc::clone(store), events.clone()));
+    if let Some(address) = shared.settings.fleet {
+        tasks.spawn_local(machines(Channel::new(address, 1), events.clone()));
+    }
+}
+
+/// Reads a topic from its newest records on; `take` gets each record, and whether it is of a whole list.
+async fn tail(
+    store: &Store,
+    topic: &str,
+    wait: Duration,
+    pause: Duration,
+    mut take: impl FnMut(Vec<Record>, bool) -> bool,
+) {
+    let mut next = None;
+    let mut away = false;
+    loop {
+        let outcome = match next {
+            None => store.all(topic).await.map(|newest| (newest.records, newest.end, true)),
+            Some(from) => store
+                .read(topic, from, wait)
+                .await
+                .map(|page| (page.records.into_iter().flatten().collect(), page.end, false)),
+        };
+        match outcome {
+            Ok((records, end, whole)) => {
+                if std::mem::take(&mut away) {
+                    info!("store: topic={topic} answers=true");
+                }
+                next = Some(end);
+                if (whole || !records.is_empty()) && !take(records, whole) {
+                    return;
+                }
+                sleep(pause).await;
+            }
+            Err(Error::Gone(first)) => {
+                info!("store: topic={topic} history before {first} is gone");
+                next = None;
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut away, true) {
+                    warn!("store: topic={topic} answers=false why=\"{e}\"");
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn records(store: Rc<Store>, events: UnboundedSender<Event>) {
+    let take = |records: Vec<Record>, _whole: bool| {
+        records.iter().filter_map(operators_record).all(|event| events.send(event).is_ok())
+    };
+    tail(&store, manifest::TOPIC, RECORDS_WAIT, Duration::ZERO, take).await;
+}
+
+fn operators_record(record: &Record) -> Option<Event> {
+    if record.value.is_empty() {
+        return None;
+    }
+    let event = if record.key == manifest::KEY {
+        manifest::decode(&record.value).map(Event::Manifest)
+    } else if manifest::is_wave(&record.key) {
+        manifest::wave(&record.value).map(Event::Wave)
+    } else {
+        return None;
+    };
+    event.inspect_err(|e| warn!("store: record {} is unreadable: {e}", record.key)).ok()
+}
+
+async fn runners(store: Rc<Store>, events: UnboundedSender<Event>) {
+    let mut known: IndexSet<String> = IndexSet::new();
+    let take = |records: Vec<Record>, whole: bool| {
+        let mut entries = Vec::with_capacity(records.len());
+        let mut seen = IndexSet::new();
+        for Record { key, value } in records {
+            let entry = runner::entry(&value);
+            if entry.is_none() && !value.is_empty() {
+                warn!("runner: id={key} has an unreadable registration of {} bytes", value.len());
+            }
+            seen.insert(key.clone());
+            entries.push((key, entry));
+        }
+        if whole {
+            let gone = known.drain(..).filter(|id| !seen.contains(id));
+            entries.extend(gone.map(|id| (id, None)));
+        }
+        known.extend(seen);
+        events.send(Event::Listed(entries)).is_ok()
+    };
+    tail(&store, runner::TOPIC, Duration::ZERO, RUNNERS_PAUSE, take).await;
+}
+
+async fn machines(channel: Channel, events: UnboundedSender<Event>) {
+    let mut away = false;
+    loop {
+        match list(&channel).await {
+            Ok(machines) => {
+                if std::mem::take(&mut away) {
+                    info!("fleet: answers=true");
+                }
+                if events.send(Event::Machines(machines)).is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut away, true) {
+                    warn!("fleet: answers=false why={e:?}");
+                }
+            }
+        }
+        sleep(MACHINES_PAUSE).await;
+    }
+}
+
+async fn list(channel: &Channel) -> Result<Vec<crate::job::upkeep::Machine>, String> {
+    let mut machines = Vec::new();
+    let mut token: Option<String> = None;
+    loop {
+        let call = adapter::fleet::list(token.as_deref());
+        let reply = channel.call(&call, FLEET_ANSWER).await.map_err(|e| e.to_string())?;
+        let page = adapter::fleet::page(&reply)?;
+        machines.extend(page.machines);
+        match page.next {
+            Some(next) => token = Some(next),
+            None => return Ok(machines),
+        }
+    }
+}
--- /dev/null
+++ b/src/job/daemon/front.rs
@@ -0,0 +1,165 @@
+//! Callers' requests over HTTP/1.1, and the balancer's question whether this entry is ready.
+
+use {
+    super::{
+        peer::{Ask, Method},
+        shared::Shared,
+    },
+    crate::{adapter, job::answer::Answer},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+        server::conn::http1::Builder,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    log::{info, warn},
+    std::{
+        convert::Infallible,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+};
+
+/// Time for a caller to send its request's head.
+const HEAD: Duration = Duration::from_secs(15);
+/// Time for a caller to send its request's body.
+const BODY: Duration = Duration::from_secs(5);
+/// Longest body of a request.
+const MAX_BODY_BYTES: usize = 256 << 10;
+/// Deadline of requests that name none.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// What is left of a deadline for the answer's way back.
+const WAY_BACK: Duration = Duration::from_millis(60);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until a stop is asked for and open connections have ended.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!("front: accept: {e}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            warn!("front: set no delay: {e}");
+        }
+        spawn_local(connection(Rc::clone(&shared), TokioIo::new(stream)));
+    }
+}
+
+async fn connection(shared: Rc<Shared>, io: TokioIo<tokio::net::TcpStream>) {
+    let mut stopping = shared.stopping.subscribe();
+    let service = service_fn(|request| handle(Rc::clone(&shared), request));
+    let mut builder = Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD);
+    let mut serving = std::pin::pin!(builder.serve_connection(io, service));
+    let outcome = tokio::select! {
+        outcome = serving.as_mut() => outcome,
+        _ = stopping.wait_for(|stopping| *stopping) => {
+            sleep(super::stop::LINGER).await;
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(e) = outcome {
+        log::debug!("front: a connection ended: {e}");
+    }
+}
+
+async fn handle(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let begun = Instant::now();
+    shared.requests.set(shared.requests.get() + 1);
+    let path = String::from(request.uri().path());
+    let method = match request.method().as_str() {
+        "POST" => Method::Post,
+        "GET" => Method::Get,
+        "DELETE" => Method::Delete,
+        _ => Method::Other,
+    };
+    let answer = answer(&shared, request, method).await;
+    shared.requests.set(shared.requests.get() - 1);
+    let status = answer.status();
+    let took = begun.elapsed();
+    shared.meter.answered(method, status, took);
+    if status >= 500 {
+        info!(
+            "answer: path={path} method={method:?} status={status} ms={} why={answer}",
+            took.as_millis()
+        );
+    }
+    Ok(respond(&answer, *shared.stopping.borrow()))
+}
+
+async fn answer(shared: &Shared, request: Request<Incoming>, method: Method) -> Answer {
+    if method == Method::Other {
+        return Answer::Method;
+    }
+    let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let host = header(HOST.as_str()).unwrap_or_default();
+    let host = String::from(host.split(':').next().unwrap_or_default());
+    let deadline = header(adapter::front::DEADLINE).and_then(|ms| ms.parse().ok());
+    let deadline = deadline.map_or(DEADLINE, Duration::from_millis);
+    let path = String::from(request.uri().path());
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+    let body = match tokio::time::timeout(BODY, body).await {
+        Ok(Ok(body)) => body.to_bytes().to_vec(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            return Answer::Malformed(format!("a body may have {MAX_BODY_BYTES} bytes"));
+        }
+        Ok(Err(e)) => return Answer::Malformed(e.to_string()),
+        Err(_) => return Answer::Malformed(format!("no whole body after {BODY:?}")),
+    };
+    let limit = deadline.saturating_sub(WAY_BACK).max(WAY_BACK);
+    shared.serve(Ask { method, host, path, body }, limit).await
+}
+
+fn respond(answer: &Answer, stopping: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(adapter::front::body(answer))));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Answer::Refused { retry_after, .. } = answer {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after.as_secs().max(1)));
+    }
+    if stopping {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Tells the balancer whether this entry is ready.
+pub async fn serve_ready(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = Rc::clone(&shared);
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let ready = shared.ready() && request.uri().path() == adapter::front::READY;
+                let mut response = Response::new(Full::new(Bytes::new()));
+                if !ready {
+                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                async move { Ok::<_, Infallible>(response) }
+            });
+            if let Err(e) = Builder::new().serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("front: a connection of the balancer ended: {e}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/job/daemon/meter.rs
@@ -0,0 +1,98 @@
+//! Counters and latency histograms, served as text.
+
+use {
+    super::peer::Method,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn},
+    hyper_util::rt::TokioIo,
+    log::warn,
+    prometheus::{
+        Encoder, HistogramVec, IntCounterVec, Registry, TextEncoder, histogram_opts, opts,
+    },
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+};
+
+/// Upper bounds of the latency histograms' buckets, in seconds.
+const BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Counters and latency histograms.
+pub struct Meter {
+    registry: Registry,
+    answers: HistogramVec,
+    calls: HistogramVec,
+    events: IntCounterVec,
+}
+
+impl Meter {
+    /// Empty counters.
+    pub fn new() -> prometheus::Result<Self> {
+        let buckets = BUCKETS.to_vec();
+        let answers =
+            histogram_opts!("carobhitch_answers_seconds", "Callers' requests", buckets.clone());
+        let calls = histogram_opts!("carobhitch_calls_seconds", "Calls to servers", buckets);
+        let meter = Self {
+            registry: Registry::new(),
+            answers: HistogramVec::new(answers, &["method", "status"])?,
+            calls: HistogramVec::new(calls, &["call", "outcome"])?,
+            events: IntCounterVec::new(opts!("carobhitch_events_total", "Decisions"), &["event"])?,
+        };
+        meter.registry.register(Box::new(meter.answers.clone()))?;
+        meter.registry.register(Box::new(meter.calls.clone()))?;
+        meter.registry.register(Box::new(meter.events.clone()))?;
+        Ok(meter)
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, method: Method, status: u16, took: Duration) {
+        let method = match method {
+            Method::Post => "post",
+            Method::Get => "get",
+            Method::Delete => "delete",
+            Method::Other => "other",
+        };
+        let labels = [method, &status.to_string()];
+        self.answers.with_label_values(&labels).observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to a server.
+    pub fn called(&self, call: &str, outcome: &str, took: Duration) {
+        self.calls.with_label_values(&[call, outcome]).observe(took.as_secs_f64());
+    }
+
+    /// Counts an event.
+    pub fn event(&self, event: &str) {
+        self.events.with_label_values(&[event]).inc();
+    }
+
+    fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            warn!("metrics: {e}");
+        }
+        text
+    }
+}
+
+/// Serves the metrics.
+pub async fn serve(meter: Rc<Meter>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let meter = Rc::clone(&meter);
+        spawn_local(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let response = Response::new(Full::new(Bytes::from(meter.text())));
+                async move { Ok::<_, Infallible>(response) }
+            });
+            if let Err(e) = Builder::new().serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("metrics: a connection ended: {e}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/job/daemon/mod.rs
@@ -0,0 +1,120 @@
+//! An entry that places jobs: its parts on one thread.
+//!
+//! Every entry serves callers. One of them owns the cell and decides; the others pass requests to it
+//! over HTTP/2. One thread with a single-threaded runtime carries all parts, as only one thread of
+//! a process runs at a time on an entry VM, and memory is scarce there.
+
+mod channel;
+mod claimant;
+mod follow;
+mod front;
+mod meter;
+mod output;
+mod owner;
+mod peer;
+mod runners;
+mod shared;
+mod stop;
+mod store;
+
+pub use output::init as init_log;
+
+use {
+    self::{meter::Meter, peer::Link, shared::Shared, store::Store},
+    crate::job::settings::Settings,
+    displaydoc::Display,
+    log::info,
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        sync::watch,
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Time between two looks at the connection to the owner.
+const LINK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Outcome of the daemon.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why the daemon ended.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// build the runtime: {0}
+    Runtime(io::Error),
+    /// listen at {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// wait for signals: {0}
+    Signal(io::Error),
+    /// set up metrics: {0}
+    Metrics(prometheus::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// Runs the entry until it is asked to stop.
+pub fn run(settings: Settings) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(Error::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    info!("start: node={} zone={} callers={}", settings.node, settings.zone, settings.callers);
+    let meter = Rc::new(Meter::new().map_err(Error::Metrics)?);
+    let callers = listen(settings.callers).await?;
+    let ready = listen(settings.ready).await?;
+    let peers = listen(settings.peer).await?;
+    let metrics = listen(settings.metrics).await?;
+    let store = Rc::new(Store::new(settings.store, Rc::clone(&meter)));
+    let shared = Rc::new(Shared {
+        settings,
+        incarnation: rand::random(),
+        owner: watch::Sender::new(None),
+        stopping: watch::Sender::new(false),
+        desk: RefCell::default(),
+        link: Link::default(),
+        linked: Cell::new(false),
+        requests: Cell::new(0),
+        meter: Rc::clone(&meter),
+    });
+    spawn_local(front::serve(Rc::clone(&shared), callers));
+    spawn_local(front::serve_ready(Rc::clone(&shared), ready));
+    spawn_local(peer::serve(Rc::clone(&shared), peers));
+    spawn_local(meter::serve(meter, metrics));
+    spawn_local(keep_linked(Rc::clone(&shared)));
+    spawn_local(output::flush_often());
+    spawn_local(claimant::run(Rc::clone(&shared), store));
+    let outcome = stop::wait(shared).await.map_err(Error::Signal);
+    log::logger().flush();
+    outcome
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| Error::Listen(address, e))
+}
+
+/// Keeps a connection to the owner open, so that requests find one and the balancer hears the truth.
+async fn keep_linked(shared: Rc<Shared>) {
+    loop {
+        let owner = shared.owner.borrow().clone();
+        let linked = match owner {
+            Some(owner) if !owner.released && owner.incarnation != shared.incarnation => {
+                shared.link.connect(owner.peer).await
+            }
+            _ => false,
+        };
+        if shared.linked.replace(linked) != linked {
+            info!("peer: linked={linked}");
+        }
+        sleep(LINK_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/job/daemon/output.rs
@@ -0,0 +1,132 @@
+//! Log lines on standard output: time, level, and `part: key=value` pairs.
+//!
+//! Lines are gathered and written in blocks. Standard output is set not to block: what it does not
+//! take is dropped, as are lines above [`LINES_PER_S`], and a later line says how many.
+
+use {
+    crate::logging::{Error, Result},
+    log::LevelFilter,
+    rustix::{
+        fs::{OFlags, fcntl_getfl, fcntl_setfl},
+        stdio,
+    },
+    simplelog::{ConfigBuilder, WriteLogger},
+    std::{
+        io::{self, Write},
+        time::{Duration, Instant},
+    },
+};
+
+/// Lines of other crates are left out.
+const OWN_TARGET: &str = "carobhitch";
+/// Lines written in a second, over a longer time.
+const LINES_PER_S: f64 = 400.0;
+/// Lines written at once after a quiet time.
+const BURST_LINES: f64 = 4_000.0;
+/// Bytes gathered before they are written.
+const BLOCK_BYTES: usize = 8 << 10;
+/// Time between two writes of what was gathered.
+const FLUSH: Duration = Duration::from_millis(250);
+
+/// Writes log lines of `level` and above to standard output; may be called once in a process.
+pub fn init(level: LevelFilter) -> Result<()> {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_time_level(LevelFilter::Error)
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str(OWN_TARGET)
+        .build();
+    WriteLogger::init(level, config, Output::new()).map_err(Error::Set)
+}
+
+/// Writes gathered lines from time to time.
+pub(super) async fn flush_often() {
+    loop {
+        tokio::time::sleep(FLUSH).await;
+        log::logger().flush();
+    }
+}
+
+struct Output {
+    gathered: Vec<u8>,
+    allowance: f64,
+    filled: Instant,
+    dropped: u64,
+    skipping: bool,
+}
+
+impl Output {
+    fn new() -> Self {
+        if let Ok(flags) = fcntl_getfl(stdio::stdout()) {
+            if let Err(e) = fcntl_setfl(stdio::stdout(), flags | OFlags::NONBLOCK) {
+                eprintln!("carobhitch-entry: set standard output not to block: {e}");
+            }
+        }
+        Self {
+            gathered: Vec::with_capacity(BLOCK_BYTES + 512),
+            allowance: BURST_LINES,
+            filled: Instant::now(),
+            dropped: 0,
+            skipping: false,
+        }
+    }
+
+    /// Decides at the first piece of a line whether it is written.
+    fn admit(&mut self) -> bool {
+        let now = Instant::now();
+        let earned = now.duration_since(self.filled).as_secs_f64() * LINES_PER_S;
+        self.allowance = (self.allowance + earned).min(BURST_LINES);
+        self.filled = now;
+        if self.allowance < 1.0 {
+            self.dropped += 1;
+            return false;
+        }
+        self.allowance -= 1.0;
+        true
+    }
+
+    fn drain(&mut self) {
+        if self.dropped > 0 && self.allowance >= 1.0 {
+            let line = format!("log: dropped={}\n", std::mem::take(&mut self.dropped));
+            self.gathered.extend(line.as_bytes());
+        }
+        let mut written = 0;
+        while written < self.gathered.len() {
+            match io::stdout().write(&self.gathered[written..]) {
+                Ok(count) if count > 0 => written += count,
+                _ => {
+                    let rest = &self.gathered[written..];
+                    self.dropped += rest.iter().filter(|&&byte| byte == b'\n').count() as u64;
+                    break;
+                }
+            }
+        }
+        self.gathered.clear();
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        let starts = self.gathered.last().is_none_or(|&byte| byte == b'\n');
+        if starts && !self.skipping {
+            self.skipping = !self.admit();
+        }
+        if !self.skipping {
+            self.gathered.extend(piece);
+        }
+        if piece.last() == Some(&b'\n') {
+            self.skipping = false;
+            if self.gathered.len() >= BLOCK_BYTES {
+                self.drain();
+            }
+        }
+        Ok(piece.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.drain();
+        io::stdout().flush()
+    }
+}
--- /dev/null
+++ b/src/job/daemon/owner.rs
@@ -0,0 +1,389 @@
+//! The owner's loop: events in, decisions of the cell, and its actions carried out.
+
+use {
+    super::{channel::Channel, follow, peer::Ask, runners::Runners, shared::Shared, store::Store},
+    crate::{
+        adapter::{
+            self,
+            store::{Error, JOBS, Sequence},
+        },
+        job::{
+            answer::Answer,
+            cell::{Action, Cell, RequestId, RunnerId},
+            claim::Epoch,
+            ledger::{self, Record},
+            manifest::Manifest,
+            runner::{self, Entry, Report},
+            spec::Task,
+            upkeep::{self, Machine},
+        },
+    },
+    indexmap::IndexMap,
+    log::{error, info, warn},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::{
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+            oneshot,
+        },
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Time without an answer of the ledger after which submissions are refused at once.
+const LEDGER_AWAY: Duration = Duration::from_millis(700);
+/// Pause before an append is tried again.
+const APPEND_AGAIN: Duration = Duration::from_millis(60);
+/// Most calls to the platform's list of VMs at once.
+const FLEET_CALLS: usize = 4;
+
+/// What the owner hears of.
+pub enum Event {
+    /// A caller's request.
+    Ask(Ask, oneshot::Sender<Answer>),
+    /// A runner's answer to a start.
+    Started(RunnerId, Task, u32, runner::Answer<u64>),
+    /// A runner's answer to a stop.
+    Stopped(RunnerId, Task, u32, runner::Answer<u64>),
+    /// A runner's answer to a look, with the last end it was told to forget.
+    Looked(RunnerId, u64, runner::Answer<Report>),
+    /// The batch on its way is stored, or a newer owner has written.
+    Appended(Result<(), Error>),
+    /// Runners that the store lists, or no longer.
+    Listed(Vec<(String, Option<Entry>)>),
+    /// The operators' manifest.
+    Manifest(Manifest),
+    /// A wave that the operators ask for.
+    Wave(upkeep::Order),
+    /// The platform's list of VMs.
+    Machines(Vec<Machine>),
+    /// What came of an action on a VM.
+    Acted(upkeep::Action, Result<(), upkeep::Refusal>),
+}
+
+/// Owns the cell until it is lost or the task is aborted.
+pub async fn run(shared: Rc<Shared>, store: Rc<Store>, epoch: Epoch) {
+    let begun = Instant::now();
+    info!("owner: epoch={epoch} taking_over=true");
+    let mut cell = Cell::new(epoch, shared.settings.bounds, begun);
+    if let Err(e) = take_over(&mut cell, &store, epoch).await {
+        warn!("owner: epoch={epoch} take over: {e}");
+        return;
+    }
+    let (sender, receiver) = unbounded_channel();
+    let mut tasks = JoinSet::new();
+    follow::spawn(&mut tasks, &shared, &store, &sender);
+    *shared.desk.borrow_mut() = Some(sender.clone());
+    let ms = begun.elapsed().as_millis();
+    let (jobs, runners) = (cell.jobs().len(), cell.workers().len());
+    info!(
+        "owner: epoch={epoch} serving=true ms={ms} jobs={jobs} runners={runners} version={}",
+        cell.manifest().version
+    );
+    let mut desk = Desk {
+        runners: Runners::new(epoch, Rc::clone(&shared.meter)),
+        fleet: shared.settings.fleet.map(|at| Rc::new(Channel::new(at, FLEET_CALLS))),
+        shared: Rc::clone(&shared),
+        store,
+        cell,
+        epoch,
+        sequence: 0,
+        appending: None,
+        waiting: IndexMap::new(),
+        next_request: 0,
+        events: sender,
+        tasks,
+    };
+    desk.serve(receiver).await;
+    shared.desk.borrow_mut().take();
+}
+
+/// Locks out former owners and reads the ledger and the lists.
+async fn take_over(cell: &mut Cell, store: &Store, epoch: Epoch) -> Result<(), Error> {
+    retry(|| store.fence(JOBS, epoch)).await?;
+    let records = retry(|| store.all(JOBS)).await?.records;
+    let (now, wall_ms) = (Instant::now(), wall_ms());
+    let mut contents = Vec::with_capacity(records.len());
+    for record in &records {
+        match ledger::read(record) {
+            Ok(content) => contents.push(content),
+            Err(e) => error!("owner: {e}"),
+        }
+    }
+    contents.sort_by_key(|content| match content {
+        ledger::Content::Manifest(_) | ledger::Content::Barrier => 0,
+        ledger::Content::Accepted(..) => 1,
+        ledger::Content::Progress(..) => 2,
+    });
+    for content in contents {
+        cell.restore(now, wall_ms, content);
+    }
+    Ok(())
+}
+
+/// Repeats a call until the store answers it.
+async fn retry<T, F: Future<Output = Result<T, Error>>>(call: impl Fn() -> F) -> Result<T, Error> {
+    loop {
+        match call().await {
+            Err(Error::Refused(_) | Error::Silent(_)) => sleep(APPEND_AGAIN).await,
+            outcome => return outcome,
+        }
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+struct Desk {
+    shared: Rc<Shared>,
+    store: Rc<Store>,
+    cell: Cell,
+    epoch: Epoch,
+    sequence: u64,
+    appending: Option<Instant>,
+    waiting: IndexMap<RequestId, oneshot::Sender<Answer>>,
+    next_request: RequestId,
+    runners: Runners,
+    fleet: Option<Rc<Channel>>,
+    events: UnboundedSender<Event>,
+    tasks: JoinSet<()>,
+}
+
+impl Desk {
+    async fn serve(&mut self, mut receiver: UnboundedReceiver<Event>) {
+        let mut ticked = Instant::now();
+        loop {
+            let first = timeout(TICK, receiver.recv()).await;
+            if let Ok(Some(event)) = first {
+                self.handle(event);
+                while let Ok(event) = receiver.try_recv() {
+                    self.handle(event);
+                }
+            }
+            let now = Instant::now();
+            if now.saturating_duration_since(ticked) >= TICK {
+                ticked = now;
+                self.cell.tick(now);
+            } else {
+                self.cell.settle(now);
+            }
+            if self.cell.deposed() {
+                warn!("owner: epoch={} lost=true why=\"a newer owner has written\"", self.epoch);
+                return;
+            }
+            self.store_batch();
+            self.carry_out();
+            while self.tasks.try_join_next().is_some() {}
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Ask(ask, reply) => self.ask(now, ask, reply),
+            Event::Started(runner, task, run, answer) => {
+                self.cell.start_answered(now, &runner, task, run, answer);
+            }
+            Event::Stopped(runner, task, run, answer) => {
+                self.cell.stop_answered(now, &runner, task, run, answer);
+            }
+            Event::Looked(runner, seen, answer) => {
+                self.cell.look_answered(now, &runner, seen, answer);
+            }
+            Event::Appended(outcome) => self.appended(now, outcome),
+            Event::Listed(entries) => {
+                for (id, entry) in entries {
+                    self.cell.list(now, &id, entry);
+                }
+            }
+            Event::Manifest(manifest) => self.cell.declare(manifest),
+            Event::Wave(order) => self.cell.order_wave(now, order),
+            Event::Machines(machines) => self.cell.list_machines(now, machines),
+            Event::Acted(action, outcome) => self.cell.acted(now, &action, outcome),
+        }
+    }
+
+    fn ask(&mut self, now: Instant, ask: Ask, reply: oneshot::Sender<Answer>) {
+        use super::peer::Method;
+        let Some((queue, rest)) = self.find(&ask) else {
+            let answer = if self.cell.manifest().version == 0 {
+                Answer::refused("no manifest is known yet")
+            } else {
+                Answer::NoQueue
+            };
+            return send(reply, answer);
+        };
+        if ask.method == Method::Get && rest.is_empty() {
+            let request = self.wait(reply);
+            return self.cell.count(request, &queue);
+        }
+        let Some(id) = adapter::front::name(&rest) else {
+            let why = String::from("a job's name has 16 hexadecimal digits");
+            return send(
+                reply,
+                if ask.method == Method::Post { Answer::Malformed(why) } else { Answer::NoJob },
+            );
+        };
+        match ask.method {
+            Method::Post => self.submit(now, &ask, &queue, id, reply),
+            Method::Get => {
+                let request = self.wait(reply);
+                self.cell.ask(request, id);
+            }
+            Method::Delete => {
+                let request = self.wait(reply);
+                self.cell.cancel(request, id);
+            }
+            Method::Other => send(reply, Answer::Method),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Instant,
+        ask: &Ask,
+        queue: &str,
+        id: u64,
+        reply: oneshot::Sender<Answer>,
+    ) {
+        let away = self.appending.is_some_and(|at| now.saturating_duration_since(at) > LEDGER_AWAY);
+        if away && !self.cell.jobs().contains_key(&id) {
+            info!("refuse: job={id:016x} why=\"the ledger does not answer\"");
+            return send(reply, Answer::refused("the ledger does not answer"));
+        }
+        match adapter::front::job(&ask.body) {
+            Ok(spec) => {
+                let request = self.wait(reply);
+                self.cell.submit(now, wall_ms(), request, queue, id, spec);
+            }
+            Err(e) => {
+                info!("refuse: job={id:016x} why=\"{e}\"");
+                send(reply, Answer::Malformed(e.to_string()));
+            }
+        }
+    }
+
+    /// Queue that a request addresses, and the rest of its path.
+    fn find(&self, ask: &Ask) -> Option<(String, String)> {
+        let queue = self.cell.manifest().find(&ask.host, &ask.path)?;
+        let rest = ask.path.get(queue.prefix.len()..).unwrap_or_default();
+        Some((queue.name.clone(), String::from(rest)))
+    }
+
+    fn wait(&mut self, reply: oneshot::Sender<Answer>) -> RequestId {
+        self.next_request += 1;
+        self.waiting.insert(self.next_request, reply);
+        self.next_request
+    }
+
+    fn store_batch(&mut self) {
+        let now = Instant::now();
+        if self.appending.is_some_and(|at| now.saturating_duration_since(at) > LEDGER_AWAY) {
+            self.cell.refuse_unstored("the ledger does not answer");
+            return;
+        }
+        let Some(batch) = self.cell.next_batch() else { return };
+        self.appending = Some(now);
+        self.sequence += 1;
+        let sequence = Sequence { epoch: self.epoch, number: self.sequence };
+        let (store, events) = (Rc::clone(&self.store), self.events.clone());
+        self.tasks.spawn_local(append(store, events, batch.records, sequence));
+    }
+
+    fn appended(&mut self, now: Instant, outcome: Result<(), Error>) {
+        self.appending = None;
+        match outcome {
+            Ok(()) => self.cell.committed(now),
+            Err(e) => {
+                warn!("owner: epoch={} append {}: {e}", self.epoch, self.sequence);
+                self.cell.depose();
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.cell.take_actions() {
+            match action {
+                Action::Answer(request, answer) => {
+                    if let Some(reply) = self.waiting.swap_remove(&request) {
+                        send(reply, answer);
+                    }
+                }
+                Action::Machine(action) => self.act(action),
+                Action::Report(number, complete) => self.report(number, complete),
+                other => self.call_runner(other),
+            }
+        }
+    }
+
+    fn call_runner(&mut self, action: Action) {
+        let id = match &action {
+            Action::Start(id, ..)
+            | Action::Stop(id, ..)
+            | Action::Pace(id, ..)
+            | Action::Look(id, ..) => id,
+            _ => return,
+        };
+        let Some(entry) = self.cell.workers().get(id).and_then(|worker| worker.entry.as_ref())
+        else {
+            return;
+        };
+        self.runners.carry_out(&mut self.tasks, &self.events, entry.address, action);
+    }
+
+    fn act(&mut self, action: upkeep::Action) {
+        let Some(fleet) = self.fleet.clone() else { return };
+        let (events, epoch) = (self.events.clone(), self.epoch);
+        let holder = self.shared.settings.node.clone();
+        self.tasks.spawn_local(async move {
+            let call = adapter::fleet::act(&action, &holder, epoch);
+            let outcome = match fleet.call(&call, follow::FLEET_ANSWER).await {
+                Ok(reply) => adapter::fleet::acted(&reply),
+                Err(e) => Err(upkeep::Refusal::Unknown(e.to_string())),
+            };
+            let _ = events.send(Event::Acted(action, outcome));
+        });
+    }
+
+    fn report(&mut self, number: upkeep::Number, complete: bool) {
+        let store = Rc::clone(&self.store);
+        self.tasks.spawn_local(async move {
+            let (key, value) = adapter::manifest::wave_status(number, complete);
+            let record = Record { key, value };
+            while let Err(e) = store.append_any(adapter::manifest::STATUS_TOPIC, &record).await {
+                warn!("upkeep: report wave={number} complete={complete}: {e}");
+                sleep(Duration::from_millis(300)).await;
+            }
+        });
+    }
+}
+
+fn send(reply: oneshot::Sender<Answer>, answer: Answer) {
+    if reply.send(answer).is_err() {
+        log::debug!("owner: a caller has left before its answer");
+    }
+}
+
+/// Appends a batch until the store has answered it.
+async fn append(
+    store: Rc<Store>,
+    events: UnboundedSender<Event>,
+    records: Vec<Record>,
+    at: Sequence,
+) {
+    let outcome = loop {
+        match store.append(JOBS, &records, at).await {
+            Ok(_) => break Ok(()),
+            Err(Error::Refused(_) | Error::Silent(_)) => sleep(APPEND_AGAIN).await,
+            Err(e) => break Err(e),
+        }
+    };
+    let _ = events.send(Event::Appended(outcome));
+}
--- /dev/null
+++ b/src/job/daemon/shared.rs
@@ -0,0 +1,80 @@
+//! What the parts of an entry share: who owns the cell, and the way to the owner.
+
+use {
+    super::{
+        meter::Meter,
+        owner::Event,
+        peer::{Ask, Link},
+    },
+    crate::job::{
+        answer::Answer,
+        claim::{Incarnation, Owner},
+        settings::Settings,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::sync::{mpsc::UnboundedSender, oneshot, watch},
+};
+
+/// What the parts of an entry share.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// Newest known owner.
+    pub owner: watch::Sender<Option<Owner>>,
+    /// Whether a stop was asked for.
+    pub stopping: watch::Sender<bool>,
+    /// Way to the decisions, while this entry owns the cell and has read its state.
+    pub desk: RefCell<Option<UnboundedSender<Event>>>,
+    /// Connection to the owner.
+    pub link: Link,
+    /// Whether the connection to the owner was open when last looked at.
+    pub linked: Cell<bool>,
+    /// Callers' requests in progress.
+    pub requests: Cell<usize>,
+    /// Counters.
+    pub meter: Rc<Meter>,
+}
+
+impl Shared {
+    /// Whether this entry can serve a caller.
+    pub fn ready(&self) -> bool {
+        !*self.stopping.borrow() && (self.desk.borrow().is_some() || self.linked.get())
+    }
+
+    /// Answers a caller's request, here or at the owner.
+    pub async fn serve(&self, ask: Ask, limit: Duration) -> Answer {
+        if self.desk.borrow().is_some() {
+            return tokio::time::timeout(limit, self.decide(ask))
+                .await
+                .unwrap_or_else(|_| Answer::Unknown(format!("no outcome after {limit:?}")));
+        }
+        let owner = self.owner.borrow().clone();
+        match owner {
+            Some(owner) if !owner.released && owner.incarnation != self.incarnation => {
+                self.link.pass(owner.peer, &ask, limit).await
+            }
+            _ => Answer::refused("no entry owns the cell now"),
+        }
+    }
+
+    /// Has the owner's part in this process decide.
+    pub async fn decide(&self, ask: Ask) -> Answer {
+        let (sender, receiver) = oneshot::channel();
+        let passed = match &*self.desk.borrow() {
+            Some(desk) => desk.send(Event::Ask(ask, sender)).is_ok(),
+            None => false,
+        };
+        if !passed {
+            return Answer::refused("this entry does not own the cell");
+        }
+        receiver.await.unwrap_or_else(|_| {
+            Answer::Unknown(String::from("the entry lost the cell before it knew the outcome"))
+        })
+    }
+}
--- /dev/null
+++ b/src/job/daemon/store.rs
@@ -0,0 +1,96 @@
+//! The platform's store, as the entry calls it.
+
+use {
+    super::{channel::Channel, meter::Meter},
+    crate::{
+        adapter::{
+            frame::Page,
+            store::{self, Error, Newest, Result, Sequence},
+        },
+        job::{
+            call::{Call, Reply},
+            ledger::Record,
+        },
+    },
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for an answer of the store beside the time for which it is asked to wait.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// Most calls to the store at once.
+const CALLS: usize = 8;
+
+/// The platform's store.
+pub struct Store {
+    channel: Channel,
+    meter: Rc<Meter>,
+}
+
+impl Store {
+    /// Store at `address`.
+    pub fn new(address: SocketAddr, meter: Rc<Meter>) -> Self {
+        Self { channel: Channel::new(address, CALLS), meter }
+    }
+
+    /// Appends records as a fenced writer; returns the offset of the first.
+    pub async fn append(&self, topic: &str, records: &[Record], at: Sequence) -> Result<u64> {
+        store::appended(&self.call("append", &store::append(topic, records, at), ANSWER).await?)
+    }
+
+    /// Locks out every writer of a lower epoch.
+    pub async fn fence(&self, topic: &str, epoch: u64) -> Result<u64> {
+        store::appended(&self.call("fence", &store::fence(topic, epoch), ANSWER).await?)
+    }
+
+    /// Appends a record if the partition ends at `at`.
+    pub async fn append_at(&self, topic: &str, record: &Record, at: u64) -> Result<u64> {
+        store::appended(&self.call("claim", &store::append_at(topic, record, at), ANSWER).await?)
+    }
+
+    /// Appends a record wherever the partition ends.
+    pub async fn append_any(&self, topic: &str, record: &Record) -> Result<u64> {
+        store::appended(&self.call("report", &store::append_any(topic, record), ANSWER).await?)
+    }
+
+    /// Reads records from an offset; waits for one up to `wait`.
+    pub async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Page> {
+        store::page(&self.call("read", &store::read(topic, from, wait), wait + ANSWER).await?)
+    }
+
+    /// Reads a page of the newest records.
+    pub async fn newest(&self, topic: &str, after: &str) -> Result<Newest> {
+        store::items(&self.call("newest", &store::newest(topic, after), ANSWER).await?)
+    }
+
+    /// Reads all newest records of a partition.
+    pub async fn all(&self, topic: &str) -> Result<Newest> {
+        let mut all = Newest::default();
+        loop {
+            let after = all.records.last().map(|record: &Record| record.key.clone());
+            let page = self.newest(topic, after.as_deref().unwrap_or_default()).await?;
+            if all.records.is_empty() {
+                all.end = page.end;
+            }
+            let empty = page.records.is_empty();
+            all.records.extend(page.records);
+            if !page.more || empty {
+                return Ok(all);
+            }
+        }
+    }
+
+    async fn call(&self, name: &str, call: &Call, limit: Duration) -> Result<Reply> {
+        let begun = Instant::now();
+        let outcome = self.channel.call(call, limit).await;
+        let label = match &outcome {
+            Ok(reply) => reply.status.to_string(),
+            Err(_) => String::from("none"),
+        };
+        self.meter.called(name, &label, begun.elapsed());
+        outcome.map_err(|e| Error::Silent(e.to_string()))
+    }
+}
--- a/src/job.rs
+++ b/src/job/mod.rs
@@ -1,4 +1,19 @@
 //! Jobs that teams submit, and what they need of a worker.
+//!
+//! [`cell`] holds the owner's decisions about submitted jobs; [`daemon`] connects them to callers,
+//! runners and the platform.
+
+pub mod answer;
+pub mod call;
+pub mod cell;
+pub mod claim;
+pub mod daemon;
+pub mod ledger;
+pub mod manifest;
+pub mod runner;
+pub mod settings;
+pub mod spec;
+pub mod upkeep;
 
 use {
     crate::id::{PoolId, TeamId},
--- /dev/null
+++ b/src/job/spec.rs
@@ -0,0 +1,221 @@
+//! What a caller submits: a job of steps, each of which runs a number of like tasks.
+
+use {
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::{fmt, time::Duration},
+};
+
+/// Name of a submitted job, chosen by its caller.
+pub type Id = u64;
+
+/// Most steps of a job.
+const MAX_STEPS: usize = 256;
+/// Most tasks of a step.
+const MAX_TASKS: u32 = 10_000;
+/// Most bytes of the text that describes the work.
+const MAX_TEXT_BYTES: usize = 4_000;
+
+/// Outcome of a check.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a job can't be accepted.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// a job has 1 to 256 steps, this one {0}
+    Steps(usize),
+    /// step {0} has {1} tasks: must be 1 to 10000
+    Tasks(usize, u32),
+    /// step {0} depends on step {1}, which is not before it
+    Order(usize, u16),
+    /// the text has {0} bytes, at most 4000 are allowed
+    Text(usize),
+    /// step {0} uses {1}, which this release does not run
+    Unsupported(usize, &'static str),
+    /// {0}
+    Malformed(String),
+}
+
+impl std::error::Error for Error {}
+
+/// A job as submitted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// Text handed to each task unchanged.
+    pub text: String,
+    /// Steps, in the order in which they were listed.
+    pub steps: Vec<Step>,
+    /// Times at which the steps run, if not once at once.
+    pub schedule: Option<Schedule>,
+}
+
+/// Occurrences of a repeated job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// First occurrence, in milliseconds since the Unix epoch.
+    pub first_ms: u64,
+    /// Milliseconds between two occurrences.
+    pub interval_ms: u64,
+    /// Number of occurrences.
+    pub times: u32,
+}
+
+/// A number of like tasks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Room that each task takes on a runner.
+    pub need: Need,
+    /// Rough estimate of a task's run time.
+    pub estimate: Duration,
+    /// Steps that must be done first.
+    pub after: Vec<u16>,
+    /// Whether a task can resume from a checkpoint.
+    pub checkpoints: bool,
+    /// Whether the tasks work only all together.
+    pub gang: bool,
+    /// Whether the tasks are slowed when they run on more than one rack.
+    pub same_rack: bool,
+    /// Label that a runner must have, or empty.
+    pub label: String,
+    /// Rack where the data is, or empty.
+    pub data_rack: String,
+    /// Most tasks of this step on one runner; none if 0.
+    pub per_runner: u32,
+    /// Whether copies of a task may run in parallel.
+    pub duplicates: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub endless: bool,
+    /// Name of the program; tasks of one image behave alike.
+    pub image: String,
+    /// Latency objective of an endless task's own users; none if 0.
+    pub latency_target: Duration,
+    /// Whether the tasks use only processor time that others leave.
+    pub filler: bool,
+    /// Tasks that may be unavailable at once through our own actions.
+    pub may_miss: u32,
+}
+
+/// Room on a runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Need {
+    /// Thousandths of a core.
+    pub millicores: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Need {
+    /// Whether `other` fits into this room.
+    pub fn holds(&self, other: &Self) -> bool {
+        self.millicores >= other.millicores
+            && self.memory_mib >= other.memory_mib
+            && self.accelerators >= other.accelerators
+    }
+
+    /// Sum of two needs.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// What is left without `other`, at least nothing.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl Step {
+    /// Room that a task is counted with; a filler takes only processor time that is left over.
+    pub fn counted(&self) -> Need {
+        let millicores = if self.filler { 0 } else { self.need.millicores };
+        Need { millicores, ..self.need }
+    }
+}
+
+impl Spec {
+    /// Checks sizes, the order of steps, and that everything it uses can be run.
+    pub fn check(&self) -> Result<()> {
+        if self.text.len() > MAX_TEXT_BYTES {
+            return Err(Error::Text(self.text.len()));
+        }
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return Err(Error::Steps(self.steps.len()));
+        }
+        self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))
+    }
+
+    /// Whether the tasks run until the job is cancelled.
+    pub fn endless(&self) -> bool {
+        self.steps.iter().any(|step| step.endless)
+    }
+
+    /// Estimated time of the longest chain of steps that depend on each other.
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|&a| ends.get(usize::from(a))).max();
+            ends.push(before.copied().unwrap_or_default() + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Estimated work of all tasks, in core-seconds.
+    pub fn work(&self) -> f64 {
+        self.steps.iter().map(Step::work).sum()
+    }
+}
+
+impl Step {
+    fn check(&self, number: usize) -> Result<()> {
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(Error::Tasks(number, self.tasks));
+        }
+        if let Some(&late) = self.after.iter().find(|&&before| usize::from(before) >= number) {
+            return Err(Error::Order(number, late));
+        }
+        if self.gang {
+            return Err(Error::Unsupported(number, "a gang"));
+        }
+        Ok(())
+    }
+
+    fn work(&self) -> f64 {
+        f64::from(self.tasks) * f64::from(self.need.millicores) / 1_000.0
+            * self.estimate.as_secs_f64()
+    }
+}
+
+/// One task of an occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Task {
+    /// Job.
+    pub job: Id,
+    /// Occurrence, counted from 0.
+    pub occurrence: u32,
+    /// Step, counted from 0.
+    pub step: u16,
+    /// Index in its step.
+    pub index: u16,
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
 
+#[path = "../platform/mod.rs"]
+pub mod adapter;
 pub mod admit;
 mod body;
 pub mod budget;
