--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -23,6 +23,9 @@
         if let Some(manifest) = &self.next_manifest {
             push(&mut records, ledger::manifest(manifest));
         }
+        if self.pools.take_changed() {
+            push(&mut records, ledger::upkeep(&self.pools.record()));
+        }
         for id in std::mem::take(&mut self.accepted) {
             if let Some(job) = self.jobs.get(&id) {
                 let content = ledger::Accepted {
@@ -94,6 +97,8 @@
             Effect::Show(id) => self.show(now, id),
             Effect::StopAll(id) => self.stop_all(now, id),
             Effect::Declare => self.put_into_force(),
+            Effect::Act(action) => self.actions.push(Action::Machine(action)),
+            Effect::Report(number, complete) => self.actions.push(Action::Report(number, complete)),
         }
     }
 
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -78,6 +78,8 @@
     pub phase: Phase,
     /// Since when.
     pub since: Instant,
+    /// Share at which the runner says that it works, in percent.
+    pub percent: u32,
 }
 
 /// How far a run is.
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -160,6 +160,7 @@
                     placement.phase = Phase::Running;
                     placement.since = now;
                 }
+                placement.percent = row.percent;
                 if !row.checkpoint.is_empty() {
                     state.checkpoint.clone_from(&row.checkpoint);
                 }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -8,6 +8,7 @@
 //! later end that a runner may forget) wait in [`Effect`]s until the ledger has stored the record.
 
 mod accept;
+mod balance;
 mod commit;
 mod job;
 mod load;
@@ -16,6 +17,7 @@
 mod place;
 mod pools;
 mod restore;
+mod wave;
 mod workers;
 
 pub use {
@@ -81,6 +83,8 @@
     Show(spec::Id),
     StopAll(spec::Id),
     Declare,
+    Act(upkeep::Action),
+    Report(upkeep::Number, bool),
 }
 
 /// Records to append, in order.
@@ -180,7 +184,9 @@
         if self.place_due {
             self.place(now);
         }
-        self.steer_pools(now);
+        self.advance_waves(now);
+        self.balance(now);
+        self.empty_machines(now);
         self.look_at_runners(now);
     }
 
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -146,9 +146,7 @@
     pub(super) fn replaced(&mut self, now: Instant, runner: &RunnerId) {
         self.lose_all(now, runner, "another one answers at its address");
         if let Some(worker) = self.workers.get_mut(runner) {
-            worker.renew(None, now);
-            worker.listed = false;
-            worker.absent = now;
+            worker.retire(now);
         }
     }
 
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -98,7 +98,7 @@
         };
         state.run += 1;
         let (run, phase) = (state.run, Phase::Planned);
-        let placement = Placement { runner: Rc::clone(runner), phase, since: now };
+        let placement = Placement { runner: Rc::clone(runner), phase, since: now, percent: 0 };
         state.status = Status::Placed(placement);
         info!("place: task={task} run={run} runner={runner} fence={}", self.fence);
         self.mark(task.job);
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -27,6 +27,7 @@
             Content::Accepted(id, accepted) => self.restore_job(now, wall_ms, id, accepted),
             Content::Progress(id, progress) => self.restore_progress(now, id, progress),
             Content::Manifest(manifest) => self.restore_manifest(manifest),
+            Content::Upkeep(upkeep) => self.pools.restore(upkeep),
             Content::Barrier => {}
         }
     }
@@ -106,7 +107,8 @@
         let need = job.step(&task).map(|step| step.counted()).unwrap_or_default();
         let Some(state) = job.task_mut(&task) else { return };
         let runner = Rc::clone(&id);
-        state.status = Status::Placed(Placement { runner, phase: Phase::Restored, since: now });
+        state.status =
+            Status::Placed(Placement { runner, phase: Phase::Restored, since: now, percent: 0 });
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.used = worker.used.plus(&need);
             worker.tasks.insert(task, need);
--- /dev/null
+++ b/src/job/cell/wave.rs
@@ -0,0 +1,142 @@
+//! Waves of upkeep: which VM goes down next.
+//!
+//! VMs that are empty or off go first, then those of services that need them least. A wave keeps
+//! fewer down at once than it may while there is time, so that a burst finds more of the pool.
+
+use {
+    super::{
+        Cell, Effect,
+        pools::{Stage, Wave},
+    },
+    crate::job::upkeep::{Action, MachineId, Number, Order},
+    log::info,
+    std::time::{Duration, Instant},
+};
+
+/// Part of a wave's time within which it should be complete.
+const AIM: f64 = 0.7;
+/// Time that emptying a VM takes on average.
+const EMPTYING: Duration = Duration::from_millis(2_500);
+
+impl Cell {
+    /// The operators ask for a wave.
+    pub fn order_wave(&mut self, now: Instant, order: Order) {
+        let number = order.number;
+        if self.pools.waves.contains_key(&number) {
+            return;
+        }
+        info!(
+            "wave: number={number} machines={} most={} within_s={}",
+            order.machines.len(),
+            order.most,
+            order.within.as_secs_f64()
+        );
+        self.pools.waves.insert(number, Wave { order, begun: now, complete: false });
+        self.effects.push(Effect::Report(number, false));
+    }
+
+    /// VMs of a wave that are down for it, or are about to be.
+    pub(super) fn down_of(&self, wave: Number) -> usize {
+        let down = |vm: &&super::pools::Vm| {
+            let sent = vm.plan.as_ref().is_some_and(|plan| {
+                plan.stage != Stage::Empty
+                    && matches!(plan.action, Action::Upkeep { wave: of, .. } if of == wave)
+            });
+            sent || vm.down() && self.pools.is_done(wave, &vm.listed.id)
+        };
+        self.pools.machines.values().filter(down).count()
+    }
+
+    /// Most VMs of a wave that may be down at once.
+    pub(super) fn most_down(&self, wave: Number) -> usize {
+        self.pools.waves.get(&wave).map_or(1, |wave| wave.order.most)
+    }
+
+    /// Plans the upkeep of further VMs, and reports waves that are complete.
+    pub(super) fn advance_waves(&mut self, now: Instant) {
+        let open: Vec<Number> = self
+            .pools
+            .waves
+            .iter()
+            .filter(|(_, wave)| !wave.complete)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in open {
+            self.advance_wave(now, number);
+        }
+    }
+
+    fn advance_wave(&mut self, now: Instant, number: Number) {
+        let Some(wave) = self.pools.waves.get(&number) else { return };
+        if self.pools.machines.is_empty() {
+            return;
+        }
+        let left: Vec<MachineId> = wave
+            .order
+            .machines
+            .iter()
+            .filter(|id| !self.pools.is_done(number, id) && self.pools.machines.contains_key(*id))
+            .cloned()
+            .collect();
+        if left.is_empty() {
+            info!(
+                "wave: number={number} complete=true ms={}",
+                now.saturating_duration_since(wave.begun).as_millis()
+            );
+            if let Some(wave) = self.pools.waves.get_mut(&number) {
+                wave.complete = true;
+            }
+            self.effects.push(Effect::Report(number, true));
+            return;
+        }
+        let planned = left.iter().filter(|id| self.has_plan(id)).count();
+        let busy = planned + self.down_of(number);
+        let room = self.at_once(now, number, left.len()).saturating_sub(busy);
+        let mut ready: Vec<(u64, MachineId)> = left
+            .into_iter()
+            .filter(|id| !self.has_plan(id))
+            .filter_map(|id| self.upkeep_cost(&id).map(|cost| (cost, id)))
+            .collect();
+        ready.sort_unstable();
+        for (_, machine) in ready.into_iter().take(room) {
+            self.plan_action(now, Action::Upkeep { machine, wave: number });
+        }
+    }
+
+    fn has_plan(&self, machine: &str) -> bool {
+        self.pools.machines.get(machine).is_some_and(|vm| vm.plan.is_some())
+    }
+
+    /// VMs to keep down or in preparation, so that the wave ends in time.
+    fn at_once(&self, now: Instant, number: Number, left: usize) -> usize {
+        let Some(wave) = self.pools.waves.get(&number) else { return 0 };
+        let passed = now.saturating_duration_since(wave.begun);
+        let time = wave.order.within.mul_f64(AIM).saturating_sub(passed);
+        let each = EMPTYING + self.bounds.upkeep_time;
+        let rounds = (time.as_secs_f64() / each.as_secs_f64()).max(1.0);
+        let needed = (left as f64 / rounds).ceil() as usize;
+        needed.min(wave.order.most)
+    }
+
+    /// What taking a VM down costs its service now; none if it can't be.
+    fn upkeep_cost(&self, machine: &str) -> Option<u64> {
+        let vm = self.pools.machines.get(machine)?;
+        if vm.down() {
+            return None;
+        }
+        let Some(runner) = self.runner_of(machine) else { return Some(0) };
+        let worker = self.workers.get(&runner)?;
+        if worker.failing.is_some() || worker.draining() {
+            return None;
+        }
+        let endless = worker.tasks.keys().filter(|task| {
+            self.jobs.get(&task.job).and_then(|job| job.step(task)).is_some_and(|s| s.endless)
+        });
+        let pressure = (self.pressure(&vm.listed.pool) * 1_000.0) as u64;
+        Some(
+            1 + pressure * 100
+                + endless.count() as u64 * 20_000
+                + u64::from(worker.used.millicores),
+        )
+    }
+}
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -58,6 +58,8 @@
     pub shunned: Option<Instant>,
     /// Runs that failed on it since one was done there.
     pub strikes: u32,
+    /// Incarnation whose end is certain; older registrations that still arrive are ignored.
+    pub retired: Option<Born>,
     /// Whether it is being emptied for a move or for upkeep.
     pub reserved: bool,
 }
@@ -84,6 +86,7 @@
             failing: None,
             shunned: None,
             strikes: 0,
+            retired: None,
             reserved: false,
         }
     }
@@ -99,6 +102,21 @@
         self.can_start() && self.shunned.is_none_or(|until| until <= now)
     }
 
+    /// Whether a registration is of a life that has ended.
+    fn ignores(&self, entry: &Entry) -> bool {
+        self.retired.is_some_and(|retired| entry.born.is_none_or(|born| born <= retired))
+    }
+
+    /// Ends this life for certain.
+    pub fn retire(&mut self, now: Instant) {
+        let born = self.born.or(self.entry.as_ref().and_then(|entry| entry.born));
+        self.renew(None, now);
+        self.retired = Some(born.unwrap_or_default());
+        self.listed = false;
+        self.absent = now;
+        self.entry = None;
+    }
+
     /// Whether it leaves.
     pub fn draining(&self) -> bool {
         self.entry.as_ref().is_some_and(|entry| entry.draining)
@@ -154,6 +172,7 @@
         };
         let machine = entry.machine.clone();
         match self.workers.get_mut(id) {
+            Some(worker) if worker.ignores(&entry) => {}
             Some(worker) => {
                 let reborn =
                     entry.born.is_some() && worker.born.is_some_and(|b| entry.born > Some(b));
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -94,7 +94,7 @@
         } else {
             self.read(wait).await
         };
-        if *self.shared.stopping.borrow() {
+        if self.shared.stopping.borrow().is_some() {
             return;
         }
         match read {
@@ -172,7 +172,7 @@
     /// Shows that the owner lives, or finds that it has lost the cell.
     async fn beat(&mut self, epoch: Epoch, task: JoinHandle<()>) {
         sleep(BEAT).await;
-        let stopping = *self.shared.stopping.borrow();
+        let stopping = self.shared.stopping.borrow().is_some();
         let kind =
             if stopping || task.is_finished() { Kind::Release(epoch) } else { Kind::Beat(epoch) };
         let Some(record) = self.record(kind) else { return };
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -22,7 +22,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+    tokio::{net::TcpListener, sync::watch, task::spawn_local, time::sleep},
 };
 
 /// Time for a caller to send its request's head.
@@ -40,8 +40,13 @@
 
 /// Serves callers until a stop is asked for and open connections have ended.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let mut stopping = shared.stopping.subscribe();
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = lingered(&mut stopping) => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(e) => {
                 warn!("front: accept: {e}");
@@ -64,8 +69,7 @@
     let mut serving = std::pin::pin!(builder.serve_connection(io, service));
     let outcome = tokio::select! {
         outcome = serving.as_mut() => outcome,
-        _ = stopping.wait_for(|stopping| *stopping) => {
-            sleep(super::stop::LINGER).await;
+        () = lingered(&mut stopping) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
@@ -75,6 +79,17 @@
     }
 }
 
+/// Returns once connections are no longer served.
+async fn lingered(stopping: &mut watch::Receiver<Option<Instant>>) {
+    let until = match stopping.wait_for(Option::is_some).await {
+        Ok(until) => *until,
+        Err(_) => None,
+    };
+    if let Some(until) = until {
+        sleep(until.saturating_duration_since(Instant::now())).await;
+    }
+}
+
 async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
@@ -99,7 +114,7 @@
             took.as_millis()
         );
     }
-    Ok(respond(&answer, *shared.stopping.borrow()))
+    Ok(respond(&answer, shared.stopping.borrow().is_some()))
 }
 
 async fn answer(shared: &Shared, request: Request<Incoming>, method: Method) -> Answer {
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -79,7 +79,7 @@
         settings,
         incarnation: rand::random(),
         owner: watch::Sender::new(None),
-        stopping: watch::Sender::new(false),
+        stopping: watch::Sender::new(None),
         desk: RefCell::default(),
         link: Link::default(),
         linked: Cell::new(false),
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -117,7 +117,7 @@
         }
     }
     contents.sort_by_key(|content| match content {
-        ledger::Content::Manifest(_) | ledger::Content::Barrier => 0,
+        ledger::Content::Manifest(_) | ledger::Content::Upkeep(_) | ledger::Content::Barrier => 0,
         ledger::Content::Accepted(..) => 1,
         ledger::Content::Progress(..) => 2,
     });
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -14,7 +14,7 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::{mpsc::UnboundedSender, oneshot, watch},
 };
@@ -27,8 +27,8 @@
     pub incarnation: Incarnation,
     /// Newest known owner.
     pub owner: watch::Sender<Option<Owner>>,
-    /// Whether a stop was asked for.
-    pub stopping: watch::Sender<bool>,
+    /// Until when connections are still served, once a stop was asked for.
+    pub stopping: watch::Sender<Option<Instant>>,
     /// Way to the decisions, while this entry owns the cell and has read its state.
     pub desk: RefCell<Option<UnboundedSender<Event>>>,
     /// Connection to the owner.
@@ -44,7 +44,7 @@
 impl Shared {
     /// Whether this entry can serve a caller.
     pub fn ready(&self) -> bool {
-        !*self.stopping.borrow() && (self.desk.borrow().is_some() || self.linked.get())
+        self.stopping.borrow().is_none() && (self.desk.borrow().is_some() || self.linked.get())
     }
 
     /// Answers a caller's request, here or at the owner.
--- a/src/job/daemon/stop.rs
+++ b/src/job/daemon/stop.rs
@@ -35,7 +35,7 @@
     let begun = Instant::now();
     let grace = shared.settings.bounds.grace.saturating_sub(RESERVE);
     info!("stop: begun requests={}", shared.requests.get());
-    shared.stopping.send_replace(true);
+    shared.stopping.send_replace(Some(begun + LINGER));
     sleep(LINGER + PAUSE).await;
     while shared.requests.get() > 0 && begun.elapsed() < grace {
         sleep(PAUSE).await;
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -6,14 +6,17 @@
 //! runner that may run a task.
 
 use {
-    super::{manifest::Manifest, spec},
+    super::{manifest::Manifest, spec, upkeep},
     ::serde::{Deserialize, Serialize},
     bincode::{config, error::DecodeError, error::EncodeError, serde},
     displaydoc::Display,
+    indexmap::IndexMap,
 };
 
 /// Key of the copy of the manifest in force.
 const MANIFEST: &str = "manifest";
+/// Key of the record of waves and pools.
+const UPKEEP: &str = "upkeep";
 /// Key of a record that only shows that its writer still owns the cell.
 const BARRIER: &str = "barrier";
 /// What follows a job's name in the key of its progress.
@@ -101,6 +104,16 @@
     pub checkpoint: String,
 }
 
+/// How far the waves are, and how large the pools were at first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Upkeep {
+    /// VMs of each wave that have begun their upkeep.
+    pub waves: IndexMap<upkeep::Number, Vec<upkeep::MachineId>>,
+    /// VMs of each pool when the cell was first owned.
+    pub sizes: IndexMap<String, usize>,
+}
+
 /// Content of a record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Content {
@@ -110,6 +123,8 @@
     Progress(spec::Id, Progress),
     /// The manifest in force.
     Manifest(Manifest),
+    /// Waves and pools.
+    Upkeep(Upkeep),
     /// Nothing.
     Barrier,
 }
@@ -129,6 +144,11 @@
     encode(String::from(MANIFEST), content)
 }
 
+/// Writes the record of waves and pools.
+pub fn upkeep(content: &Upkeep) -> Result<Record> {
+    encode(String::from(UPKEEP), content)
+}
+
 /// Record that shows that its writer still owns the cell.
 pub fn barrier() -> Record {
     Record { key: String::from(BARRIER), value: vec![1] }
@@ -146,6 +166,9 @@
     if record.key == MANIFEST {
         return decode(record).map(Content::Manifest);
     }
+    if record.key == UPKEEP {
+        return decode(record).map(Content::Upkeep);
+    }
     if record.key == BARRIER {
         return Ok(Content::Barrier);
     }
