--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -188,6 +188,7 @@
                     self.place_due = true;
                 }
                 let born = entry.born;
+                worker.born = worker.born.or(born);
                 worker.entry = Some(entry);
                 if reborn {
                     self.reborn(now, id, born);
@@ -206,11 +207,11 @@
         if machine.is_empty() {
             return;
         }
-        let born = self.workers.get(id).and_then(|worker| worker.born);
+        let Some(born) = self.workers.get(id).and_then(|worker| worker.born) else { return };
         let former = |(other, worker): (&RunnerId, &Worker)| {
             let entry = worker.entry.as_ref()?;
-            let older = worker.born < born || born.is_none() && !worker.listed;
-            (**other != *id && entry.machine == machine && older).then(|| Rc::clone(other))
+            let older = worker.born.is_some_and(|other_born| other_born < born);
+            (entry.machine == machine && older).then(|| Rc::clone(other))
         };
         let former: Vec<_> = self.workers.iter().filter_map(former).collect();
         for other in former {
