--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -49,7 +49,8 @@
             let calm = worker.held && stored && busy && worker.failing.is_none();
             let settled = worker.next_look <= now && worker.failing.is_none();
             let wait = if calm && !settled { LOOK_WAIT } else { Duration::ZERO };
-            let until_ms = if busy { worker.grant(now) } else { None };
+            let extends = busy && worker.failing.is_none();
+            let until_ms = if extends { worker.grant(now) } else { None };
             worker.looking = Some(now);
             worker.next_look = now + Duration::from_secs(3_600);
             let seen = worker.forgettable;
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -239,7 +239,12 @@
         let Some(job) = self.jobs.get(&task.job) else { return false };
         let Some(step) = job.step(task).filter(|step| step.endless) else { return false };
         let Some(tasks) = job.steps.get(usize::from(task.step)) else { return false };
-        let at_work = |status: &Status| matches!(status, Status::Placed(p) if p.phase == Phase::Running && p.percent >= 100);
+        let at_work = |status: &Status| {
+            let Status::Placed(placement) = status else { return false };
+            let worker = self.workers.get(&placement.runner);
+            let answers = worker.is_some_and(|w| w.failing.is_none() && w.listed);
+            answers && placement.phase == Phase::Running && placement.percent >= 100
+        };
         let away = tasks
             .iter()
             .enumerate()
