--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -16,7 +16,8 @@
 impl Cell {
     /// Next batch to append, if none is on its way and something waits for one.
     pub fn next_batch(&mut self) -> Option<Batch> {
-        if self.in_flight.is_some() || self.effects.is_empty() {
+        let idle = self.effects.is_empty() && !self.pools.changed();
+        if self.in_flight.is_some() || idle {
             return None;
         }
         let mut records = Vec::new();
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -32,6 +32,7 @@
     pub(super) machines: IndexMap<MachineId, Vm>,
     pub(super) waves: IndexMap<upkeep::Number, Wave>,
     pub(super) done: IndexMap<upkeep::Number, Vec<MachineId>>,
+    pub(super) begun: IndexMap<upkeep::Number, Vec<MachineId>>,
     pub(super) sizes: IndexMap<String, usize>,
     pub(super) balanced: Instant,
     changed: bool,
@@ -82,6 +83,7 @@
             machines: IndexMap::new(),
             waves: IndexMap::new(),
             done: IndexMap::new(),
+            begun: IndexMap::new(),
             sizes: IndexMap::new(),
             balanced: now,
             changed: false,
@@ -91,11 +93,33 @@
     /// Takes in what a former owner has stored.
     pub(super) fn restore(&mut self, stored: ledger::Upkeep) {
         self.done = stored.waves;
+        self.begun = stored.begun;
         self.sizes = stored.sizes;
     }
 
     pub(super) fn record(&self) -> ledger::Upkeep {
-        ledger::Upkeep { waves: self.done.clone(), sizes: self.sizes.clone() }
+        ledger::Upkeep {
+            waves: self.done.clone(),
+            begun: self.begun.clone(),
+            sizes: self.sizes.clone(),
+        }
+    }
+
+    /// Whether the record has changed.
+    pub(super) fn changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Whether the call for a VM's upkeep may have been carried out.
+    pub(super) fn may_have_begun(&self, wave: upkeep::Number, machine: &str) -> bool {
+        self.begun.get(&wave).is_some_and(|begun| begun.iter().any(|id| id == machine))
+    }
+
+    fn mark_begun(&mut self, wave: upkeep::Number, machine: &str) {
+        if !self.may_have_begun(wave, machine) {
+            self.begun.entry(wave).or_default().push(String::from(machine));
+            self.changed = true;
+        }
     }
 
     pub(super) fn take_changed(&mut self) -> bool {
@@ -110,6 +134,9 @@
     pub(super) fn mark_done(&mut self, wave: upkeep::Number, machine: &str) {
         if !self.is_done(wave, machine) {
             self.done.entry(wave).or_default().push(String::from(machine));
+            if let Some(begun) = self.begun.get_mut(&wave) {
+                begun.retain(|id| id != machine);
+            }
             self.changed = true;
         }
     }
@@ -212,9 +239,11 @@
     fn act(&mut self, machine: &str, action: &Action) {
         if let Action::Upkeep { wave, .. } = action {
             let (wave, most) = (*wave, self.most_down(*wave));
-            if self.down_of(wave) >= most {
+            let resumes = self.pools.may_have_begun(wave, machine);
+            if !resumes && self.down_of(wave) >= most {
                 return;
             }
+            self.pools.mark_begun(wave, machine);
         }
         if let Some(plan) = self.pools.machines.get_mut(machine).and_then(|vm| vm.plan.as_mut()) {
             plan.stage = Stage::Sent;
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -6,9 +6,9 @@
 use {
     super::{
         Cell, Effect,
-        pools::{Stage, Wave},
+        pools::{Vm, Wave},
     },
-    crate::job::upkeep::{Action, MachineId, Number, Order},
+    crate::job::upkeep::{Action, MachineId, Number, Order, State},
     log::info,
     std::time::{Duration, Instant},
 };
@@ -31,18 +31,23 @@
             order.most,
             order.within.as_secs_f64()
         );
-        self.pools.waves.insert(number, Wave { order, begun: now, complete: false });
+        let resumed = self.pools.done.contains_key(&number);
+        let passed = if resumed { order.within / 2 } else { Duration::ZERO };
+        let begun = now.checked_sub(passed).unwrap_or(now);
+        self.pools.waves.insert(number, Wave { order, begun, complete: false });
         self.effects.push(Effect::Report(number, false));
     }
 
     /// VMs of a wave that are down for it, or are about to be.
     pub(super) fn down_of(&self, wave: Number) -> usize {
-        let down = |vm: &&super::pools::Vm| {
-            let sent = vm.plan.as_ref().is_some_and(|plan| {
-                plan.stage != Stage::Empty
-                    && matches!(plan.action, Action::Upkeep { wave: of, .. } if of == wave)
-            });
-            sent || vm.down() && self.pools.is_done(wave, &vm.listed.id)
+        let of_wave = |id: &str| {
+            self.pools.waves.get(&wave).is_some_and(|w| w.order.machines.iter().any(|m| m == id))
+        };
+        let down = |vm: &&Vm| {
+            let id = vm.listed.id.as_str();
+            let in_upkeep = vm.listed.state == State::Upkeep && of_wave(id);
+            let pending = self.pools.may_have_begun(wave, id);
+            in_upkeep || pending || vm.down() && self.pools.is_done(wave, id)
         };
         self.pools.machines.values().filter(down).count()
     }
@@ -89,8 +94,16 @@
             self.effects.push(Effect::Report(number, true));
             return;
         }
-        let planned = left.iter().filter(|id| self.has_plan(id)).count();
-        let busy = planned + self.down_of(number);
+        for machine in &left {
+            if self.pools.may_have_begun(number, machine) && !self.has_plan(machine) {
+                let machine = machine.clone();
+                self.plan_action(now, Action::Upkeep { machine, wave: number });
+            }
+        }
+        let emptying = |id: &&MachineId| {
+            self.has_plan(id) && !self.pools.may_have_begun(number, id)
+        };
+        let busy = left.iter().filter(emptying).count() + self.down_of(number);
         let room = self.at_once(now, number, left.len()).saturating_sub(busy);
         let mut ready: Vec<(u64, MachineId)> = left
             .into_iter()
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -110,6 +110,8 @@
 pub struct Upkeep {
     /// VMs of each wave that have begun their upkeep.
     pub waves: IndexMap<upkeep::Number, Vec<upkeep::MachineId>>,
+    /// VMs of each wave that may have begun it: the call is on its way.
+    pub begun: IndexMap<upkeep::Number, Vec<upkeep::MachineId>>,
     /// VMs of each pool when the cell was first owned.
     pub sizes: IndexMap<String, usize>,
 }
