--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -37,7 +37,8 @@
             return;
         };
         let spec = Rc::new(spec);
-        self.load.submitted(&queue.service, &spec);
+        let work = self.load.submitted(now, &queue.service, &queue.name, &spec);
+        self.forecast.submitted(&queue.service, work);
         self.jobs.insert(id, Job::new(spec, queue, at_ms, now, Duration::ZERO));
         self.accepted.push(id);
         self.mark(id);
--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -1,8 +1,10 @@
 //! Moves of VMs between pools, after the demand of their services.
 //!
 //! A service whose work asks for more cores than its pool has gets VMs from the spare pool, and then
-//! empty VMs of pools that have more than they need. What a pool no longer needs beyond its first
-//! size goes to a service that does, or back to the spare pool, where it costs nothing.
+//! empty VMs of pools that have more than they need. A service whose turn comes gets them so early
+//! that they are there when it begins. While turns agree, a pool keeps no more than its work needs
+//! and a small reserve; else it keeps its first size. What is over goes back to the spare pool, where
+//! it costs nothing.
 
 use {
     super::Cell,
@@ -15,11 +17,25 @@
 };
 
 /// Time between two looks at the balance.
-const PAUSE: Duration = Duration::from_millis(200);
-/// Time within which waiting work should be done.
-const HORIZON: Duration = Duration::from_millis(1_600);
+const PAUSE: Duration = Duration::from_millis(150);
+/// Bounds of the time within which a job's remaining work should be done.
+const HORIZON: (f64, f64) = (0.8, 4.0);
+/// Weight of work that is late already.
+const LATE_WEIGHT: f64 = 0.3;
 /// Cores that a VM is counted with where none of its pool is known, in thousandths.
 const VM_MILLICORES: f64 = 16_000.0;
+/// Time beside the move itself until a moved VM takes tasks.
+const JOINING: Duration = Duration::from_millis(900);
+/// Part by which a turn's work may exceed what is forecast.
+const TURN_MARGIN: f64 = 1.1;
+/// VMs beyond the work that a pool keeps while turns agree.
+const RESERVE: f64 = 1.0;
+/// Part of its pool's first cores that a turn asks for where none was seen before.
+const FIRST_TURN: f64 = 1.3;
+/// Time without any submitted job after which idle VMs go back to the spare pool.
+const QUIET: Duration = Duration::from_secs(4);
+/// Time for which the rate of work lags behind the start of a turn.
+const RATE_LAG: Duration = Duration::from_millis(250);
 
 /// What a service has and needs, in cores.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,8 +50,8 @@
 
 impl Cell {
     /// Part of a service's room that its work asks for; above 1 it is short.
-    pub(super) fn pressure(&self, service: &str) -> f64 {
-        let demands = self.demands();
+    pub(super) fn pressure(&self, now: Instant, service: &str) -> f64 {
+        let demands = self.demands(now);
         demands.get(service).map_or(0.0, |demand| demand.needs / demand.has.max(1.0))
     }
 
@@ -49,7 +65,9 @@
             return;
         };
         let spare = spare.name.clone();
-        let demands = self.demands();
+        self.observe_turns(now, &spare);
+        let mut demands = self.demands(now);
+        self.add_coming(now, &spare, &mut demands);
         let mut short: Vec<(&String, f64)> = demands
             .iter()
             .filter(|(name, _)| **name != spare)
@@ -57,7 +75,7 @@
             .filter(|(_, missing)| *missing > self.vm_cores() / 2.0)
             .collect();
         short.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let mut free = self.free_machines(&spare, &demands);
+        let mut free = self.free_machines(now, &spare, &demands);
         let mut moves = Vec::new();
         for (service, missing) in short {
             let wanted = (missing / self.vm_cores()).round().max(1.0) as usize;
@@ -75,6 +93,44 @@
         }
     }
 
+    fn first_cores(&self, service: &str) -> f64 {
+        let machines = self.pools.sizes.get(service).copied().unwrap_or_default();
+        machines as f64 * self.vm_cores()
+    }
+
+    fn observe_turns(&mut self, now: Instant, spare: &str) {
+        let services: Vec<String> =
+            self.pools.sizes.keys().filter(|name| *name != spare).cloned().collect();
+        for service in services {
+            let load = self.load.cores(&service) / self.first_cores(&service).max(1.0);
+            self.forecast.observe(now, &service, load, RATE_LAG);
+        }
+    }
+
+    /// Adds the turn to come, from the time on at which VMs must set out for it.
+    fn add_coming(&self, now: Instant, spare: &str, demands: &mut IndexMap<String, Demand>) {
+        let services: Vec<&str> =
+            self.pools.sizes.keys().map(String::as_str).filter(|name| *name != spare).collect();
+        let Some(coming) = self.forecast.coming(now, &services) else { return };
+        if coming.at.saturating_duration_since(now) > self.bounds.move_time + JOINING {
+            return;
+        }
+        let endless = self.endless_cores(&coming.service);
+        let cores = coming.cores.unwrap_or(self.first_cores(&coming.service) * FIRST_TURN);
+        let demand = demands.entry(coming.service).or_default();
+        demand.needs = demand.needs.max(cores * TURN_MARGIN + endless);
+    }
+
+    fn endless_cores(&self, service: &str) -> f64 {
+        let jobs = self.jobs.values().filter(|job| {
+            job.outcome == Outcome::Open && *job.service == *service && job.spec.endless()
+        });
+        let steps = jobs.flat_map(|job| &job.spec.steps);
+        let millicores =
+            steps.map(|step| u64::from(step.tasks) * u64::from(step.counted().millicores));
+        millicores.sum::<u64>() as f64 / 1_000.0
+    }
+
     fn vm_cores(&self) -> f64 {
         let rooms = self.workers.values().filter_map(|worker| worker.entry.as_ref());
         let most = rooms.map(|entry| f64::from(entry.room.millicores)).fold(0.0, f64::max);
@@ -84,11 +140,13 @@
     /// VMs that can move now, those of the spare pool first.
     fn free_machines(
         &self,
+        now: Instant,
         spare: &str,
         demands: &IndexMap<String, Demand>,
     ) -> Vec<(MachineId, String)> {
         let mut free = Vec::new();
         let mut given: IndexMap<&str, usize> = IndexMap::new();
+        let sheds = self.forecast.confident(now) || self.load.quiet(now) > QUIET;
         for (id, vm) in &self.pools.machines {
             if vm.down() || vm.plan.is_some() {
                 continue;
@@ -102,8 +160,9 @@
             let first = self.pools.sizes.get(pool).copied().unwrap_or(usize::MAX);
             let given = given.entry(pool).or_default();
             let left = demand.has - self.vm_cores() * (*given + 1) as f64;
-            let beyond = demand.machines > first + *given;
-            if beyond && left > demand.needs && self.is_empty(id) {
+            let beyond = sheds || demand.machines > first + *given;
+            let needed = demand.needs + RESERVE * self.vm_cores();
+            if beyond && left >= needed && self.is_empty(id) {
                 *given += 1;
                 free.push((id.clone(), vm.listed.pool.clone()));
             }
@@ -116,7 +175,7 @@
         worker.is_some_and(|worker| worker.tasks.is_empty() && !worker.draining())
     }
 
-    fn demands(&self) -> IndexMap<String, Demand> {
+    fn demands(&self, now: Instant) -> IndexMap<String, Demand> {
         let mut demands: IndexMap<String, Demand> = IndexMap::new();
         let cores = self.vm_cores();
         for vm in self.pools.machines.values() {
@@ -133,26 +192,32 @@
             demand.has += cores;
             demand.machines += 1;
         }
-        let mut backlog: IndexMap<&str, f64> = IndexMap::new();
         for job in self.jobs.values().filter(|job| job.outcome == Outcome::Open) {
-            let work = backlog.entry(&job.service).or_default();
-            for (step, left) in job.spec.steps.iter().zip(&job.left) {
-                let millicores = f64::from(step.counted().millicores);
-                let cores = f64::from(*left) * millicores / 1_000.0;
-                *work += if step.endless {
-                    cores * HORIZON.as_secs_f64()
-                } else {
-                    cores * step.estimate.as_secs_f64()
-                };
-            }
-        }
-        for (service, work) in backlog {
-            let needs = work / HORIZON.as_secs_f64();
-            demands.entry(String::from(service)).or_default().needs = needs;
+            let needs = self.job_cores(now, job);
+            demands.entry(job.service.to_string()).or_default().needs += needs;
         }
         for (service, demand) in &mut demands {
-            demand.needs = demand.needs.max(self.load.cores(service));
+            demand.needs = demand.needs.max(self.load.cores(service) + self.endless_cores(service));
         }
         demands
     }
+
+    /// Cores that a job's remaining work asks for.
+    fn job_cores(&self, now: Instant, job: &super::Job) -> f64 {
+        let factor = self.load.factor(&job.queue);
+        let window = job.due.saturating_duration_since(now).as_secs_f64();
+        let late = window < job.remaining().as_secs_f64() * factor;
+        let window = window.clamp(HORIZON.0, HORIZON.1);
+        let mut needs = 0.0;
+        for (step, left) in job.spec.steps.iter().zip(&job.left) {
+            let cores = f64::from(*left) * f64::from(step.counted().millicores) / 1_000.0;
+            needs += if step.endless {
+                cores
+            } else {
+                let weight = if late { LATE_WEIGHT } else { 1.0 };
+                weight * cores * step.estimate.as_secs_f64() * factor / window
+            };
+        }
+        needs
+    }
 }
--- /dev/null
+++ b/src/job/cell/forecast.rs
@@ -0,0 +1,151 @@
+//! Turns of demand: which service is busiest, and which follows it when.
+//!
+//! Services whose callers come by turns show it in what they submit: one after the other asks for far
+//! more than its pool has, for about the same time each. Once two turns have taken about as long, the
+//! start of the next one is known; whose it is follows from the order seen before, or from being the
+//! last that has not had one. A turn that does not come ends the forecast until turns agree again.
+
+use {
+    indexmap::IndexMap,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// Part of a pool's cores that submitted work asks for in a turn.
+const TURN_LOAD: f64 = 0.5;
+/// Times between turns that are kept.
+const KEPT: usize = 4;
+/// Times between turns that must agree.
+const AGREEING: usize = 2;
+/// Difference of times between turns that still agree, as a part of them.
+const SPREAD: f64 = 0.35;
+/// Shortest time between two turns.
+const SHORTEST: Duration = Duration::from_millis(1_500);
+/// Longest time between two turns.
+const LONGEST: Duration = Duration::from_secs(60);
+/// Time by which a forecast turn may be late.
+const LATENESS: Duration = Duration::from_millis(1_500);
+
+/// Learned turns.
+#[derive(Clone, Debug, Default)]
+pub struct Forecast {
+    current: Option<Turn>,
+    times: VecDeque<Duration>,
+    next: IndexMap<String, String>,
+    seen: IndexMap<String, Seen>,
+}
+
+#[derive(Clone, Debug)]
+struct Turn {
+    service: String,
+    began: Instant,
+    work: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    began: Instant,
+    cores: f64,
+}
+
+/// A turn to come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Coming {
+    /// Service.
+    pub service: String,
+    /// When it begins.
+    pub at: Instant,
+    /// Cores that its work will ask for, if it had a turn before.
+    pub cores: Option<f64>,
+}
+
+impl Forecast {
+    /// Notes work submitted to a service, in core-seconds.
+    pub fn submitted(&mut self, service: &str, work: f64) {
+        if let Some(turn) = self.current.as_mut().filter(|turn| turn.service == service) {
+            turn.work += work;
+        }
+    }
+
+    /// Notes that a service's work asks for `load` of its pool's cores.
+    pub fn observe(&mut self, now: Instant, service: &str, load: f64, lag: Duration) {
+        let is_current = self.current.as_ref().is_some_and(|turn| turn.service == service);
+        if is_current || load < TURN_LOAD {
+            return;
+        }
+        let began = now.checked_sub(lag).unwrap_or(now);
+        if let Some(turn) = self.current.take() {
+            let time = began.saturating_duration_since(turn.began);
+            if time < SHORTEST {
+                self.current = Some(turn);
+                return;
+            }
+            self.end(turn, service, time);
+        }
+        self.current = Some(Turn { service: String::from(service), began, work: 0.0 });
+    }
+
+    fn end(&mut self, turn: Turn, next: &str, time: Duration) {
+        if time <= LONGEST {
+            self.times.push_back(time);
+            if self.times.len() > KEPT {
+                self.times.pop_front();
+            }
+            self.next.insert(turn.service.clone(), String::from(next));
+        }
+        let cores = turn.work / time.as_secs_f64();
+        self.seen.insert(turn.service, Seen { began: turn.began, cores });
+    }
+
+    /// Whether turns agree, and the one in progress has not outlasted them.
+    pub fn confident(&self, now: Instant) -> bool {
+        let (Some(turn), Some(time)) = (&self.current, self.time()) else { return false };
+        now <= turn.began + time + LATENESS
+    }
+
+    /// Service in its turn.
+    pub fn current(&self) -> Option<&str> {
+        self.current.as_ref().map(|turn| turn.service.as_str())
+    }
+
+    /// Turn that follows, if turns agree; `services` are those that may have one.
+    pub fn coming(&self, now: Instant, services: &[&str]) -> Option<Coming> {
+        if !self.confident(now) {
+            return None;
+        }
+        let turn = self.current.as_ref()?;
+        let at = turn.began + self.time()?;
+        let service = self.following(&turn.service, services)?;
+        let cores = self.seen.get(service).map(|seen| seen.cores);
+        Some(Coming { service: String::from(service), at, cores })
+    }
+
+    fn following<'a>(&'a self, current: &str, services: &[&'a str]) -> Option<&'a str> {
+        if let Some(next) = self.next.get(current) {
+            return Some(next);
+        }
+        let fresh = |service: &&&str| **service != current && !self.seen.contains_key(**service);
+        let mut unseen = services.iter().filter(fresh);
+        match (unseen.next(), unseen.next()) {
+            (Some(only), None) => Some(only),
+            (Some(_), Some(_)) => None,
+            (None, _) => {
+                let others = self.seen.iter().filter(|(service, _)| *service != current);
+                others.min_by_key(|(_, seen)| seen.began).map(|(service, _)| service.as_str())
+            }
+        }
+    }
+
+    /// Time between the starts of two turns, if the last ones agree.
+    fn time(&self) -> Option<Duration> {
+        if self.times.len() < AGREEING {
+            return None;
+        }
+        let least = self.times.iter().min()?;
+        let most = self.times.iter().max()?;
+        let mean = self.times.iter().sum::<Duration>() / self.times.len() as u32;
+        ((*most - *least).as_secs_f64() < SPREAD * mean.as_secs_f64()).then_some(mean)
+    }
+}
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -10,6 +10,7 @@
 mod accept;
 mod balance;
 mod commit;
+mod forecast;
 mod job;
 mod load;
 mod look;
@@ -21,6 +22,7 @@
 mod workers;
 
 pub use {
+    forecast::{Coming, Forecast},
     job::{Job, Phase, Placement, Status},
     load::Load,
     pools::Pools,
@@ -113,6 +115,7 @@
     actions: Vec<Action>,
     pools: Pools,
     load: Load,
+    forecast: Forecast,
     place_due: bool,
 }
 
@@ -137,6 +140,7 @@
             actions: Vec::new(),
             pools: Pools::new(now),
             load: Load::new(now),
+            forecast: Forecast::default(),
             place_due: false,
         }
     }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -165,6 +165,10 @@
             return;
         }
         info!("end: task={} run={} runner={runner} how={:?}", end.task, end.run, end.how);
+        let took = match &state.status {
+            Status::Placed(placement) => now.saturating_duration_since(placement.since),
+            _ => Duration::ZERO,
+        };
         if !end.checkpoint.is_empty() {
             state.checkpoint.clone_from(&end.checkpoint);
         }
@@ -173,6 +177,9 @@
             state.failures += 1;
         }
         self.release(runner, &end.task);
+        if end.how == How::Done && !endless {
+            self.learn(end.task, took);
+        }
         self.judge(now, runner, end.how);
         self.mark(end.task.job);
         match end.how {
@@ -182,6 +189,13 @@
         }
     }
 
+    /// Learns from a run that was done how long those of its queue take.
+    fn learn(&mut self, task: Task, took: Duration) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let Some(step) = job.step(&task) else { return };
+        self.load.ran(&job.queue, took, step.estimate);
+    }
+
     /// Counts failures on a runner; one that fails several runs in a row gets none for a while.
     fn judge(&mut self, now: Instant, runner: &RunnerId, how: How) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -100,15 +100,14 @@
                 self.plan_action(now, Action::Upkeep { machine, wave: number });
             }
         }
-        let emptying = |id: &&MachineId| {
-            self.has_plan(id) && !self.pools.may_have_begun(number, id)
-        };
+        let emptying =
+            |id: &&MachineId| self.has_plan(id) && !self.pools.may_have_begun(number, id);
         let busy = left.iter().filter(emptying).count() + self.down_of(number);
         let room = self.at_once(now, number, left.len()).saturating_sub(busy);
         let mut ready: Vec<(u64, MachineId)> = left
             .into_iter()
             .filter(|id| !self.has_plan(id))
-            .filter_map(|id| self.upkeep_cost(&id).map(|cost| (cost, id)))
+            .filter_map(|id| self.upkeep_cost(now, &id).map(|cost| (cost, id)))
             .collect();
         ready.sort_unstable();
         for (_, machine) in ready.into_iter().take(room) {
@@ -132,7 +131,7 @@
     }
 
     /// What taking a VM down costs its service now; none if it can't be.
-    fn upkeep_cost(&self, machine: &str) -> Option<u64> {
+    fn upkeep_cost(&self, now: Instant, machine: &str) -> Option<u64> {
         let vm = self.pools.machines.get(machine)?;
         if vm.down() {
             return None;
@@ -145,7 +144,7 @@
         let endless = worker.tasks.keys().filter(|task| {
             self.jobs.get(&task.job).and_then(|job| job.step(task)).is_some_and(|s| s.endless)
         });
-        let pressure = (self.pressure(&vm.listed.pool) * 1_000.0) as u64;
+        let pressure = (self.pressure(now, &vm.listed.pool) * 1_000.0) as u64;
         Some(
             1 + pressure * 100
                 + endless.count() as u64 * 20_000
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -14,7 +14,7 @@
         server::conn::http2 as server,
         service::service_fn,
     },
-    hyper_util::rt::TokioIo,
+    hyper_util::rt::{TokioIo, TokioTimer},
     log::{info, warn},
     std::{
         cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
@@ -28,6 +28,10 @@
 
 /// Time for opening a connection to another entry.
 const CONNECT: Duration = Duration::from_millis(400);
+/// Time between two pings of the owner.
+const PING: Duration = Duration::from_millis(300);
+/// Time for the answer to a ping.
+const PING_ANSWER: Duration = Duration::from_millis(500);
 /// Longest message.
 const MAX_BYTES: usize = 4 << 20;
 
@@ -124,7 +128,13 @@
         let stream = stream.map_err(|_| format!("no answer after {CONNECT:?}"))?;
         let stream = stream.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        let handshake = client::Builder::new(Local).handshake(TokioIo::new(stream)).await;
+        let mut builder = client::Builder::new(Local);
+        builder.timer(TokioTimer::new());
+        builder
+            .keep_alive_interval(PING)
+            .keep_alive_timeout(PING_ANSWER)
+            .keep_alive_while_idle(true);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         spawn_local(async move {
             if let Err(e) = connection.await {
