--- a/src/job/cell/forecast.rs
+++ b/src/job/cell/forecast.rs
@@ -7,6 +7,7 @@
 
 use {
     indexmap::IndexMap,
+    log::info,
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -84,6 +85,7 @@
             }
             self.end(turn, service, time);
         }
+        info!("turn: service={service} load={load:.2} times={:?}", self.times);
         self.current = Some(Turn { service: String::from(service), began, work: 0.0 });
     }
 
