--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -23,6 +23,9 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Time for which a VM may refuse an action as busy before the plan is given up.
 const BUSY: Duration = Duration::from_secs(4);
+/// Time beyond that of a stop for which a task must have been seen at work, as a former owner may
+/// have stopped it just before.
+const STEADY: Duration = Duration::from_millis(600);
 /// Time after an action in which a VM counts as down until its new runner is registered.
 const SETTLE: Duration = Duration::from_secs(8);
 
@@ -256,7 +259,7 @@
         let Some(worker) = self.workers.get(runner) else { return };
         let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
         for task in tasks {
-            if self.may_stop(&task) {
+            if self.may_stop(now, &task) {
                 let run = self.jobs.get(&task.job).and_then(|job| job.task(&task)).map(|s| s.run);
                 self.stop_run(now, &task, runner, run.unwrap_or_default());
             }
@@ -264,7 +267,7 @@
     }
 
     /// Whether an endless task may be stopped without its step missing more than it may.
-    fn may_stop(&self, task: &Task) -> bool {
+    fn may_stop(&self, now: Instant, task: &Task) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return false };
         let Some(step) = job.step(task).filter(|step| step.endless) else { return false };
         let Some(tasks) = job.steps.get(usize::from(task.step)) else { return false };
@@ -272,7 +275,8 @@
             let Status::Placed(placement) = status else { return false };
             let worker = self.workers.get(&placement.runner);
             let answers = worker.is_some_and(|w| w.failing.is_none() && w.listed);
-            answers && placement.phase == Phase::Running && placement.percent >= 100
+            let steady = now.saturating_duration_since(placement.since) > self.bounds.stop + STEADY;
+            answers && steady && placement.phase == Phase::Running && placement.percent >= 100
         };
         let away = tasks
             .iter()
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -16,9 +16,15 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::sync::{mpsc::UnboundedSender, oneshot, watch},
+    tokio::{
+        sync::{mpsc::UnboundedSender, oneshot, watch},
+        time::{sleep, timeout},
+    },
 };
 
+/// Pause before a request whose outcome got lost is passed on again.
+const AGAIN: Duration = Duration::from_millis(120);
+
 /// What the parts of an entry share.
 pub struct Shared {
     /// Settings.
@@ -48,16 +54,37 @@
     }
 
     /// Answers a caller's request, here or at the owner.
+    ///
+    /// Every request names its job, so one whose outcome got lost is passed on again: a job that
+    /// was stored stays one job. A request that no owner has seen is refused at once.
     pub async fn serve(&self, ask: Ask, limit: Duration) -> Answer {
+        let begun = Instant::now();
+        let mut unknown: Option<Answer> = None;
+        loop {
+            let left = limit.saturating_sub(begun.elapsed());
+            let answer = self.pass(&ask, left).await;
+            match answer {
+                Answer::Unknown(why) => unknown = Some(Answer::Unknown(why)),
+                Answer::Refused { .. } if unknown.is_some() => {}
+                final_answer => return final_answer,
+            }
+            if begun.elapsed() + AGAIN >= limit {
+                return unknown.unwrap_or_else(|| Answer::refused("no entry owns the cell now"));
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn pass(&self, ask: &Ask, limit: Duration) -> Answer {
         if self.desk.borrow().is_some() {
-            return tokio::time::timeout(limit, self.decide(ask))
+            return timeout(limit, self.decide(ask.clone()))
                 .await
                 .unwrap_or_else(|_| Answer::Unknown(format!("no outcome after {limit:?}")));
         }
         let owner = self.owner.borrow().clone();
         match owner {
             Some(owner) if !owner.released && owner.incarnation != self.incarnation => {
-                self.link.pass(owner.peer, &ask, limit).await
+                self.link.pass(owner.peer, ask, limit).await
             }
             _ => Answer::refused("no entry owns the cell now"),
         }
