--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -65,13 +65,13 @@
     }
 
     /// Cancels a job; its answer follows once the ledger has stored that.
-    pub fn cancel(&mut self, request: RequestId, id: spec::Id) {
+    pub fn cancel(&mut self, now: Instant, request: RequestId, id: spec::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return self.deny(request) };
         if job.outcome == Outcome::Open {
             info!("cancel: job={id:016x} started={}", job.started);
             job.outcome = Outcome::Cancelled;
             self.waiting.swap_remove(&id);
-            self.unplan(id);
+            self.unplan(now, id);
             self.mark(id);
             self.effects.push(Effect::Show(id));
             self.effects.push(Effect::StopAll(id));
@@ -103,7 +103,7 @@
     }
 
     /// Takes back placements that were not sent.
-    pub(super) fn unplan(&mut self, id: spec::Id) {
+    pub(super) fn unplan(&mut self, now: Instant, id: spec::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let mut freed = Vec::new();
         for (step, tasks) in job.steps.iter_mut().enumerate() {
@@ -122,7 +122,7 @@
             }
         }
         for (task, runner) in freed {
-            self.release(&runner, &task);
+            self.release(now, &runner, &task);
         }
     }
 }
--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -29,11 +29,11 @@
 /// Part by which a turn's work may exceed what is forecast.
 const TURN_MARGIN: f64 = 1.1;
 /// VMs beyond the work that a pool keeps while turns agree.
-const RESERVE: f64 = 1.0;
+const RESERVE: f64 = 3.0;
 /// Part of its pool's first cores that a turn asks for where none was seen before.
 const FIRST_TURN: f64 = 1.3;
-/// Time without any submitted job after which idle VMs go back to the spare pool.
-const QUIET: Duration = Duration::from_secs(4);
+/// Time for which a VM must have been empty before it goes back to the spare pool.
+const IDLE: Duration = Duration::from_millis(1_000);
 /// Time for which the rate of work lags behind the start of a turn.
 const RATE_LAG: Duration = Duration::from_millis(250);
 
@@ -46,6 +46,14 @@
     machines: usize,
     /// Cores that its work asks for.
     needs: f64,
+    /// Runners over which the tasks of a step must be spread.
+    spread: usize,
+}
+
+/// Runners over which a job's steps must be spread.
+fn spread(job: &super::Job) -> usize {
+    let limited = job.spec.steps.iter().filter(|step| step.per_runner > 0);
+    limited.map(|step| step.tasks.div_ceil(step.per_runner) as usize).max().unwrap_or_default()
 }
 
 impl Cell {
@@ -86,8 +94,11 @@
                 moves.push(Action::Move { machine, pool: service.clone() });
             }
         }
-        let back = free.into_iter().filter(|(_, pool)| *pool != spare);
-        moves.extend(back.map(|(machine, _)| Action::Move { machine, pool: spare.clone() }));
+        for (machine, pool) in free {
+            if pool != spare && self.idle(now, &machine) > IDLE {
+                moves.push(Action::Move { machine, pool: spare.clone() });
+            }
+        }
         for action in moves {
             self.plan_action(now, action);
         }
@@ -146,7 +157,7 @@
     ) -> Vec<(MachineId, String)> {
         let mut free = Vec::new();
         let mut given: IndexMap<&str, usize> = IndexMap::new();
-        let sheds = self.forecast.confident(now) || self.load.quiet(now) > QUIET;
+        let sheds = self.load.begun();
         for (id, vm) in &self.pools.machines {
             if vm.down() || vm.plan.is_some() {
                 continue;
@@ -175,6 +186,12 @@
         worker.is_some_and(|worker| worker.tasks.is_empty() && !worker.draining())
     }
 
+    /// Time for which a VM's runner has had no task.
+    fn idle(&self, now: Instant, machine: &str) -> Duration {
+        let worker = self.runner_of(machine).and_then(|id| self.workers.get(&id));
+        worker.map_or(Duration::ZERO, |w| now.saturating_duration_since(w.empty_since))
+    }
+
     fn demands(&self, now: Instant) -> IndexMap<String, Demand> {
         let mut demands: IndexMap<String, Demand> = IndexMap::new();
         let cores = self.vm_cores();
@@ -194,10 +211,13 @@
         }
         for job in self.jobs.values().filter(|job| job.outcome == Outcome::Open) {
             let needs = self.job_cores(now, job);
-            demands.entry(job.service.to_string()).or_default().needs += needs;
+            let demand = demands.entry(job.service.to_string()).or_default();
+            demand.needs += needs;
+            demand.spread = demand.spread.max(spread(job));
         }
         for (service, demand) in &mut demands {
             demand.needs = demand.needs.max(self.load.cores(service) + self.endless_cores(service));
+            demand.needs = demand.needs.max(demand.spread as f64 * cores);
         }
         demands
     }
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -59,10 +59,10 @@
     }
 
     /// Refuses the submissions that are not on their way to the ledger: they will not run.
-    pub fn refuse_unstored(&mut self, why: &str) {
+    pub fn refuse_unstored(&mut self, now: Instant, why: &str) {
         let refused: Vec<_> = std::mem::take(&mut self.accepted);
         for id in &refused {
-            self.unplan(*id);
+            self.unplan(now, *id);
             self.jobs.swap_remove(id);
             self.waiting.swap_remove(id);
             self.dirty.swap_remove(id);
@@ -138,7 +138,7 @@
         }
         let worker = self.workers.get_mut(&runner).filter(|worker| open && worker.can_start());
         let Some(until_ms) = worker.and_then(|worker| worker.grant(now)) else {
-            self.unstart(&task, "its runner can't take it any more");
+            self.unstart(now, &task, "its runner can't take it any more");
             return;
         };
         placement.phase = Phase::Sent;
--- a/src/job/cell/load.rs
+++ b/src/job/cell/load.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug)]
 pub struct Load {
     at: Instant,
-    last: Option<Instant>,
+    begun: bool,
     rates: IndexMap<String, f64>,
     factors: IndexMap<String, f64>,
 }
@@ -25,7 +25,7 @@
 impl Load {
     /// No demand yet.
     pub fn new(now: Instant) -> Self {
-        Self { at: now, last: None, rates: IndexMap::new(), factors: IndexMap::new() }
+        Self { at: now, begun: false, rates: IndexMap::new(), factors: IndexMap::new() }
     }
 
     /// Notes a submitted job; returns its work in core-seconds.
@@ -34,7 +34,7 @@
             return 0.0;
         }
         self.advance(now);
-        self.last = Some(now);
+        self.begun = true;
         let work = spec.work() * self.factor(queue);
         *self.rates.entry(String::from(service)).or_default() += work / MEMORY.as_secs_f64();
         work
@@ -70,8 +70,8 @@
         self.rates.get(service).copied().unwrap_or_default()
     }
 
-    /// Time since a finite job was last submitted to any service; none before the first.
-    pub fn quiet(&self, now: Instant) -> Duration {
-        self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last))
+    /// Whether any finite job was submitted since the cell was taken over.
+    pub fn begun(&self) -> bool {
+        self.begun
     }
 }
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -191,8 +191,8 @@
             let (run, phase, since) = (state.run, placement.phase, placement.since);
             let runs = listed.get(&task) == Some(&run);
             match phase {
-                Phase::Restored if !runs => self.lose(&task),
-                Phase::Running | Phase::Stopped if !runs && since < sent => self.lose(&task),
+                Phase::Restored if !runs => self.lose(now, &task),
+                Phase::Running | Phase::Stopped if !runs && since < sent => self.lose(now, &task),
                 Phase::Unsure if !runs => self.stop_run(now, &task, runner, run),
                 Phase::Stopping if now.saturating_duration_since(since) > STOP_AGAIN => {
                     self.actions.push(Action::Stop(Rc::clone(runner), task, run));
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -77,7 +77,7 @@
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(&task));
         if state.is_some_and(|state| placed(state, run, runner, Phase::Sent).is_some()) {
-            self.unstart(&task, "its start was rejected");
+            self.unstart(now, &task, "its start was rejected");
         }
     }
 
@@ -105,7 +105,7 @@
             return;
         }
         match placement.phase {
-            Phase::Planned => self.unstart(task, "it is not needed any more"),
+            Phase::Planned => self.unstart(now, task, "it is not needed any more"),
             Phase::Stopping | Phase::Stopped => {}
             _ => {
                 placement.phase = Phase::Stopping;
@@ -176,15 +176,15 @@
         if end.how == How::Failed {
             state.failures += 1;
         }
-        self.release(runner, &end.task);
+        self.release(now, runner, &end.task);
         if end.how == How::Done && !endless {
             self.learn(end.task, took);
         }
         self.judge(now, runner, end.how);
         self.mark(end.task.job);
         match end.how {
-            How::Done if !endless => self.done(end.task),
-            How::Failed if !endless => self.failed(end.task),
+            How::Done if !endless => self.done(now, end.task),
+            How::Failed if !endless => self.failed(now, end.task),
             _ => self.wait(end.task.job),
         }
     }
@@ -211,7 +211,7 @@
         }
     }
 
-    fn done(&mut self, task: Task) {
+    fn done(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if let Some(state) = job.task_mut(&task) {
             state.status = Status::Done;
@@ -221,7 +221,7 @@
             *left = left.saturating_sub(1);
         }
         if job.finished() && job.outcome == Outcome::Open {
-            self.finish(task.job, Outcome::Complete);
+            self.finish(now, task.job, Outcome::Complete);
         }
         self.place_due = true;
     }
@@ -241,10 +241,10 @@
             }
         }
         self.mark(task.job);
-        self.done(*task);
+        self.done(now, *task);
     }
 
-    fn failed(&mut self, task: Task) {
+    fn failed(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let attempts = self.manifest.queue(&job.queue).map_or(1, |queue| queue.attempts);
         let failures = job.task(&task).map_or(0, |state| state.failures);
@@ -252,15 +252,15 @@
             return self.wait(task.job);
         }
         info!("fail: job={:016x} task={task} failures={failures}", task.job);
-        self.finish(task.job, Outcome::Failed);
+        self.finish(now, task.job, Outcome::Failed);
         self.effects.push(Effect::StopAll(task.job));
     }
 
-    fn finish(&mut self, id: spec::Id, outcome: Outcome) {
+    fn finish(&mut self, now: Instant, id: spec::Id, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome = outcome;
         self.waiting.swap_remove(&id);
-        self.unplan(id);
+        self.unplan(now, id);
         self.mark(id);
         self.effects.push(Effect::Show(id));
     }
@@ -273,7 +273,7 @@
     }
 
     /// Takes back a run that has surely not started.
-    pub(super) fn unstart(&mut self, task: &Task, why: &str) {
+    pub(super) fn unstart(&mut self, now: Instant, task: &Task, why: &str) {
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
             return;
         };
@@ -284,7 +284,7 @@
         );
         let runner = Rc::clone(&placement.runner);
         state.status = Status::Waiting;
-        self.release(&runner, task);
+        self.release(now, &runner, task);
         self.mark(task.job);
         self.wait(task.job);
     }
@@ -301,29 +301,32 @@
             );
         }
         for task in tasks {
-            self.lose(&task);
+            self.lose(now, &task);
         }
     }
 
     /// A run has ended without a word.
-    pub(super) fn lose(&mut self, task: &Task) {
+    pub(super) fn lose(&mut self, now: Instant, task: &Task) {
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
             return;
         };
         let Status::Placed(placement) = &state.status else { return };
         let runner = Rc::clone(&placement.runner);
         state.status = Status::Waiting;
-        self.release(&runner, task);
+        self.release(now, &runner, task);
         self.mark(task.job);
         self.wait(task.job);
     }
 
     /// Gives back the room of a task on a runner.
-    pub(super) fn release(&mut self, runner: &str, task: &Task) {
+    pub(super) fn release(&mut self, now: Instant, runner: &str, task: &Task) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
         if let Some(need) = worker.tasks.swap_remove(task) {
             worker.used = worker.used.minus(&need);
         }
+        if worker.tasks.is_empty() {
+            worker.empty_since = now;
+        }
     }
 
     /// Removes jobs whose state need not be readable any more.
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -36,6 +36,8 @@
     pub used: Need,
     /// Tasks on it, or that may be.
     pub tasks: IndexMap<Task, Need>,
+    /// Since when it has had no task.
+    pub empty_since: Instant,
     /// Whether it has taken this owner's fence.
     pub held: bool,
     /// When the look on its way was sent.
@@ -75,6 +77,7 @@
             clock: None,
             used: Need::default(),
             tasks: IndexMap::new(),
+            empty_since: now,
             held: false,
             looking: None,
             next_look: now,
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -239,7 +239,7 @@
             }
             Method::Delete => {
                 let request = self.wait(reply);
-                self.cell.cancel(request, id);
+                self.cell.cancel(now, request, id);
             }
             Method::Other => send(reply, Answer::Method),
         }
@@ -286,7 +286,7 @@
     fn store_batch(&mut self) {
         let now = Instant::now();
         if self.appending.is_some_and(|at| now.saturating_duration_since(at) > LEDGER_AWAY) {
-            self.cell.refuse_unstored("the ledger does not answer");
+            self.cell.refuse_unstored(now, "the ledger does not answer");
             return;
         }
         let Some(batch) = self.cell.next_batch() else { return };
