--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -33,7 +33,7 @@
 /// Part of its pool's first cores that a turn asks for where none was seen before.
 const FIRST_TURN: f64 = 1.3;
 /// Time for which a VM must have been empty before it goes back to the spare pool.
-const IDLE: Duration = Duration::from_millis(1_000);
+const IDLE: Duration = Duration::from_millis(2_500);
 /// Time for which the rate of work lags behind the start of a turn.
 const RATE_LAG: Duration = Duration::from_millis(250);
 
