--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -14,7 +14,7 @@
 };
 
 /// Part of a wave's time within which it should be complete.
-const AIM: f64 = 0.7;
+const AIM: f64 = 0.55;
 /// Time that emptying a VM takes on average.
 const EMPTYING: Duration = Duration::from_millis(2_500);
 
--- a/src/job/claim.rs
+++ b/src/job/claim.rs
@@ -12,9 +12,9 @@
 };
 
 /// Time between two beats of an owner.
-pub const BEAT: Duration = Duration::from_millis(400);
+pub const BEAT: Duration = Duration::from_millis(300);
 /// Time without a record after which an entry claims the cell.
-pub const SILENCE: Duration = Duration::from_millis(1_300);
+pub const SILENCE: Duration = Duration::from_millis(900);
 
 /// Name of one life of an entry's process.
 pub type Incarnation = u64;
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -23,7 +23,7 @@
 /// Pause after the store did not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Spread of the time after which several entries claim at once.
-const SPREAD_MS: u64 = 250;
+const SPREAD_MS: u64 = 200;
 
 struct Claimant {
     shared: Rc<Shared>,
