Act on VMs only while surely the owner

A VM that moves between pools no longer counts as in upkeep, which had kept the last VM of a wave waiting.

--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -1,6 +1,6 @@
 //! Which waiting task starts where.
 //!
-//! Jobs that can still be complete in time go first, the one with the nearest due time first; jobs
+//! Jobs that can still be complete in time go first, those that have started before others, then by due time; jobs
 //! that are late follow in the order in which they came. A task goes to the runner on which it leaves
 //! the least room, so that other runners stay empty. A task that fits nowhere keeps one runner from
 //! smaller ones behind it, so that large tasks get their turn.
@@ -210,8 +210,8 @@
     finite: bool,
     late: bool,
     priority: u32,
-    due: Instant,
     started: Reverse<bool>,
+    due: Instant,
 }
 
 /// Time that a start and the news of an end take beside the work itself.
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -48,8 +48,18 @@
     pub(super) listed: Machine,
     /// What is planned.
     pub(super) plan: Option<Plan>,
-    /// When its last action was carried out, and the runner it had then.
-    pub(super) acted: Option<(Instant, Option<String>)>,
+    /// Its last action, until its new runner is known.
+    pub(super) acted: Option<Acted>,
+}
+
+/// An action that was carried out.
+#[derive(Clone, Debug)]
+pub(super) struct Acted {
+    at: Instant,
+    /// Runner that the VM had then.
+    former: Option<String>,
+    /// Whether the VM was taken down for its upkeep.
+    upkeep: bool,
 }
 
 /// What is planned for a VM.
@@ -161,6 +171,11 @@
     pub(super) fn down(&self) -> bool {
         self.listed.state != State::Up || self.acted.is_some()
     }
+
+    /// Whether it may be in upkeep.
+    pub(super) fn in_upkeep(&self) -> bool {
+        self.listed.state == State::Upkeep || self.acted.as_ref().is_some_and(|acted| acted.upkeep)
+    }
 }
 
 impl Cell {
@@ -180,7 +195,7 @@
         self.pools.machines.retain(|id, vm| listed.contains(id) || vm.plan.is_some());
         self.pools.note_sizes();
         for vm in self.pools.machines.values_mut() {
-            let Some((at, former)) = &vm.acted else { continue };
+            let Some(Acted { at, former, .. }) = &vm.acted else { continue };
             let renewed = vm.listed.state == State::Up && vm.listed.runner != *former;
             let off =
                 vm.listed.state == State::Up && vm.listed.runner.is_none() && former.is_none();
@@ -296,7 +311,8 @@
             Ok(()) => {
                 info!("machine: id={machine} done={action:?}");
                 vm.plan = None;
-                vm.acted = Some((now, vm.listed.runner.clone()));
+                let upkeep = matches!(action, Action::Upkeep { .. });
+                vm.acted = Some(Acted { at: now, former: vm.listed.runner.clone(), upkeep });
                 if let Action::Upkeep { wave, .. } = action {
                     self.pools.mark_done(*wave, machine);
                 }
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -8,7 +8,7 @@
         Cell, Effect,
         pools::{Vm, Wave},
     },
-    crate::job::upkeep::{Action, MachineId, Number, Order, State},
+    crate::job::upkeep::{Action, MachineId, Number, Order},
     log::info,
     std::time::{Duration, Instant},
 };
@@ -45,9 +45,7 @@
         };
         let down = |vm: &&Vm| {
             let id = vm.listed.id.as_str();
-            let in_upkeep = vm.listed.state == State::Upkeep && of_wave(id);
-            let pending = self.pools.may_have_begun(wave, id);
-            in_upkeep || pending || vm.down() && self.pools.is_done(wave, id)
+            self.pools.may_have_begun(wave, id) || vm.in_upkeep() && of_wave(id)
         };
         self.pools.machines.values().filter(down).count()
     }
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -1,7 +1,8 @@
 //! Connections to another server, kept open between calls.
 //!
 //! A connection carries one call at a time. One whose call got no answer is closed, with all idle
-//! ones to the same server, as whatever has lost track of it may have lost track of them too.
+//! ones to the same server, as whatever has lost track of it may have lost track of them too. Closing
+//! resets the connection, so that a call held up on its way is not carried out later.
 
 use {
     crate::job::call::{Call, Reply},
@@ -153,6 +154,7 @@
             Err(_) => return Err(failed(format!("no answer after {CONNECT:?}"))),
         };
         stream.set_nodelay(true).map_err(|e| failed(e.to_string()))?;
+        stream.set_zero_linger().map_err(|e| failed(e.to_string()))?;
         let io = TokioIo::new(stream);
         let handshake = Builder::new().max_buf_size(1 << 20).handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| failed(e.to_string()))?;
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -11,7 +11,10 @@
     },
     log::{info, warn},
     rand::Rng,
-    std::{rc::Rc, time::Duration},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         task::{JoinHandle, spawn_local},
         time::sleep,
@@ -152,9 +155,11 @@
 
     async fn claim(&mut self) {
         let Some(record) = self.record(Kind::Claim) else { return };
+        let sent = Instant::now();
         match self.store.append_at(CLAIMS, &record, self.end).await {
             Ok(offset) => {
                 self.end = offset + 1;
+                self.shared.confirmed.set(Some(sent));
                 self.learn(offset, &record);
                 self.lead(offset + 1);
             }
@@ -176,9 +181,11 @@
         let kind =
             if stopping || task.is_finished() { Kind::Release(epoch) } else { Kind::Beat(epoch) };
         let Some(record) = self.record(kind) else { return };
+        let sent = Instant::now();
         match self.store.append_at(CLAIMS, &record, self.end).await {
             Ok(offset) => {
                 self.end = offset + 1;
+                self.shared.confirmed.set(Some(sent));
                 if matches!(kind, Kind::Release(_)) {
                     self.learn(offset, &record);
                     return self.depose(epoch, &task, "it was given up");
--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -19,7 +19,7 @@
 /// Time between two reads of the list of VMs.
 const MACHINES_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time for an answer of the platform's list of VMs.
-pub const FLEET_ANSWER: Duration = Duration::from_millis(1_500);
+pub const FLEET_ANSWER: Duration = Duration::from_millis(800);
 /// Pause after the store did not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -83,6 +83,7 @@
         desk: RefCell::default(),
         link: Link::default(),
         linked: Cell::new(false),
+        confirmed: Cell::new(None),
         requests: Cell::new(0),
         meter: Rc::clone(&meter),
     });
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -43,6 +43,9 @@
 /// Most calls to the platform's list of VMs at once.
 const FLEET_CALLS: usize = 4;
 
+/// Time for which a former owner's last actions on VMs may still be on their way.
+const FORMER_ACTIONS: Duration = Duration::from_millis(1_000);
+
 /// What the owner hears of.
 pub enum Event {
     /// A caller's request.
@@ -93,6 +96,7 @@
         store,
         cell,
         epoch,
+        began: begun,
         sequence: 0,
         appending: None,
         waiting: IndexMap::new(),
@@ -146,6 +150,7 @@
     store: Rc<Store>,
     cell: Cell,
     epoch: Epoch,
+    began: Instant,
     sequence: u64,
     appending: Option<Instant>,
     waiting: IndexMap<RequestId, oneshot::Sender<Answer>>,
@@ -340,6 +345,15 @@
 
     fn act(&mut self, action: upkeep::Action) {
         let Some(fleet) = self.fleet.clone() else { return };
+        let early = self.epoch > 1 && self.began.elapsed() < FORMER_ACTIONS;
+        if early || !self.shared.surely_owns() {
+            let why =
+                String::from("not sent: another entry may own the cell, or may have just owned it");
+            if self.events.send(Event::Acted(action, Err(upkeep::Refusal::Unknown(why)))).is_err() {
+                log::debug!("owner: the cell was lost");
+            }
+            return;
+        }
         let (events, epoch) = (self.events.clone(), self.epoch);
         let holder = self.shared.settings.node.clone();
         self.tasks.spawn_local(async move {
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -25,6 +25,9 @@
 /// Pause before a request whose outcome got lost is passed on again.
 const AGAIN: Duration = Duration::from_millis(120);
 
+/// Time after a beat in which no other entry can have claimed the cell: less than an owner's silence.
+const CONFIRMED: Duration = Duration::from_millis(650);
+
 /// What the parts of an entry share.
 pub struct Shared {
     /// Settings.
@@ -41,6 +44,8 @@
     pub link: Link,
     /// Whether the connection to the owner was open when last looked at.
     pub linked: Cell<bool>,
+    /// When the newest claim or beat that the log has taken was sent.
+    pub confirmed: Cell<Option<Instant>>,
     /// Callers' requests in progress.
     pub requests: Cell<usize>,
     /// Counters.
@@ -53,6 +58,11 @@
         self.stopping.borrow().is_none() && (self.desk.borrow().is_some() || self.linked.get())
     }
 
+    /// Whether no other entry can own the cell by now.
+    pub fn surely_owns(&self) -> bool {
+        self.confirmed.get().is_some_and(|at| at.elapsed() < CONFIRMED)
+    }
+
     /// Answers a caller's request, here or at the owner.
     ///
     /// Every request names its job, so one whose outcome got lost is passed on again: a job that
