--- /dev/null
+++ b/tests/job_machines.rs
@@ -0,0 +1,144 @@
+//! VMs that move between pools and have their upkeep, while tasks run.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use {
+    carobhitch::job::{
+        cell::Action,
+        spec::Step,
+        upkeep::{self, Order, State},
+    },
+    std::time::Duration,
+    world::{World, spec, step},
+};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn wave(machines: &[&str], most: usize) -> Order {
+    let machines = machines.iter().map(|id| String::from(*id)).collect();
+    Order { number: 1, machines, within: Duration::from_secs(20), most }
+}
+
+fn upkeeps(world: &World) -> Vec<String> {
+    let upkeep = |action: &Action| match action {
+        Action::Machine(upkeep::Action::Upkeep { machine, .. }) => Some(machine.clone()),
+        _ => None,
+    };
+    world.sent.iter().filter_map(upkeep).collect()
+}
+
+fn moves(world: &World) -> Vec<(String, String)> {
+    let moved = |action: &Action| match action {
+        Action::Machine(upkeep::Action::Move { machine, pool }) => {
+            Some((machine.clone(), pool.clone()))
+        }
+        _ => None,
+    };
+    world.sent.iter().filter_map(moved).collect()
+}
+
+#[test]
+fn upkeep_that_a_former_owner_has_begun_counts_as_down() {
+    let mut world = World::new(4);
+    world.list_machines();
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1", "m2", "m3"], 2));
+    world.run(seconds(0.5));
+    assert_eq!(upkeeps(&world).len(), 2);
+    world.take_over();
+    world.list_machines();
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1", "m2", "m3"], 2));
+    world.run(seconds(1.0));
+    assert_eq!(upkeeps(&world).len(), 2, "both VMs are still in upkeep");
+}
+
+#[test]
+fn a_vm_on_its_way_between_pools_is_not_in_upkeep() {
+    let mut world = World::new(2);
+    world.list_machines();
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1"], 1));
+    world.run(seconds(0.5));
+    let first = upkeeps(&world).remove(0);
+    let vm = &mut world.machines[&first];
+    vm.state = State::Up;
+    vm.runner = Some(String::from("r9"));
+    world.list_machines();
+    world.machines[&first].state = State::Moving;
+    world.list_machines();
+    world.run(seconds(0.5));
+    assert_eq!(upkeeps(&world).len(), 2);
+}
+
+#[test]
+fn endless_tasks_leave_a_vm_one_after_the_other() {
+    let mut world = World::new(4);
+    world.list_machines();
+    let step = Step { endless: true, per_runner: 1, may_miss: 1, ..step(3, 1_000) };
+    world.submit(7, spec(vec![step]));
+    world.run(seconds(3.0));
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1", "m2"], 3));
+    let mut fewest = 3;
+    for _ in 0..200 {
+        world.run(seconds(0.02));
+        let running: usize = world.lives.values().map(|life| life.running.len()).sum();
+        fewest = fewest.min(running);
+    }
+    assert!(fewest >= 2, "{fewest} of 3 tasks were left at once, and one may be missed");
+}
+
+#[test]
+fn a_new_owner_stops_no_task_before_it_knows_that_the_others_are_at_work() {
+    let mut world = World::new(4);
+    world.list_machines();
+    let step = Step { endless: true, per_runner: 1, may_miss: 1, ..step(3, 1_000) };
+    world.submit(7, spec(vec![step]));
+    world.run(seconds(3.0));
+    world.take_over();
+    world.list_machines();
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1", "m2"], 3));
+    world.run(seconds(0.4));
+    let stops = world.sent.iter().filter(|action| matches!(action, Action::Stop(..))).count();
+    assert_eq!(stops, 0, "a stop of the former owner may be on its way");
+}
+
+#[test]
+fn idle_vms_stay_in_their_pools_before_the_first_job() {
+    let mut world = World::new(6);
+    world.list_machines();
+    world.run(seconds(10.0));
+    assert!(moves(&world).is_empty());
+}
+
+#[test]
+fn a_burst_gets_vms_of_the_spare_pool_and_returns_them() {
+    let mut world = World::new(2);
+    for number in 0..4 {
+        world.add_spare(&format!("s{number}"));
+    }
+    world.list_machines();
+    world.run(seconds(0.5));
+    for id in 0..20 {
+        world.submit(id, spec(vec![step(8, 2_000)]));
+    }
+    world.run(seconds(1.0));
+    let to_desk = moves(&world).iter().filter(|(_, pool)| pool == "desk").count();
+    assert!(to_desk >= 3, "{to_desk} VMs were sent to the pool that is short");
+    for number in 0..4 {
+        let (machine, id) = (format!("s{number}"), format!("n{number}"));
+        if world.machines[&machine].pool == "desk" {
+            world.add(&id, "desk", &machine, 5);
+        }
+    }
+    world.list_machines();
+    world.run(seconds(40.0));
+    let back = moves(&world).iter().filter(|(_, pool)| pool == "spare").count();
+    assert!(back >= 2, "{back} VMs went back");
+}
