--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -31,6 +31,7 @@
             }
         }
         order.sort_unstable();
+        self.promote_wide(&mut order);
         let mut kept: IndexSet<RunnerId> = IndexSet::new();
         let mut full: IndexSet<Rc<str>> = IndexSet::new();
         for (_, id) in order {
@@ -45,6 +46,30 @@
         }
     }
 
+    /// Puts one late job of each service first whose tasks need most of a runner: on a busy pool
+    /// they would otherwise never find one empty enough.
+    fn promote_wide(&self, order: &mut [(Rank, spec::Id)]) {
+        let mut promoted: IndexSet<Rc<str>> = IndexSet::new();
+        for (rank, id) in order.iter_mut().filter(|(rank, _)| rank.finite && rank.late) {
+            let Some(job) = self.jobs.get(id) else { continue };
+            if self.is_wide(job) && promoted.insert(Rc::clone(&job.service)) {
+                rank.late = false;
+                rank.started = Reverse(true);
+            }
+        }
+        if !promoted.is_empty() {
+            order.sort_unstable();
+        }
+    }
+
+    fn is_wide(&self, job: &Job) -> bool {
+        let runners = self.workers.values().filter_map(|worker| worker.entry.as_ref());
+        let room =
+            runners.filter(|entry| *entry.service == *job.service).map(|e| e.room.millicores);
+        let widest = job.spec.steps.iter().map(|step| step.counted().millicores).max();
+        room.max().is_some_and(|room| widest.unwrap_or_default() > room / 2)
+    }
+
     fn place_job(&mut self, now: Instant, id: spec::Id, kept: &mut IndexSet<RunnerId>) -> Room {
         let Some(job) = self.jobs.get(&id) else { return Room::Some };
         let spec = Rc::clone(&job.spec);
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -142,10 +142,7 @@
     assert!(world.lives.values().all(|life| life.running.is_empty()));
     let asked = world.ask(JOB);
     world.run(seconds(0.1));
-    assert!(matches!(
-        world.answers[&asked],
-        Answer::State { outcome: Outcome::Cancelled, .. }
-    ));
+    assert!(matches!(world.answers[&asked], Answer::State { outcome: Outcome::Cancelled, .. }));
 }
 
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -151,12 +151,8 @@
 
     /// Adds a runner, and its VM.
     pub fn add(&mut self, id: &str, service: &str, machine: &str, born: u64) {
-        let life = Life {
-            service: service.into(),
-            machine: machine.into(),
-            born,
-            ..Life::default()
-        };
+        let life =
+            Life { service: service.into(), machine: machine.into(), born, ..Life::default() };
         self.lives.insert(id.into(), life);
         let entry = self.entry(id);
         let now = self.at();
@@ -279,9 +275,7 @@
             let ends: Vec<Task> = life
                 .running
                 .iter()
-                .filter(|(_, run)| {
-                    lapsed || run_time + run.begun <= now && !run.endless
-                })
+                .filter(|(_, run)| lapsed || run_time + run.begun <= now && !run.endless)
                 .map(|(task, _)| *task)
                 .collect();
             for task in ends {
@@ -424,9 +418,8 @@
 
     /// Runs of a task that runners have, with the runner of each.
     pub fn runs(&self, task: Task) -> Vec<String> {
-        let has = |(id, life): (&String, &Life)| {
-            life.running.contains_key(&task).then(|| id.clone())
-        };
+        let has =
+            |(id, life): (&String, &Life)| life.running.contains_key(&task).then(|| id.clone());
         self.lives.iter().filter_map(has).collect()
     }
 }
