Test entries that place jobs as real processes, and the platform's wire

The stand-ins now speak the platform's store, runners and list of VMs; the tests kill, pause, stop and restart entries, take the store away and lose answers.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -83,7 +83,7 @@
             .filter(|(_, missing)| *missing > self.vm_cores() / 2.0)
             .collect();
         short.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let mut free = self.free_machines(now, &spare, &demands);
+        let mut free = self.free_machines(&spare, &demands);
         let mut moves = Vec::new();
         for (service, missing) in short {
             let wanted = (missing / self.vm_cores()).round().max(1.0) as usize;
@@ -151,7 +151,6 @@
     /// VMs that can move now, those of the spare pool first.
     fn free_machines(
         &self,
-        now: Instant,
         spare: &str,
         demands: &IndexMap<String, Demand>,
     ) -> Vec<(MachineId, String)> {
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -76,6 +76,21 @@
     Report(upkeep::Number, bool),
 }
 
+impl Action {
+    /// Name under which it is counted.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(..) => "answer",
+            Self::Start(..) => "start",
+            Self::Stop(..) => "stop",
+            Self::Pace(..) => "pace",
+            Self::Look(..) => "look",
+            Self::Machine(_) => "machine",
+            Self::Report(..) => "report",
+        }
+    }
+}
+
 /// What follows once the ledger has stored the records before it.
 #[derive(Clone, Debug, PartialEq)]
 enum Effect {
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -15,11 +15,7 @@
         header::{CONTENT_TYPE, HOST},
     },
     hyper_util::rt::TokioIo,
-    std::{
-        cell::{Cell, RefCell},
-        net::SocketAddr,
-        time::Duration,
-    },
+    std::{cell::RefCell, net::SocketAddr, time::Duration},
     tokio::{net::TcpStream, sync::Semaphore, task::spawn_local, time::timeout},
 };
 
@@ -58,23 +54,12 @@
     address: SocketAddr,
     idle: RefCell<Vec<Sender>>,
     permits: Semaphore,
-    opened: Cell<u64>,
 }
 
 impl Channel {
     /// Channel to `address` with at most `most` calls at once.
     pub fn new(address: SocketAddr, most: usize) -> Self {
-        Self {
-            address,
-            idle: RefCell::default(),
-            permits: Semaphore::new(most),
-            opened: Cell::new(0),
-        }
-    }
-
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
+        Self { address, idle: RefCell::default(), permits: Semaphore::new(most) }
     }
 
     /// Sends a call and waits for its whole reply, at most `limit`.
@@ -158,7 +143,6 @@
         let io = TokioIo::new(stream);
         let handshake = Builder::new().max_buf_size(1 << 20).handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| failed(e.to_string()))?;
-        self.opened.set(self.opened.get() + 1);
         let address = self.address;
         spawn_local(async move {
             if let Err(e) = connection.await {
--- a/src/job/daemon/output.rs
+++ b/src/job/daemon/output.rs
@@ -49,6 +49,11 @@
     }
 }
 
+fn do_not_block() -> rustix::io::Result<()> {
+    let flags = fcntl_getfl(stdio::stdout())?;
+    fcntl_setfl(stdio::stdout(), flags | OFlags::NONBLOCK)
+}
+
 struct Output {
     gathered: Vec<u8>,
     allowance: f64,
@@ -59,10 +64,8 @@
 
 impl Output {
     fn new() -> Self {
-        if let Ok(flags) = fcntl_getfl(stdio::stdout()) {
-            if let Err(e) = fcntl_setfl(stdio::stdout(), flags | OFlags::NONBLOCK) {
-                eprintln!("carobhitch-entry: set standard output not to block: {e}");
-            }
+        if let Err(e) = do_not_block() {
+            eprintln!("carobhitch-entry: set standard output not to block: {e}");
         }
         Self {
             gathered: Vec::with_capacity(BLOCK_BYTES + 512),
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -315,6 +315,7 @@
 
     fn carry_out(&mut self) {
         for action in self.cell.take_actions() {
+            self.shared.meter.event(action.name());
             match action {
                 Action::Answer(request, answer) => {
                     if let Some(reply) = self.waiting.swap_remove(&request) {
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -119,10 +119,9 @@
     }
 
     async fn connected(&self, peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-        if let Some((address, sender)) = &*self.open.borrow() {
-            if *address == peer && !sender.is_closed() {
-                return Ok(sender.clone());
-            }
+        let open = self.open.borrow().clone();
+        if let Some((_, sender)) = open.filter(|(at, sender)| *at == peer && !sender.is_closed()) {
+            return Ok(sender);
         }
         let stream = timeout(CONNECT, TcpStream::connect(peer)).await;
         let stream = stream.map_err(|_| format!("no answer after {CONNECT:?}"))?;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod runner;
 pub mod server;
+pub mod site;
 pub mod stream;
 pub mod tally;
 pub mod task;
--- /dev/null
+++ b/standin/tests/jobs.rs
@@ -0,0 +1,170 @@
+//! Jobs through real entry processes, while entries and the store fail.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod site;
+
+use {
+    site::{Site, job, manifest, wait},
+    std::{thread::sleep, time::Duration},
+};
+
+#[test]
+fn a_job_submitted_at_any_entry_is_shown_complete_at_every_entry() {
+    let site = Site::start("whole", 3, 3);
+    for id in 1..=9 {
+        site.submit(id, 4);
+    }
+    site.wait_complete(1..=9);
+    assert_eq!(site.judge.done(), 36);
+    assert_eq!(site.judge.starts(), 36);
+    for entry in 0..3 {
+        let heard = site.call(entry, "GET", "00000000000000ff", None).unwrap();
+        assert_eq!(heard.status, 410, "no such job");
+        let heard = site.call(entry, "GET", "", None).unwrap();
+        assert_eq!((heard.status, heard.body["pending"].as_u64()), (200, Some(0)));
+        let heard =
+            site.call(entry, "POST", "00000000000000fe", Some(&serde_json::json!({}))).unwrap();
+        assert_eq!(heard.status, 400, "a job has steps");
+    }
+}
+
+#[test]
+fn a_killed_owner_is_replaced_and_no_task_runs_twice() {
+    let mut site = Site::start("killed", 3, 3);
+    for id in 1..=8 {
+        site.submit(id, 6);
+    }
+    let owner = site.owner();
+    site.kill(owner);
+    for id in 9..=12 {
+        site.submit(id, 6);
+    }
+    site.launch(owner);
+    site.wait_complete(1..=12);
+    assert_eq!(site.judge.done(), 72);
+}
+
+#[test]
+fn a_paused_owner_that_wakes_changes_nothing() {
+    let mut site = Site::start("paused", 3, 3);
+    for id in 1..=4 {
+        site.submit(id, 6);
+    }
+    let owner = site.owner();
+    site.signal(owner, "-STOP");
+    wait("another owner", || site.owner() != owner);
+    let other = (owner + 1) % 3;
+    wait("a job to be accepted", || {
+        let heard = site.call(other, "POST", "0000000000000005", Some(&job(6)));
+        heard.is_some_and(|heard| heard.status == 200)
+    });
+    site.signal(owner, "-CONT");
+    for id in 6..=8 {
+        site.submit(id, 6);
+    }
+    site.wait_complete(1..=8);
+    assert_eq!(site.judge.done(), 48);
+}
+
+#[test]
+fn accepted_jobs_outlive_every_entry_at_once() {
+    let mut site = Site::start("all", 3, 3);
+    for id in 1..=6 {
+        site.submit(id, 8);
+    }
+    for entry in 0..3 {
+        site.kill(entry);
+    }
+    site.store.drop_history("keyed.jobs");
+    for entry in 0..3 {
+        site.launch(entry);
+    }
+    site.wait_ready();
+    site.wait_complete(1..=6);
+    assert_eq!(site.judge.done(), 48);
+}
+
+#[test]
+fn without_the_store_new_jobs_are_refused_at_once_and_stored_ones_go_on() {
+    let site = Site::start("away", 2, 2);
+    for id in 1..=4 {
+        site.submit(id, 4);
+    }
+    site.store.take_away(Duration::from_secs(3));
+    sleep(Duration::from_millis(1_200));
+    let heard = site.call(0, "POST", "0000000000000009", Some(&job(1))).unwrap();
+    assert_eq!((heard.status, heard.retry_after), (503, true));
+    sleep(Duration::from_secs(2));
+    site.wait_complete(1..=4);
+    site.submit(10, 2);
+    site.wait_complete([10]);
+    assert_eq!(site.judge.done(), 18, "the refused job has not run");
+}
+
+#[test]
+fn lost_answers_of_the_store_and_of_runners_repeat_nothing() {
+    let site = Site::start("lost", 2, 3);
+    for id in 1..=10 {
+        site.store.lose_answers(1);
+        for runner in &site.runners {
+            runner.lose_answers(1);
+        }
+        site.submit(id, 3);
+    }
+    site.wait_complete(1..=10);
+    assert_eq!(site.judge.done(), 30);
+}
+
+#[test]
+fn a_planned_stop_of_the_owner_hands_over_and_cuts_no_request() {
+    let mut site = Site::start("stop", 2, 2);
+    let owner = site.owner();
+    site.submit(1, 4);
+    site.signal(owner, "-TERM");
+    for id in 2..=8 {
+        let name = format!("{id:016x}");
+        let heard = site.call(owner, "POST", &name, Some(&job(2)));
+        assert!(heard.is_some(), "an open door gives whole answers");
+        sleep(Duration::from_millis(200));
+    }
+    site.wait_end(owner);
+    site.launch(owner);
+    site.wait_ready();
+    for id in 2..=8 {
+        site.submit(id, 2);
+    }
+    site.wait_complete(1..=8);
+    assert_eq!(site.judge.done(), 18);
+}
+
+#[test]
+fn a_removed_manifest_stays_in_force_over_a_restart_of_everything() {
+    let mut site = Site::start("manifest", 2, 1);
+    site.submit(1, 1);
+    site.store.put("keyed.op", "config", manifest(7).to_string().as_bytes());
+    sleep(Duration::from_millis(900));
+    site.store.put("keyed.op", "config", b"");
+    for entry in 0..2 {
+        site.kill(entry);
+    }
+    for entry in 0..2 {
+        site.launch(entry);
+    }
+    site.wait_ready();
+    site.submit(2, 1);
+    site.wait_complete([1, 2]);
+    let owner = site.owner();
+    assert!(site.log(&format!("front-{owner}")).contains("version=7"));
+}
+
+#[test]
+fn foreign_and_broken_registrations_are_passed_over() {
+    let site = Site::start("foreign", 1, 1);
+    for (key, value) in [("x", &b"\xff\xfe"[..]), ("y", b"{}"), ("z", b"{\"state\":\"odd\"}")] {
+        site.store.put("keyed.servers", key, value);
+    }
+    sleep(Duration::from_millis(700));
+    site.submit(1, 2);
+    site.wait_complete([1]);
+}
--- /dev/null
+++ b/standin/tests/site/mod.rs
@@ -0,0 +1,352 @@
+//! Entries that place jobs, as separate processes, with stand-ins of the users' platform.
+
+#![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
+
+use {
+    carobhitch_standin::{
+        server::Handle,
+        site::{
+            Judge, machines,
+            runner::{Config, Runner},
+            store::Store,
+        },
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        io::{Read, Write},
+        net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU16, Ordering},
+        },
+        thread::{self, JoinHandle, sleep},
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time that a test waits for something to happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Time between two looks whether it has.
+const LOOK: Duration = Duration::from_millis(30);
+/// Time between two registrations of a runner.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// First port of the entries; each process of tests has a block of its own.
+const FIRST_PORT: u16 = 21_000;
+const PORTS_PER_BLOCK: u16 = 80;
+const PORT_BLOCKS: u32 = 130;
+
+/// The platform, runners and entries.
+pub struct Site {
+    pub store: Store,
+    pub judge: Judge,
+    pub runners: Vec<Runner>,
+    pub entries: Vec<Entry>,
+    directory: PathBuf,
+    store_address: SocketAddr,
+    fleet_address: SocketAddr,
+    handles: Vec<Handle>,
+    stop: Arc<AtomicBool>,
+    heartbeats: Option<JoinHandle<()>>,
+}
+
+/// An entry's process.
+pub struct Entry {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    peers: u16,
+    name: String,
+    child: Option<Child>,
+}
+
+/// Answer to a caller: status and body.
+#[derive(Debug, PartialEq)]
+pub struct Heard {
+    pub status: u16,
+    pub retry_after: bool,
+    pub body: Value,
+}
+
+fn port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + (std::process::id() % PORT_BLOCKS) as u16 * PORTS_PER_BLOCK;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_BLOCK;
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Waits until `holds`, or fails with `what`.
+pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "waited too long for {what}");
+        sleep(LOOK);
+    }
+}
+
+/// Manifest of one queue.
+pub fn manifest(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "r-1", "host": "desk.example", "pathPrefix": "/quotes/", "timeoutMs": 3000,
+            "kind": "non_idempotent", "sloMs": 600, "priority": 0, "service": "desk",
+            "attempts": 2, "stretch": 1.6,
+        }],
+        "services": [{ "name": "desk", "enforcesCapacity": false, "spare": false }],
+        "limits": { "bodyBytes": 262_144 },
+    })
+}
+
+/// A job of one step.
+pub fn job(tasks: u32) -> Value {
+    json!({ "spec": "work", "steps": [
+        { "count": tasks, "cpu": 2000, "memMb": 64, "estMs": 400 },
+    ] })
+}
+
+impl Site {
+    /// Starts the platform, `runners` runners and `entries` entries, and waits until they are ready.
+    pub fn start(name: &str, entries: usize, runners: usize) -> Self {
+        let (store, judge) = (Store::default(), Judge::default());
+        let store_handle = store.serve(local(0)).expect("start the store");
+        let fleet = machines::serve(local(0)).expect("start the list of VMs");
+        store.put("keyed.op", "config", manifest(3).to_string().as_bytes());
+        let directory =
+            std::env::temp_dir().join(format!("carobhitch-{name}-{}", std::process::id()));
+        fs::create_dir_all(&directory).expect("create a directory");
+        let mut site = Self {
+            store_address: store_handle.address,
+            fleet_address: fleet.address,
+            store,
+            judge,
+            runners: Vec::new(),
+            entries: Vec::new(),
+            directory,
+            handles: vec![store_handle, fleet],
+            stop: Arc::default(),
+            heartbeats: None,
+        };
+        site.start_runners(runners);
+        for number in 0..entries {
+            site.add_entry(number);
+        }
+        site.wait_ready();
+        site
+    }
+
+    fn start_runners(&mut self, count: usize) {
+        let mut registered = Vec::new();
+        for number in 0..count {
+            let config = Config {
+                id: format!("i-{number}"),
+                service: String::from("desk"),
+                machine: format!("m-{number}"),
+                run_time: Duration::from_millis(400),
+                millicores: 2_000,
+            };
+            let runner = Runner::new(config, self.judge.clone());
+            let handle = runner.serve(local(0)).expect("start a runner");
+            registered.push((runner.clone(), handle.address));
+            self.runners.push(runner);
+            self.handles.push(handle);
+        }
+        let (store, stop) = (self.store.clone(), Arc::clone(&self.stop));
+        self.heartbeats = Some(thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                for (runner, address) in &registered {
+                    runner.register(&store, *address);
+                }
+                sleep(HEARTBEAT);
+            }
+        }));
+    }
+
+    fn add_entry(&mut self, number: usize) {
+        let entry = Entry {
+            callers: local(port()),
+            ready: local(port()),
+            peers: port(),
+            name: format!("front-{number}"),
+            child: None,
+        };
+        self.entries.push(entry);
+        self.launch(number);
+    }
+
+    /// Starts an entry's process.
+    pub fn launch(&mut self, number: usize) {
+        let metrics = port();
+        let entry = &mut self.entries[number];
+        let settings = format!(
+            "node={name}\nzone=zone-a\nip=127.0.0.1\nlisten.front={callers}\nlisten.ready={ready}\n\
+             portRange={peers},{metrics}\nplatform.addr={store}\ncloud.addr={fleet}\nlater=1\n",
+            name = entry.name,
+            callers = entry.callers,
+            ready = entry.ready,
+            peers = entry.peers,
+            store = self.store_address,
+            fleet = self.fleet_address,
+        );
+        let path = self.directory.join(format!("{}.conf", entry.name));
+        fs::write(&path, settings).expect("write settings");
+        let log = self.directory.join(format!("{}.log", entry.name));
+        let log = fs::OpenOptions::new().append(true).create(true).open(log).expect("open a log");
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_carobhitch-platform"))
+            .with_file_name("carobhitch-entry");
+        let child = Command::new(program)
+            .arg("--jobs")
+            .env("CAROBHITCH_CONFIG", path)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .expect("start an entry");
+        entry.child = Some(child);
+    }
+
+    /// Waits until every entry is ready.
+    pub fn wait_ready(&self) {
+        for entry in &self.entries {
+            wait("an entry to be ready", || {
+                exchange(entry.ready, "GET", "/v1/ready", None)
+                    .is_some_and(|heard| heard.status == 200)
+            });
+        }
+    }
+
+    /// Entry that owns the cell, by the logs.
+    pub fn owner(&self) -> usize {
+        let newest = |entry: &Entry| {
+            let log = self.log(&entry.name);
+            let serving = log.lines().filter(|line| line.contains("serving=true"));
+            serving.filter_map(epoch).next_back()
+        };
+        let epochs = self.entries.iter().map(newest).enumerate();
+        epochs.max_by_key(|(_, epoch)| *epoch).map(|(number, _)| number).expect("an owner")
+    }
+
+    /// What an entry has logged.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.directory.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    /// Ends an entry's process at once.
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.entries[number].child.take() {
+            child.kill().expect("kill an entry");
+            child.wait().expect("wait for an entry");
+        }
+    }
+
+    /// Sends a signal to an entry's process.
+    pub fn signal(&mut self, number: usize, signal: &str) {
+        if let Some(child) = &self.entries[number].child {
+            let id = child.id().to_string();
+            let status = Command::new("kill").args([signal, &id]).status().expect("send a signal");
+            assert!(status.success());
+        }
+    }
+
+    /// Waits for an entry's process to end by itself.
+    pub fn wait_end(&mut self, number: usize) {
+        if let Some(mut child) = self.entries[number].child.take() {
+            assert!(child.wait().expect("wait for an entry").success());
+        }
+    }
+
+    /// Sends a request to an entry; none if it has no whole answer.
+    pub fn call(
+        &self,
+        entry: usize,
+        method: &str,
+        name: &str,
+        body: Option<&Value>,
+    ) -> Option<Heard> {
+        exchange(self.entries[entry].callers, method, &format!("/quotes/{name}"), body)
+    }
+
+    /// Submits a job, at one entry after the other, until it is accepted.
+    pub fn submit(&self, id: u64, tasks: u32) {
+        let mut turn = 0;
+        wait("a job to be accepted", || {
+            turn += 1;
+            let entry = (id as usize + turn) % self.entries.len();
+            let heard = self.call(entry, "POST", &format!("{id:016x}"), Some(&job(tasks)));
+            heard.is_some_and(|heard| heard.status == 200)
+        });
+    }
+
+    /// State of a job, asked at one entry after the other.
+    pub fn state(&self, id: u64) -> Option<String> {
+        let mut states = (0..self.entries.len()).filter_map(|entry| {
+            let heard = self.call(entry, "GET", &format!("{id:016x}"), None)?;
+            assert_ne!(heard.status, 410, "job {id:016x} is accepted");
+            heard.body["state"].as_str().map(String::from)
+        });
+        states.next_back()
+    }
+
+    /// Waits until jobs are complete, and checks that nothing broke a promise.
+    pub fn wait_complete(&self, ids: impl IntoIterator<Item = u64>) {
+        for id in ids {
+            wait("a job to be complete", || self.state(id).as_deref() == Some("complete"));
+        }
+        assert_eq!(self.judge.findings(), Vec::<String>::new());
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            if let Some(mut child) = entry.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(heartbeats) = self.heartbeats.take() {
+            let _ = heartbeats.join();
+        }
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn epoch(line: &str) -> Option<u64> {
+    let (_, rest) = line.split_once("epoch=")?;
+    rest.split(' ').next()?.parse().ok()
+}
+
+/// One exchange over a connection of its own.
+pub fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&Value>,
+) -> Option<Heard> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let body = body.map(ToString::to_string).unwrap_or_default();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nX-Deadline-Ms: 3000\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let retry_after = head.to_ascii_lowercase().contains("retry-after:");
+    let body = serde_json::from_str(body).unwrap_or(Value::Null);
+    Some(Heard { status, retry_after, body })
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,241 @@
+//! The platform's settings, bodies and framing, decoded and encoded.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    carobhitch::{
+        adapter::{fleet, frame, front, manifest, runner, settings, store},
+        job::{
+            answer::Answer,
+            call::Reply,
+            ledger::{Outcome, Record},
+            runner::{Answer as Heard, Hold, How, Reason, Start},
+            spec::{Error, Task},
+            upkeep::{self, Refusal, State},
+        },
+    },
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const SETTINGS: &str = "node=front-a-1\nzone=a\nip=10.1.0.9\nlisten.front=10.1.0.9:8624\n\
+    listen.ready=10.1.0.9:8622\nportRange=7060,7075\nplatform.addr=10.200.1.7:8621\n\
+    cloud.addr=10.200.0.107:8621\nadvice=\nbounds.holdMaxMs=5000\nbounds.graceS=6\nnew.key=1\n";
+
+fn reply(status: u16, body: &str) -> Reply {
+    Reply { status, body: body.as_bytes().to_vec() }
+}
+
+fn task() -> Task {
+    Task { job: 0x5c0e_7a21_d94b_36f8, occurrence: 0, step: 1, index: 17 }
+}
+
+#[test]
+fn settings_are_read_and_unknown_keys_are_passed_over() {
+    let read = settings::parse("local.conf", SETTINGS).unwrap();
+    assert_eq!(read.node, "front-a-1");
+    assert_eq!(read.peer, "10.1.0.9:7060".parse().unwrap());
+    assert_eq!(read.advisor, None);
+    assert_eq!(read.bounds.lease, Duration::from_secs(5));
+    assert_eq!(read.bounds.status, Duration::from_secs(120), "a missing bound has a default");
+}
+
+#[test]
+fn every_fault_of_the_settings_is_reported_at_once() {
+    let text = "node=front-a-1\nip=10.1.0.9\nlisten.front=here\nportRange=7060\n\
+        platform.addr=10.200.1.7:8621\nbounds.graceS=soon\n";
+    let faults = settings::parse("local.conf", text).unwrap_err();
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    let expected = ["portRange", "zone", "listen.front", "listen.ready", "bounds.graceS"];
+    assert_eq!(keys, expected);
+    let text = faults[2].to_string();
+    assert_eq!(
+        text,
+        "local.conf: listen.front = here: must be an IP number and a port, such as 10.1.0.9:8624"
+    );
+}
+
+#[test]
+fn a_job_is_read_and_what_can_not_be_run_is_named() {
+    let body = br#"{"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900},
+        {"count":2,"dependsOn":[0],"daemon":true,"maxPerServer":1,"mayMiss":1,"fills":true}]}"#;
+    let job = front::job(body).unwrap();
+    assert_eq!((job.steps[0].tasks, job.steps[0].need.millicores), (4, 500));
+    let last = &job.steps[1];
+    assert!(last.endless && last.filler);
+    assert_eq!((last.after.as_slice(), last.per_runner, last.may_miss), (&[0][..], 1, 1));
+    assert!(matches!(front::job(b"{"), Err(Error::Malformed(_))));
+    assert_eq!(front::job(br#"{"steps":[]}"#), Err(Error::Steps(0)));
+    let gang = br#"{"steps":[{"count":2,"gang":true}]}"#;
+    assert_eq!(front::job(gang), Err(Error::Unsupported(0, "a gang")));
+    let backwards = br#"{"steps":[{"count":1,"dependsOn":[0]}]}"#;
+    assert_eq!(front::job(backwards), Err(Error::Order(0, 0)));
+}
+
+#[test]
+fn names_of_jobs_have_sixteen_lower_case_digits() {
+    assert_eq!(front::name("5c0e7a21d94b36f8"), Some(0x5c0e_7a21_d94b_36f8));
+    for wrong in ["", "5c0e", "5C0E7A21D94B36F8", "5c0e7a21d94b36f8/", "+c0e7a21d94b36f8"] {
+        assert_eq!(front::name(wrong), None, "{wrong}");
+    }
+}
+
+#[test]
+fn states_are_shown_in_the_platforms_words() {
+    let shown = |outcome, started| {
+        String::from_utf8(front::body(&Answer::State { outcome, started })).unwrap()
+    };
+    assert_eq!(shown(Outcome::Open, false), r#"{"state":"queued"}"#);
+    assert_eq!(shown(Outcome::Open, true), r#"{"state":"running"}"#);
+    assert_eq!(shown(Outcome::Complete, true), r#"{"state":"complete"}"#);
+    assert_eq!(front::body(&Answer::Pending(12)), br#"{"pending":12}"#);
+}
+
+#[test]
+fn orders_to_runners_leave_out_what_is_empty() {
+    let start = Start {
+        task: task(),
+        run: 2,
+        text: String::from("(text)"),
+        until_ms: 486_000,
+        fence: 7,
+        checkpoint: String::new(),
+    };
+    let call = runner::start("i-7", &start);
+    let body =
+        r#"{"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"(text)","untilMs":486000,"fence":7}"#;
+    assert_eq!(String::from_utf8(call.body).unwrap(), body);
+    assert_eq!(call.headers, [("x-expect-instance", String::from("i-7"))]);
+    let hold = runner::hold("i-7", &Hold { fence: 7, seen: 57, ..Hold::default() });
+    assert_eq!(String::from_utf8(hold.body).unwrap(), r#"{"fence":7,"seenUpto":57}"#);
+}
+
+#[test]
+fn answers_of_runners_tell_a_rejection_from_silence() {
+    assert_eq!(runner::order(&reply(200, r#"{"clockMs":5}"#)), Heard::Done(5));
+    let rejected = |status, reason: &str| {
+        runner::order(&reply(status, &format!(r#"{{"clockMs":5,"reason":"{reason}"}}"#)))
+    };
+    assert_eq!(rejected(409, "fence"), Heard::Rejected(Reason::Fence));
+    assert_eq!(rejected(409, "room"), Heard::Rejected(Reason::Room));
+    assert_eq!(rejected(421, ""), Heard::Rejected(Reason::Instance));
+    assert_eq!(rejected(503, ""), Heard::Rejected(Reason::Unhealthy));
+    assert!(matches!(rejected(500, ""), Heard::Unknown(_)));
+}
+
+#[test]
+fn reports_of_runners_are_read_and_broken_rows_passed_over() {
+    let body = r#"{"clockMs":482113,"born":9,
+        "running":[["5c0e7a21d94b36f8.0.1.17",2,"ck",41,320],["odd",1],[7]],
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",1,"alone","c"]]}"#;
+    let Heard::Done(report) = runner::report(&reply(200, body)) else { panic!("a report") };
+    assert_eq!((report.clock_ms, report.born), (482_113, Some(9)));
+    assert_eq!(report.running.len(), 1);
+    assert_eq!((report.running[0].percent, report.running[0].usage), (41, 320));
+    let ends: Vec<_> = report.ended.iter().map(|end| (end.number, end.how)).collect();
+    assert_eq!(ends, [(58, How::Done), (59, How::Stopped)]);
+}
+
+#[test]
+fn foreign_registrations_name_no_runner() {
+    let good = r#"{"service":"s","addr":"10.128.0.9:8080","zone":"z","state":"draining",
+        "headroom":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"seq":4}"#;
+    let entry = runner::entry(good.as_bytes()).unwrap();
+    assert!(entry.draining);
+    assert_eq!(entry.room.millicores, 16_000);
+    for wrong in [
+        good.replace("draining", "asleep"),
+        good.replace("\"seq\":4", "\"seq\":\"4\""),
+        good.replace("10.128.0.9:8080", "nowhere"),
+        String::from("[]"),
+    ] {
+        assert_eq!(runner::entry(wrong.as_bytes()), None, "{wrong}");
+    }
+    assert_eq!(runner::entry(b"\xff\x00"), None);
+}
+
+#[test]
+fn manifests_and_waves_are_read() {
+    let body = br#"{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
+        "sloMs":600,"priority":1,"attempts":2,"stretch":1.6,"later":true}],
+        "services":[{"name":"s","spare":true}],"limits":{"bodyBytes":10}}"#;
+    let read = manifest::decode(body).unwrap();
+    assert_eq!((read.version, read.body_bytes), (7, 10));
+    assert_eq!(read.find("h", "/p/5c0e").map(|queue| queue.name.as_str()), Some("r"));
+    assert!(read.find("h", "/other").is_none() && read.find("g", "/p/").is_none());
+    assert!(read.service("s").unwrap().spare);
+    let wave =
+        manifest::wave(br#"{"wave":1,"machines":["m"],"durationS":20,"maxCount":2}"#).unwrap();
+    assert_eq!((wave.number, wave.most, wave.within), (1, 2, Duration::from_secs(20)));
+    assert!(manifest::is_wave("wave/1") && !manifest::is_wave("config"));
+    let (key, value) = manifest::wave_status(1, true);
+    assert_eq!((key.as_str(), value.as_slice()), ("wave/1", &br#"{"state":"complete"}"#[..]));
+}
+
+#[test]
+fn the_longest_prefix_finds_the_queue() {
+    let body = br#"{"version":1,"routes":[{"name":"short","host":"h","pathPrefix":"/p/"},
+        {"name":"long","host":"h","pathPrefix":"/p/q/"}]}"#;
+    let read = manifest::decode(body).unwrap();
+    assert_eq!(read.find("h", "/p/q/5c").map(|queue| queue.name.as_str()), Some("long"));
+    assert_eq!(read.find("h", "/p/5c").map(|queue| queue.name.as_str()), Some("short"));
+}
+
+#[test]
+fn answers_of_the_store_tell_a_fence_from_a_refusal() {
+    assert_eq!(store::appended(&reply(200, r#"{"offset":840,"end":842}"#)), Ok(840));
+    let fenced = store::appended(&reply(409, r#"{"reason":"fenced"}"#));
+    assert_eq!(fenced, Err(store::Error::Fenced));
+    let sequence = store::appended(&reply(409, r#"{"reason":"seq","seq":3}"#));
+    assert_eq!(sequence, Err(store::Error::Sequence(3)));
+    assert_eq!(store::appended(&reply(412, r#"{"end":5}"#)), Err(store::Error::Moved));
+    assert_eq!(store::appended(&reply(503, "")), Err(store::Error::Refused(503)));
+    let newest = r#"{"items":[{"key":"a","value":"AQI=","offset":4}],"hasMore":true,"end":6}"#;
+    let newest = store::items(&reply(200, newest)).unwrap();
+    assert_eq!(newest.records, [Record { key: String::from("a"), value: vec![1, 2] }]);
+    assert!(newest.more);
+}
+
+#[test]
+fn vms_are_listed_and_actions_name_their_holder() {
+    let body = r#"{"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z","labels":["a"],
+        "id":"i-1"},{"machine":"m-2","pool":"p","state":"odd","id":null}],"nextToken":"t"}"#;
+    let page = fleet::page(&reply(200, body)).unwrap();
+    assert_eq!(page.next.as_deref(), Some("t"));
+    assert_eq!((page.machines[0].state, page.machines[1].state), (State::Up, State::Down));
+    let action = upkeep::Action::Move { machine: "m-1".into(), pool: "q".into() };
+    let call = fleet::act(&action, "front-a-1", 12);
+    assert_eq!(call.body, br#"{"machine":"m-1","pool":"q"}"#);
+    let holder = [("x-duty-holder", "front-a-1".into()), ("x-fence-token", "12".into())];
+    assert_eq!(call.headers, holder);
+    assert_eq!(fleet::acted(&reply(409, r#"{"reason":"busy"}"#)), Err(Refusal::Busy));
+    assert_eq!(fleet::acted(&reply(429, "")), Err(Refusal::Later));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7), cases: 200, ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn records_come_back_as_they_were_framed(
+        records in proptest::collection::vec(("[a-z0-9+]{1,20}", proptest::collection::vec(0u8.., 0..80)), 0..8)
+    ) {
+        let records: Vec<Record> =
+            records.into_iter().map(|(key, value)| Record { key, value }).collect();
+        let mut page = [9u64.to_be_bytes(), 2u64.to_be_bytes()].concat();
+        page.extend(frame::encode(&records));
+        let read = frame::decode(&page).unwrap();
+        prop_assert_eq!((read.end, read.first), (9, 2));
+        prop_assert_eq!(read.records.into_iter().flatten().collect::<Vec<_>>(), records);
+    }
+
+    #[test]
+    fn no_bytes_make_a_decoder_panic(bytes in proptest::collection::vec(0u8.., 0..200)) {
+        let _ = frame::decode(&bytes);
+        let _ = front::job(&bytes);
+        let _ = runner::entry(&bytes);
+        let _ = manifest::decode(&bytes);
+        let _ = runner::report(&Reply { status: 200, body: bytes });
+    }
+}
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -193,7 +193,9 @@
     world.run(seconds(0.3));
     assert_eq!(world.runs(task(0, 0)), ["r-new"]);
     world.take_over();
-    world.run(seconds(1.0));
+    let (now, stale) = (world.at(), world.entry("r0"));
+    world.cell.list(now, "r0", Some(stale));
+    world.run(LEASE * 2);
     assert_eq!(world.runs(task(0, 0)), ["r-new"]);
     assert_eq!(world.lives["r-new"].starts, 1);
 }
--- a/tests/job_machines.rs
+++ b/tests/job_machines.rs
@@ -10,6 +10,7 @@
         spec::Step,
         upkeep::{self, Order, State},
     },
+    indexmap::IndexSet,
     std::time::Duration,
     world::{World, spec, step},
 };
@@ -45,16 +46,19 @@
 fn upkeep_that_a_former_owner_has_begun_counts_as_down() {
     let mut world = World::new(4);
     world.list_machines();
+    world.mute_machines = true;
     let now = world.at();
     world.cell.order_wave(now, wave(&["m0", "m1", "m2", "m3"], 2));
     world.run(seconds(0.5));
     assert_eq!(upkeeps(&world).len(), 2);
     world.take_over();
     world.list_machines();
+    world.run(seconds(0.2));
     let now = world.at();
     world.cell.order_wave(now, wave(&["m0", "m1", "m2", "m3"], 2));
     world.run(seconds(1.0));
-    assert_eq!(upkeeps(&world).len(), 2, "both VMs are still in upkeep");
+    let machines: IndexSet<String> = upkeeps(&world).into_iter().collect();
+    assert_eq!(machines.len(), 2, "both VMs may be in upkeep: {machines:?}");
 }
 
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -67,6 +67,8 @@
     pub pending: Option<Vec<Record>>,
     pub run_time: Duration,
     pub fails: bool,
+    /// Whether actions on VMs are carried out without an answer, and the list of VMs lags.
+    pub mute_machines: bool,
     next_request: u64,
     epoch: u64,
 }
@@ -118,6 +120,7 @@
             pending: None,
             run_time: Duration::from_secs(1),
             fails: false,
+            mute_machines: false,
             next_request: 0,
             epoch: 1,
         };
@@ -321,6 +324,12 @@
     }
 
     fn act(&mut self, action: &upkeep::Action) {
+        if self.mute_machines {
+            let runner = self.machines[action.machine()].runner.clone();
+            let life = runner.and_then(|id| self.lives.get_mut(&id));
+            life.into_iter().for_each(|life| life.silent = true);
+            return;
+        }
         let vm = self.machines.get_mut(action.machine()).unwrap();
         match action {
             upkeep::Action::Move { pool, .. } => {
