--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -42,6 +42,7 @@
         self.jobs.insert(id, Job::new(spec, queue, at_ms, now, Duration::ZERO));
         self.accepted.push(id);
         self.mark(id);
+        self.open.insert(id);
         self.waiting.insert(id);
         self.effects.push(Effect::Show(id));
         self.effects.push(Effect::Answer(request, Answer::Accepted));
@@ -85,7 +86,7 @@
         let waits = |job: &&Job| {
             *job.queue == *queue && job.stored && !job.started && job.outcome == Outcome::Open
         };
-        let pending = self.jobs.values().filter(waits).count();
+        let pending = self.open_jobs().filter(waits).count();
         self.actions.push(Action::Answer(request, Answer::Pending(pending)));
     }
 
--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -8,10 +8,7 @@
 
 use {
     super::Cell,
-    crate::job::{
-        ledger::Outcome,
-        upkeep::{Action, MachineId, State},
-    },
+    crate::job::upkeep::{Action, MachineId, State},
     indexmap::IndexMap,
     std::time::{Duration, Instant},
 };
@@ -57,10 +54,11 @@
 }
 
 impl Cell {
-    /// Part of a service's room that its work asks for; above 1 it is short.
-    pub(super) fn pressure(&self, now: Instant, service: &str) -> f64 {
-        let demands = self.demands(now);
-        demands.get(service).map_or(0.0, |demand| demand.needs / demand.has.max(1.0))
+    /// Part of each service's room that its work asks for; above 1 it is short.
+    pub(super) fn pressures(&self, now: Instant) -> IndexMap<String, f64> {
+        let pressure =
+            |(service, demand): (String, Demand)| (service, demand.needs / demand.has.max(1.0));
+        self.demands(now).into_iter().map(pressure).collect()
     }
 
     /// Plans moves.
@@ -133,9 +131,7 @@
     }
 
     fn endless_cores(&self, service: &str) -> f64 {
-        let jobs = self.jobs.values().filter(|job| {
-            job.outcome == Outcome::Open && *job.service == *service && job.spec.endless()
-        });
+        let jobs = self.open_jobs().filter(|job| *job.service == *service && job.spec.endless());
         let steps = jobs.flat_map(|job| &job.spec.steps);
         let millicores =
             steps.map(|step| u64::from(step.tasks) * u64::from(step.counted().millicores));
@@ -208,7 +204,7 @@
             demand.has += cores;
             demand.machines += 1;
         }
-        for job in self.jobs.values().filter(|job| job.outcome == Outcome::Open) {
+        for job in self.open_jobs() {
             let needs = self.job_cores(now, job);
             let demand = demands.entry(job.service.to_string()).or_default();
             demand.needs += needs;
@@ -225,7 +221,7 @@
     fn job_cores(&self, now: Instant, job: &super::Job) -> f64 {
         let factor = self.load.factor(&job.queue);
         let window = job.due.saturating_duration_since(now).as_secs_f64();
-        let late = window < job.remaining().as_secs_f64() * factor;
+        let late = window < job.remaining.as_secs_f64() * factor;
         let window = window.clamp(HORIZON.0, HORIZON.1);
         let mut needs = 0.0;
         for (step, left) in job.spec.steps.iter().zip(&job.left) {
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -39,9 +39,12 @@
             }
         }
         for id in std::mem::take(&mut self.dirty) {
-            if let Some(job) = self.jobs.get(&id) {
-                push(&mut records, ledger::progress(id, &job.progress()));
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if job.settled() {
+                job.shrink();
+                records.push(ledger::settled(id));
             }
+            push(&mut records, ledger::progress(id, &job.progress()));
         }
         records.extend(std::mem::take(&mut self.removed).into_iter().flat_map(ledger::removal));
         if records.is_empty() {
@@ -64,6 +67,7 @@
         for id in &refused {
             self.unplan(now, *id);
             self.jobs.swap_remove(id);
+            self.open.swap_remove(id);
             self.waiting.swap_remove(id);
             self.dirty.swap_remove(id);
             info!("refuse: job={id:016x} why={why:?}");
@@ -115,6 +119,7 @@
         job.stored = true;
         if job.shown == Outcome::Open && job.outcome != Outcome::Open {
             self.ended.push_back((now, id));
+            self.open.swap_remove(&id);
         }
         job.shown = job.outcome;
     }
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -28,6 +28,8 @@
     pub since: Instant,
     /// Time by which it should be complete.
     pub due: Instant,
+    /// Estimated time that its unfinished steps still take in a row.
+    pub remaining: Duration,
     /// Precedence; 0 comes first.
     pub priority: u32,
     /// Tasks of each step.
@@ -113,6 +115,7 @@
             at_ms,
             since,
             due: since + spec.chain().mul_f64(stretch) + queue.slack,
+            remaining: spec.chain(),
             priority: queue.priority,
             steps: steps.collect(),
             left: spec.steps.iter().map(|step| step.tasks).collect(),
@@ -150,8 +153,16 @@
         step.after.iter().all(|&before| self.left.get(usize::from(before)) == Some(&0))
     }
 
-    /// Estimated time that its unfinished steps still take in a row.
-    pub fn remaining(&self) -> Duration {
+    /// Counts a task of a step as done.
+    pub fn count_done(&mut self, step: usize) {
+        let Some(left) = self.left.get_mut(step) else { return };
+        *left = left.saturating_sub(1);
+        if *left == 0 {
+            self.remaining = self.estimate_remaining();
+        }
+    }
+
+    fn estimate_remaining(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.spec.steps.len());
         for (step, left) in self.spec.steps.iter().zip(&self.left) {
             let before = step.after.iter().filter_map(|&a| ends.get(usize::from(a))).max();
@@ -161,6 +172,19 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Whether it has ended and nothing of it is on a runner.
+    pub fn settled(&self) -> bool {
+        let placed = |state: &State| matches!(state.status, Status::Placed(_));
+        self.outcome != Outcome::Open && !self.steps.iter().flatten().any(placed)
+    }
+
+    /// Forgets what only matters while tasks run.
+    pub fn shrink(&mut self) {
+        self.spec = Rc::default();
+        self.steps = Vec::new();
+        self.left = Vec::new();
+    }
+
     /// Whether every task is done.
     pub fn finished(&self) -> bool {
         self.left.iter().all(|&left| left == 0)
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -5,7 +5,7 @@
 //! output: calls and answers come in as events with the time, and go out as [`Action`]s.
 //!
 //! A change is noted in the job's record first. Its effects (an answer to the caller, a start, a
-//! later end that a runner may forget) wait in [`Effect`]s until the ledger has stored the record.
+//! later end that a runner may forget) wait until the ledger has stored the record.
 
 mod accept;
 mod balance;
@@ -32,7 +32,7 @@
 use {
     super::{
         answer::Answer,
-        ledger::Record,
+        ledger::{Outcome, Record},
         manifest::Manifest,
         runner::{self, Fence, Hold, Start},
         settings::Bounds,
@@ -119,6 +119,7 @@
     next_manifest: Option<Manifest>,
     jobs: IndexMap<spec::Id, Job>,
     workers: IndexMap<RunnerId, Worker>,
+    open: IndexSet<spec::Id>,
     waiting: IndexSet<spec::Id>,
     ended: VecDeque<(Instant, spec::Id)>,
     dirty: IndexSet<spec::Id>,
@@ -144,6 +145,7 @@
             next_manifest: None,
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
+            open: IndexSet::new(),
             waiting: IndexSet::new(),
             ended: VecDeque::new(),
             dirty: IndexSet::new(),
@@ -217,6 +219,12 @@
         self.look_at_runners(now);
     }
 
+    /// Jobs that have tasks to do.
+    fn open_jobs(&self) -> impl Iterator<Item = &Job> {
+        let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
+        jobs.filter(|job| job.outcome == Outcome::Open)
+    }
+
     fn mark(&mut self, id: spec::Id) {
         self.dirty.insert(id);
     }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -217,9 +217,7 @@
             state.status = Status::Done;
             state.checkpoint = String::new();
         }
-        if let Some(left) = job.left.get_mut(usize::from(task.step)) {
-            *left = left.saturating_sub(1);
-        }
+        job.count_done(usize::from(task.step));
         if job.finished() && job.outcome == Outcome::Open {
             self.finish(now, task.job, Outcome::Complete);
         }
@@ -320,12 +318,8 @@
 
     /// Gives back the room of a task on a runner.
     pub(super) fn release(&mut self, now: Instant, runner: &str, task: &Task) {
-        let Some(worker) = self.workers.get_mut(runner) else { return };
-        if let Some(need) = worker.tasks.swap_remove(task) {
-            worker.used = worker.used.minus(&need);
-        }
-        if worker.tasks.is_empty() {
-            worker.empty_since = now;
+        if let Some(worker) = self.workers.get_mut(runner) {
+            worker.remove(now, task);
         }
     }
 
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -7,11 +7,11 @@
 
 use {
     super::{
-        Cell, Effect, RunnerId, Worker,
+        Cell, Effect, Worker,
         job::{Job, Phase, Placement, Status},
     },
     crate::job::spec::{self, Need, Step, Task},
-    indexmap::IndexSet,
+    indexmap::{IndexMap, IndexSet},
     log::info,
     std::{
         cmp::Reverse,
@@ -32,18 +32,35 @@
         }
         order.sort_unstable();
         self.promote_wide(&mut order);
-        let mut kept: IndexSet<RunnerId> = IndexSet::new();
-        let mut full: IndexSet<Rc<str>> = IndexSet::new();
+        let mut pools = self.candidates(now);
         for (_, id) in order {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            if full.contains(&job.service) {
+            let Some(service) = self.jobs.get(&id).map(|job| Rc::clone(&job.service)) else {
                 continue;
-            }
-            let service = Rc::clone(&job.service);
-            if self.place_job(now, id, &mut kept) == Room::None {
-                full.insert(service);
+            };
+            let Some(pool) = pools.get_mut(&service).filter(|pool| pool.misses < MAX_MISSES) else {
+                continue;
+            };
+            self.place_job(now, id, pool);
+        }
+    }
+
+    /// Runners of each service that take tasks.
+    fn candidates(&self, now: Instant) -> IndexMap<Rc<str>, Pool> {
+        let mut pools: IndexMap<Rc<str>, Pool> = IndexMap::new();
+        for (index, worker) in self.workers.values().enumerate() {
+            let Some(entry) = worker.entry.as_ref().filter(|_| worker.takes_tasks(now)) else {
+                continue;
+            };
+            let pool = match pools.get_mut(entry.service.as_str()) {
+                Some(pool) => pool,
+                None => pools.entry(Rc::from(entry.service.as_str())).or_default(),
+            };
+            pool.widest = pool.widest.max(entry.room.millicores);
+            if worker.free().millicores > 0 {
+                pool.runners.push(index);
             }
         }
+        pools
     }
 
     /// Puts one late job of each service first whose tasks need most of a runner: on a busy pool
@@ -70,28 +87,24 @@
         room.max().is_some_and(|room| widest.unwrap_or_default() > room / 2)
     }
 
-    fn place_job(&mut self, now: Instant, id: spec::Id, kept: &mut IndexSet<RunnerId>) -> Room {
-        let Some(job) = self.jobs.get(&id) else { return Room::Some };
+    fn place_job(&mut self, now: Instant, id: spec::Id, pool: &mut Pool) {
+        let Some(job) = self.jobs.get(&id) else { return };
         let spec = Rc::clone(&job.spec);
         let mut all_placed = true;
         for (number, step) in spec.steps.iter().enumerate() {
-            let Some(job) = self.jobs.get(&id) else { break };
+            let Some(job) = self.jobs.get(&id) else { return };
             if !job.ready(step) {
                 all_placed &= job.left.get(number) == Some(&0);
                 continue;
             }
             for index in self.waiting_tasks(id, number) {
                 let task = Task { job: id, occurrence: 0, step: number as u16, index };
-                match self.choose(now, &task, step, kept) {
-                    Choice::Runner(runner) => self.plan(now, task, step, &runner),
-                    Choice::Keep(runner) => {
-                        all_placed = false;
-                        kept.insert(runner);
-                        break;
-                    }
-                    Choice::Nothing => return Room::None,
-                    Choice::Unfit => {
+                match self.choose(&task, step, pool) {
+                    Choice::Runner(runner) => self.plan(now, task, step, runner),
+                    Choice::Nowhere(roomiest) => {
                         all_placed = false;
+                        pool.misses += 1;
+                        pool.runners.retain(|runner| Some(*runner) != roomiest);
                         break;
                     }
                 }
@@ -100,7 +113,6 @@
         if all_placed {
             self.waiting.swap_remove(&id);
         }
-        Room::Some
     }
 
     fn waiting_tasks(&self, id: spec::Id, step: usize) -> Vec<u16> {
@@ -113,74 +125,63 @@
         tasks.iter().enumerate().filter_map(waits).collect()
     }
 
-    fn plan(&mut self, now: Instant, task: Task, step: &Step, runner: &RunnerId) {
-        let need = step.counted();
-        let Some(worker) = self.workers.get_mut(runner) else { return };
-        worker.used = worker.used.plus(&need);
-        worker.tasks.insert(task, need);
+    fn plan(&mut self, now: Instant, task: Task, step: &Step, runner: usize) {
+        let Some((id, worker)) = self.workers.get_index_mut(runner) else { return };
+        let runner = Rc::clone(id);
+        worker.add(task, step);
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task)) else {
             return;
         };
         state.run += 1;
         let (run, phase) = (state.run, Phase::Planned);
-        let placement = Placement { runner: Rc::clone(runner), phase, since: now, percent: 0 };
+        let placement = Placement { runner: Rc::clone(&runner), phase, since: now, percent: 0 };
         state.status = Status::Placed(placement);
         info!("place: task={task} run={run} runner={runner} fence={}", self.fence);
         self.mark(task.job);
-        self.effects.push(Effect::Start(Rc::clone(runner), task, run));
+        self.effects.push(Effect::Start(runner, task, run));
     }
 
-    fn choose(&self, now: Instant, task: &Task, step: &Step, kept: &IndexSet<RunnerId>) -> Choice {
-        let Some(job) = self.jobs.get(&task.job) else { return Choice::Unfit };
+    fn choose(&self, task: &Task, step: &Step, pool: &Pool) -> Choice {
         let need = step.counted();
-        let mut best: Option<(Fit, &RunnerId)> = None;
-        let mut roomiest: Option<(u32, &RunnerId)> = None;
-        let mut any_free = false;
-        for (id, worker) in &self.workers {
-            if !serves(worker, job, now) {
+        let mut best: Option<(Fit, usize)> = None;
+        let mut roomiest: Option<(u32, usize)> = None;
+        for &index in &pool.runners {
+            let Some((_, worker)) = self.workers.get_index(index) else { continue };
+            let free = worker.free();
+            if !free.holds(&need) {
+                let room = worker.entry.as_ref().map(|entry| entry.room).unwrap_or_default();
+                let more = roomiest.is_none_or(|(most, _)| free.millicores > most);
+                if more && room.holds(&need) && allows(worker, step, task) {
+                    roomiest = Some((free.millicores, index));
+                }
                 continue;
             }
-            let free = worker.free();
-            any_free |= free.millicores > 0;
-            if kept.contains(id) || !allows(worker, step, task) {
+            if !allows(worker, step, task) {
                 continue;
             }
-            let room = worker.entry.as_ref().map(|entry| entry.room).unwrap_or_default();
-            if free.holds(&need) {
-                let fit = self.fit(worker, step, free, &need);
-                if best.as_ref().is_none_or(|(other, _)| fit < *other) {
-                    best = Some((fit, id));
-                }
-            } else if room.holds(&need) && roomiest.is_none_or(|(most, _)| free.millicores > most) {
-                roomiest = Some((free.millicores, id));
+            let fit = fit(worker, step, free, &need);
+            if best.as_ref().is_none_or(|(other, _)| fit < *other) {
+                best = Some((fit, index));
             }
         }
-        match (best, roomiest) {
-            (Some((_, id)), _) => Choice::Runner(Rc::clone(id)),
-            (None, _) if !any_free => Choice::Nothing,
-            (None, Some((_, id))) => Choice::Keep(Rc::clone(id)),
-            (None, None) => Choice::Unfit,
+        match best {
+            Some((_, index)) => Choice::Runner(index),
+            None => Choice::Nowhere(roomiest.map(|(_, index)| index)),
         }
     }
+}
 
-    fn fit(&self, worker: &Worker, step: &Step, free: Need, need: &Need) -> Fit {
-        let far = !step.data_rack.is_empty() && !worker.labels().contains(&step.data_rack);
-        let (mut serving, mut filling) = (0, 0);
-        for task in worker.tasks.keys() {
-            let other = self.jobs.get(&task.job).and_then(|job| job.step(task));
-            serving += u32::from(other.is_some_and(|o| !o.latency_target.is_zero() && !o.filler));
-            filling += u32::from(other.is_some_and(|o| o.filler));
-        }
-        let clash = if step.filler {
-            serving
-        } else if step.latency_target.is_zero() {
-            0
-        } else {
-            filling
-        };
-        let empty = if step.endless { u32::from(serving + filling == 0) } else { 0 };
-        Fit { far, clash, empty, left: free.minus(need).millicores }
-    }
+fn fit(worker: &Worker, step: &Step, free: Need, need: &Need) -> Fit {
+    let far = !step.data_rack.is_empty() && !worker.labels().contains(&step.data_rack);
+    let clash = if step.filler {
+        worker.serving
+    } else if step.latency_target.is_zero() {
+        0
+    } else {
+        worker.filling
+    };
+    let first = step.endless && worker.serving + worker.filling == 0;
+    Fit { far, clash, first, left: free.minus(need).millicores }
 }
 
 /// How well a runner suits a task; the lowest suits best.
@@ -191,31 +192,30 @@
     /// Tasks on it that would disturb the task, or be disturbed.
     clash: u32,
     /// Whether an endless task would be the first on it.
-    empty: u32,
+    first: bool,
     /// Thousandths of a core left.
     left: u32,
 }
 
-#[derive(PartialEq, Eq)]
-enum Room {
-    Some,
-    None,
+/// Runners of a service that take tasks now.
+#[derive(Default)]
+struct Pool {
+    /// Positions of those with room that is not kept for a task that fits nowhere.
+    runners: Vec<usize>,
+    /// Room of the largest, in thousandths of a core.
+    widest: u32,
+    /// Tasks that fitted nowhere.
+    misses: usize,
 }
 
+/// Tasks that fit nowhere after which the rest of a service's jobs wait for the next time.
+const MAX_MISSES: usize = 16;
+
 enum Choice {
     /// Starts there.
-    Runner(RunnerId),
-    /// Fits nowhere now; this runner is kept for it.
-    Keep(RunnerId),
-    /// No runner has any room.
-    Nothing,
-    /// No runner may run it.
-    Unfit,
-}
-
-fn serves(worker: &Worker, job: &Job, now: Instant) -> bool {
-    worker.takes_tasks(now)
-        && worker.entry.as_ref().is_some_and(|entry| *entry.service == *job.service)
+    Runner(usize),
+    /// Fits nowhere now; the roomiest runner that may run it is kept for it.
+    Nowhere(Option<usize>),
 }
 
 fn allows(worker: &Worker, step: &Step, task: &Task) -> bool {
@@ -245,7 +245,7 @@
 impl Rank {
     fn of(job: &Job, now: Instant) -> Self {
         let endless = job.spec.endless();
-        let late = !endless && now + job.remaining() + OVERHEAD > job.due;
+        let late = !endless && now + job.remaining + OVERHEAD > job.due;
         Self {
             finite: !endless,
             late,
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -53,15 +53,20 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.stored = true;
         }
+        self.open.insert(id);
         self.waiting.insert(id);
         self.place_due = true;
     }
 
     fn restore_progress(&mut self, now: Instant, id: spec::Id, progress: Progress) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            warn!("restore: job={id:016x} has progress but was not accepted");
-            return;
-        };
+        if !self.jobs.contains_key(&id) {
+            if progress.outcome == Outcome::Open {
+                warn!("restore: job={id:016x} has progress but was not accepted");
+                return;
+            }
+            self.restore_job(now, 0, id, Accepted::default());
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome = progress.outcome;
         job.shown = progress.outcome;
         let mut placed = Vec::new();
@@ -75,9 +80,7 @@
                 let runner = usize::from(stored.runner).checked_sub(1);
                 if stored.done {
                     state.status = Status::Done;
-                    if let Some(left) = job.left.get_mut(step) {
-                        *left = left.saturating_sub(1);
-                    }
+                    job.count_done(step);
                 } else if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
                     placed.push((task, name.clone()));
                 }
@@ -85,6 +88,7 @@
             }
         }
         if job.outcome != Outcome::Open {
+            self.open.swap_remove(&id);
             self.waiting.swap_remove(&id);
             self.ended.push_back((now, id));
         }
@@ -104,14 +108,13 @@
             }
         };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let need = job.step(&task).map(|step| step.counted()).unwrap_or_default();
+        let step = job.step(&task).cloned();
         let Some(state) = job.task_mut(&task) else { return };
         let runner = Rc::clone(&id);
         state.status =
             Status::Placed(Placement { runner, phase: Phase::Restored, since: now, percent: 0 });
         if let Some(worker) = self.workers.get_mut(&id) {
-            worker.used = worker.used.plus(&need);
-            worker.tasks.insert(task, need);
+            worker.add(task, &step.unwrap_or_default());
             worker.lapse = worker.lapse.max(lapse);
         }
     }
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -9,6 +9,7 @@
         pools::{Vm, Wave},
     },
     crate::job::upkeep::{Action, MachineId, Number, Order},
+    indexmap::IndexMap,
     log::info,
     std::time::{Duration, Instant},
 };
@@ -102,10 +103,14 @@
             |id: &&MachineId| self.has_plan(id) && !self.pools.may_have_begun(number, id);
         let busy = left.iter().filter(emptying).count() + self.down_of(number);
         let room = self.at_once(now, number, left.len()).saturating_sub(busy);
+        if room == 0 {
+            return;
+        }
+        let pressures = self.pressures(now);
         let mut ready: Vec<(u64, MachineId)> = left
             .into_iter()
             .filter(|id| !self.has_plan(id))
-            .filter_map(|id| self.upkeep_cost(now, &id).map(|cost| (cost, id)))
+            .filter_map(|id| self.upkeep_cost(&pressures, &id).map(|cost| (cost, id)))
             .collect();
         ready.sort_unstable();
         for (_, machine) in ready.into_iter().take(room) {
@@ -129,7 +134,7 @@
     }
 
     /// What taking a VM down costs its service now; none if it can't be.
-    fn upkeep_cost(&self, now: Instant, machine: &str) -> Option<u64> {
+    fn upkeep_cost(&self, pressures: &IndexMap<String, f64>, machine: &str) -> Option<u64> {
         let vm = self.pools.machines.get(machine)?;
         if vm.down() {
             return None;
@@ -142,7 +147,8 @@
         let endless = worker.tasks.keys().filter(|task| {
             self.jobs.get(&task.job).and_then(|job| job.step(task)).is_some_and(|s| s.endless)
         });
-        let pressure = (self.pressure(now, &vm.listed.pool) * 1_000.0) as u64;
+        let pressure = pressures.get(&vm.listed.pool).copied().unwrap_or_default();
+        let pressure = (pressure * 1_000.0) as u64;
         Some(
             1 + pressure * 100
                 + endless.count() as u64 * 20_000
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -4,7 +4,7 @@
     super::{CLOCK_ERROR, Cell, LEASE, RunnerId},
     crate::job::{
         runner::{Born, EndNumber, Entry},
-        spec::{Need, Task},
+        spec::{Need, Step, Task},
     },
     indexmap::IndexMap,
     log::info,
@@ -35,7 +35,11 @@
     /// Room that tasks take.
     pub used: Need,
     /// Tasks on it, or that may be.
-    pub tasks: IndexMap<Task, Need>,
+    pub tasks: IndexMap<Task, Taken>,
+    /// Endless tasks on it that serve users of their own.
+    pub serving: u32,
+    /// Tasks on it that use what others leave.
+    pub filling: u32,
     /// Since when it has had no task.
     pub empty_since: Instant,
     /// Whether it has taken this owner's fence.
@@ -66,7 +70,36 @@
     pub reserved: bool,
 }
 
+/// What a task takes of a runner.
+#[derive(Clone, Copy, Debug)]
+pub struct Taken {
+    need: Need,
+    serves: bool,
+    fills: bool,
+}
+
 impl Worker {
+    /// Counts a task as being on it.
+    pub fn add(&mut self, task: Task, step: &Step) {
+        let (need, fills) = (step.counted(), step.filler);
+        let serves = !fills && !step.latency_target.is_zero();
+        self.used = self.used.plus(&need);
+        self.serving += u32::from(serves);
+        self.filling += u32::from(fills);
+        self.tasks.insert(task, Taken { need, serves, fills });
+    }
+
+    /// Gives back the room of a task.
+    pub fn remove(&mut self, now: Instant, task: &Task) {
+        let Some(Taken { need, serves, fills }) = self.tasks.swap_remove(task) else { return };
+        self.used = self.used.minus(&need);
+        self.serving -= u32::from(serves);
+        self.filling -= u32::from(fills);
+        if self.tasks.is_empty() {
+            self.empty_since = now;
+        }
+    }
+
     /// Runner that this owner hears of at `now`, with tasks that may run until `lapse`.
     pub fn new(entry: Option<Entry>, now: Instant, lapse: Instant) -> Self {
         Self {
@@ -77,6 +110,8 @@
             clock: None,
             used: Need::default(),
             tasks: IndexMap::new(),
+            serving: 0,
+            filling: 0,
             empty_since: now,
             held: false,
             looking: None,
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -26,7 +26,11 @@
 /// Pause after the store did not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Spread of the time after which several entries claim at once.
-const SPREAD_MS: u64 = 200;
+const SPREAD_MS: u64 = 90;
+/// Time by which a VM of half a core waits longer than one of a whole core; twice as weak, twice as long.
+const WEAKNESS: Duration = Duration::from_millis(45);
+/// Longest time for which a weak VM lets others claim first.
+const WEAKEST: Duration = Duration::from_millis(250);
 
 struct Claimant {
     shared: Rc<Shared>,
@@ -87,11 +91,17 @@
         self.shared.owner.borrow().clone()
     }
 
+    /// Time for which this VM lets stronger ones claim first.
+    fn weakness(&self) -> Duration {
+        let missing = (1.0 / self.shared.settings.cores.max(0.01) - 1.0).max(0.0);
+        WEAKNESS.mul_f64(missing).min(WEAKEST)
+    }
+
     /// Waits for news of the owner, or for its silence.
     async fn follow(&mut self) {
         let vacant = self.owner().is_none_or(|owner| owner.released);
         let spread = Duration::from_millis(rand::rng().random_range(0..SPREAD_MS));
-        let wait = if vacant { spread / 3 } else { SILENCE + spread };
+        let wait = self.weakness() + if vacant { spread / 3 } else { SILENCE + spread };
         let read = if wait.as_millis() < 20 && vacant {
             self.read(Duration::ZERO).await
         } else {
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -48,7 +48,7 @@
 }
 
 /// A job as accepted.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// Queue it was submitted to.
@@ -156,6 +156,11 @@
     Record { key: String::from(BARRIER), value: vec![1] }
 }
 
+/// Record that removes what was accepted, once only the outcome matters.
+pub fn settled(id: spec::Id) -> Record {
+    Record { key: format!("{id:016x}"), value: Vec::new() }
+}
+
 /// Records that remove a job.
 pub fn removal(id: spec::Id) -> [Record; 2] {
     let key = format!("{id:016x}");
--- a/src/job/settings.rs
+++ b/src/job/settings.rs
@@ -27,6 +27,8 @@
     pub fleet: Option<SocketAddr>,
     /// The service that names the runners which may run a step.
     pub advisor: Option<SocketAddr>,
+    /// Cores that this VM has; may be a part of one.
+    pub cores: f64,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
 }
