Lease runners for 2.8 s, and log steps, jobs and the balance instead of each task

A line a task had filled the log's allowance, so that lines of other decisions were dropped; a line a placed step and a done step keeps them all.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -10,6 +10,7 @@
     super::Cell,
     crate::job::upkeep::{Action, MachineId, State},
     indexmap::IndexMap,
+    log::info,
     std::time::{Duration, Instant},
 };
 
@@ -47,6 +48,15 @@
     spread: usize,
 }
 
+/// Logs what decided on moves: VMs and cores that each service has, and cores that it needs.
+fn log_demands(demands: &IndexMap<String, Demand>) {
+    let one = |(service, demand): (&String, &Demand)| {
+        format!("{service}:{}:{:.0}:{:.0}", demand.machines, demand.has, demand.needs)
+    };
+    let all: Vec<String> = demands.iter().map(one).collect();
+    info!("balance: services={}", all.join(","));
+}
+
 /// Runners over which a job's steps must be spread.
 fn spread(job: &super::Job) -> usize {
     let limited = job.spec.steps.iter().filter(|step| step.per_runner > 0);
@@ -97,6 +107,9 @@
                 moves.push(Action::Move { machine, pool: spare.clone() });
             }
         }
+        if !moves.is_empty() {
+            log_demands(&demands);
+        }
         for action in moves {
             self.plan_action(now, action);
         }
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -19,7 +19,7 @@
 };
 
 /// Longest time for which a runner may wait for an end before it answers a look.
-pub const LOOK_WAIT: Duration = Duration::from_millis(1_200);
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// Time between two looks while the ledger has not stored the ends of the last one.
 const UNCOMMITTED_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two looks at a runner that does not answer.
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -53,7 +53,7 @@
 pub type RequestId = u64;
 
 /// Lease that a runner gets with each renewal.
-pub const LEASE: Duration = Duration::from_millis(5_000);
+pub const LEASE: Duration = Duration::from_millis(2_800);
 /// Rate error that a runner's clock may have.
 pub const CLOCK_ERROR: f64 = 0.02;
 
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -164,7 +164,9 @@
             }
             return;
         }
-        info!("end: task={} run={} runner={runner} how={:?}", end.task, end.run, end.how);
+        if end.how != How::Done || endless {
+            info!("end: task={} run={} runner={runner} how={:?}", end.task, end.run, end.how);
+        }
         let took = match &state.status {
             Status::Placed(placement) => now.saturating_duration_since(placement.since),
             _ => Duration::ZERO,
@@ -217,7 +219,12 @@
             state.status = Status::Done;
             state.checkpoint = String::new();
         }
-        job.count_done(usize::from(task.step));
+        let step = usize::from(task.step);
+        job.count_done(step);
+        if job.left.get(step) == Some(&0) {
+            let ms = now.saturating_duration_since(job.since).as_millis();
+            info!("step: job={:016x} step={step} done=true ms={ms}", task.job);
+        }
         if job.finished() && job.outcome == Outcome::Open {
             self.finish(now, task.job, Outcome::Complete);
         }
@@ -257,6 +264,11 @@
     fn finish(&mut self, now: Instant, id: spec::Id, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome = outcome;
+        let (ms, due_ms) = (
+            now.saturating_duration_since(job.since).as_millis(),
+            job.due.saturating_duration_since(job.since).as_millis(),
+        );
+        info!("job: job={id:016x} outcome={outcome:?} ms={ms} due_ms={due_ms}");
         self.waiting.swap_remove(&id);
         self.unplan(now, id);
         self.mark(id);
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -97,10 +97,14 @@
                 all_placed &= job.left.get(number) == Some(&0);
                 continue;
             }
+            let mut planned = Vec::new();
             for index in self.waiting_tasks(id, number) {
                 let task = Task { job: id, occurrence: 0, step: number as u16, index };
                 match self.choose(&task, step, pool) {
-                    Choice::Runner(runner) => self.plan(now, task, step, runner),
+                    Choice::Runner(runner) => {
+                        self.plan(now, task, step, runner);
+                        planned.push(task);
+                    }
                     Choice::Nowhere(roomiest) => {
                         all_placed = false;
                         pool.misses += 1;
@@ -109,12 +113,26 @@
                     }
                 }
             }
+            self.log_planned(id, number, &planned);
         }
         if all_placed {
             self.waiting.swap_remove(&id);
         }
     }
 
+    /// Logs the tasks of a step that were placed, as `index.run@runner`.
+    fn log_planned(&self, id: spec::Id, step: usize, planned: &[Task]) {
+        let run = |task: &Task| {
+            let state = self.jobs.get(&id)?.task(task)?;
+            let Status::Placed(placement) = &state.status else { return None };
+            Some(format!("{}.{}@{}", task.index, state.run, placement.runner))
+        };
+        let runs: Vec<String> = planned.iter().filter_map(run).collect();
+        if !runs.is_empty() {
+            info!("place: job={id:016x} step={step} fence={} runs={}", self.fence, runs.join(","));
+        }
+    }
+
     fn waiting_tasks(&self, id: spec::Id, step: usize) -> Vec<u16> {
         let Some(tasks) = self.jobs.get(&id).and_then(|job| job.steps.get(step)) else {
             return Vec::new();
@@ -136,7 +154,6 @@
         let (run, phase) = (state.run, Phase::Planned);
         let placement = Placement { runner: Rc::clone(&runner), phase, since: now, percent: 0 };
         state.status = Status::Placed(placement);
-        info!("place: task={task} run={run} runner={runner} fence={}", self.fence);
         self.mark(task.job);
         self.effects.push(Effect::Start(runner, task, run));
     }
