Pace fillers, refuse what is not supported, and send callers back later from a long outage

Fillers beside a task that serves users slow down as soon as it comes near its latency objective (test: fillers_give_way..., fails without the call). Timed jobs, gangs and queues with an advisor are not run by this release: they are refused with 503 as never running, not left waiting. Retry-After is as long as the ledger has been missing, 1 to 3 s, so that a caller's retries outlast an outage.

--- a/src/job/answer.rs
+++ b/src/job/answer.rs
@@ -7,6 +7,11 @@
     std::time::Duration,
 };
 
+/// Earliest time after which a refused caller should come back.
+const SOONEST: Duration = Duration::from_secs(1);
+/// Latest time after which a refused caller should come back.
+const LATEST: Duration = Duration::from_secs(3);
+
 /// Answer to a caller's request.
 #[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -57,8 +62,8 @@
         }
     }
 
-    /// Refuses a request that has not been passed on.
-    pub fn refused(why: impl Into<String>) -> Self {
-        Self::Refused { why: why.into(), retry_after: Duration::from_secs(1) }
+    /// Refuses a request that has not been passed on, by what is missing and for how long already.
+    pub fn refused(why: impl Into<String>, missing: Duration) -> Self {
+        Self::Refused { why: why.into(), retry_after: missing.clamp(SOONEST, LATEST) }
     }
 }
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -10,7 +10,10 @@
         spec::{self, Task},
     },
     log::{error, info},
-    std::{rc::Rc, time::Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 impl Cell {
@@ -61,8 +64,9 @@
         }
     }
 
-    /// Refuses the submissions that are not on their way to the ledger: they will not run.
-    pub fn refuse_unstored(&mut self, now: Instant, why: &str) {
+    /// Refuses the submissions that are not on their way to the ledger: they will not run. The ledger
+    /// has been `missing` for so long.
+    pub fn refuse_unstored(&mut self, now: Instant, why: &str, missing: Duration) {
         let refused: Vec<_> = std::mem::take(&mut self.accepted);
         for id in &refused {
             self.unplan(now, *id);
@@ -76,7 +80,7 @@
         for effect in effects {
             match effect {
                 Effect::Answer(request, Answer::Accepted) => {
-                    self.actions.push(Action::Answer(request, Answer::refused(why)));
+                    self.actions.push(Action::Answer(request, Answer::refused(why, missing)));
                 }
                 Effect::Show(id) if refused.contains(&id) => {}
                 other => self.effects.push(other),
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -116,6 +116,7 @@
         self.read_ends(now, runner, report);
         self.read_running(now, runner, report);
         self.find_lost(now, runner, sent, report);
+        self.steer_pace(now, runner, report);
         if let Some(worker) = self.workers.get_mut(runner) {
             worker.next_look = if worker.uncommitted > 0 {
                 now + UNCOMMITTED_PAUSE
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -15,6 +15,7 @@
 mod load;
 mod look;
 mod order;
+mod pace;
 mod place;
 mod pools;
 mod restore;
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -1,7 +1,7 @@
 //! Runners as the owner knows them: registration, lease, and the room that tasks take.
 
 use {
-    super::{CLOCK_ERROR, Cell, LEASE, RunnerId},
+    super::{CLOCK_ERROR, Cell, LEASE, RunnerId, pace},
     crate::job::{
         runner::{Born, EndNumber, Entry},
         spec::{Need, Step, Task},
@@ -40,6 +40,10 @@
     pub serving: u32,
     /// Tasks on it that use what others leave.
     pub filling: u32,
+    /// Share at which those work, in percent.
+    pub pace: u32,
+    /// When that was last changed.
+    pub paced: Instant,
     /// Since when it has had no task.
     pub empty_since: Instant,
     /// Whether it has taken this owner's fence.
@@ -112,6 +116,8 @@
             tasks: IndexMap::new(),
             serving: 0,
             filling: 0,
+            pace: pace::FULL,
+            paced: now,
             empty_since: now,
             held: false,
             looking: None,
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -14,7 +14,7 @@
             ledger::{self, Record},
             manifest::Manifest,
             runner::{self, Entry, Report},
-            spec::Task,
+            spec::{self, Task},
             upkeep::{self, Machine},
         },
     },
@@ -34,10 +34,14 @@
     },
 };
 
+/// Time after which a caller may ask again with a job that this release does not support.
+const UNSUPPORTED_AGAIN: Duration = Duration::from_secs(3_600);
 /// Longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Time without an answer of the ledger after which submissions are refused at once.
 const LEDGER_AWAY: Duration = Duration::from_millis(700);
+/// Why submissions are refused then.
+const LEDGER_SILENT: &str = "the ledger does not answer";
 /// Pause before an append is tried again.
 const APPEND_AGAIN: Duration = Duration::from_millis(60);
 /// Most calls to the platform's list of VMs at once.
@@ -219,7 +223,7 @@
         use super::peer::Method;
         let Some((queue, rest)) = self.find(&ask) else {
             let answer = if self.cell.manifest().version == 0 {
-                Answer::refused("no manifest is known yet")
+                Answer::refused("no manifest is known yet", Duration::ZERO)
             } else {
                 Answer::NoQueue
             };
@@ -258,10 +262,15 @@
         id: u64,
         reply: oneshot::Sender<Answer>,
     ) {
-        let away = self.appending.is_some_and(|at| now.saturating_duration_since(at) > LEDGER_AWAY);
-        if away && !self.cell.jobs().contains_key(&id) {
-            info!("refuse: job={id:016x} why=\"the ledger does not answer\"");
-            return send(reply, Answer::refused("the ledger does not answer"));
+        let missing = self.ledger_missing(now);
+        if missing > LEDGER_AWAY && !self.cell.jobs().contains_key(&id) {
+            info!("refuse: job={id:016x} why={LEDGER_SILENT:?} missing_ms={}", missing.as_millis());
+            return send(reply, Answer::refused(LEDGER_SILENT, missing));
+        }
+        if self.cell.manifest().queue(queue).is_some_and(|queue| queue.advice.is_some()) {
+            info!("refuse: job={id:016x} queue={queue} why=\"its queue needs an advisor\"");
+            let why = String::from("queues with an advisor are not supported");
+            return send(reply, Answer::Refused { why, retry_after: UNSUPPORTED_AGAIN });
         }
         match adapter::front::job(&ask.body) {
             Ok(spec) => {
@@ -270,7 +279,7 @@
             }
             Err(e) => {
                 info!("refuse: job={id:016x} why=\"{e}\"");
-                send(reply, Answer::Malformed(e.to_string()));
+                send(reply, refusal(&e));
             }
         }
     }
@@ -288,10 +297,16 @@
         self.next_request
     }
 
+    /// Time for which the ledger has not answered.
+    fn ledger_missing(&self, now: Instant) -> Duration {
+        self.appending.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     fn store_batch(&mut self) {
         let now = Instant::now();
-        if self.appending.is_some_and(|at| now.saturating_duration_since(at) > LEDGER_AWAY) {
-            self.cell.refuse_unstored(now, "the ledger does not answer");
+        let missing = self.ledger_missing(now);
+        if missing > LEDGER_AWAY {
+            self.cell.refuse_unstored(now, LEDGER_SILENT, missing);
             return;
         }
         let Some(batch) = self.cell.next_batch() else { return };
@@ -380,6 +395,16 @@
     }
 }
 
+/// Answer to a job that is not accepted: one that is sound but not supported never runs.
+fn refusal(error: &spec::Error) -> Answer {
+    match error {
+        spec::Error::Unsupported(..) => {
+            Answer::Refused { why: error.to_string(), retry_after: UNSUPPORTED_AGAIN }
+        }
+        _ => Answer::Malformed(error.to_string()),
+    }
+}
+
 fn send(reply: oneshot::Sender<Answer>, answer: Answer) {
     if reply.send(answer).is_err() {
         log::debug!("owner: a caller has left before its answer");
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -88,7 +88,10 @@
         };
         let mut sender = match self.connected(peer).await {
             Ok(sender) => sender,
-            Err(why) => return Answer::refused(format!("connect to the owner at {peer}: {why}")),
+            Err(why) => {
+                let why = format!("connect to the owner at {peer}: {why}");
+                return Answer::refused(why, Duration::ZERO);
+            }
         };
         let request = match Request::post("/").body(Full::new(body)) {
             Ok(request) => request,
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -79,7 +79,9 @@
                 final_answer => return final_answer,
             }
             if begun.elapsed() + AGAIN >= limit {
-                return unknown.unwrap_or_else(|| Answer::refused("no entry owns the cell now"));
+                return unknown.unwrap_or_else(|| {
+                    Answer::refused("no entry owns the cell now", Duration::ZERO)
+                });
             }
             sleep(AGAIN).await;
         }
@@ -96,7 +98,7 @@
             Some(owner) if !owner.released && owner.incarnation != self.incarnation => {
                 self.link.pass(owner.peer, ask, limit).await
             }
-            _ => Answer::refused("no entry owns the cell now"),
+            _ => Answer::refused("no entry owns the cell now", Duration::ZERO),
         }
     }
 
@@ -108,7 +110,7 @@
             None => false,
         };
         if !passed {
-            return Answer::refused("this entry does not own the cell");
+            return Answer::refused("this entry does not own the cell", Duration::ZERO);
         }
         receiver.await.unwrap_or_else(|_| {
             Answer::Unknown(String::from("the entry lost the cell before it knew the outcome"))
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -156,6 +156,9 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::Steps(self.steps.len()));
         }
+        if self.schedule.is_some() {
+            return Err(Error::Unsupported(0, "times at which it runs"));
+        }
         self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))
     }
 
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -91,9 +91,10 @@
     world.run(seconds(0.1));
     let refused = world.submit(JOB, spec(vec![step(1, 1_000)]));
     let now = world.at();
-    world.cell.refuse_unstored(now, "the ledger does not answer");
+    world.cell.refuse_unstored(now, "the ledger does not answer", seconds(2.0));
     world.carry_out();
-    assert!(matches!(world.answers[&refused], Answer::Refused { .. }));
+    let Answer::Refused { retry_after, .. } = &world.answers[&refused] else { panic!("refused") };
+    assert_eq!(*retry_after, seconds(2.0), "as long as the ledger has been missing");
     world.store_away = false;
     world.run(seconds(3.0));
     assert!(world.done.iter().all(|task| task.job != JOB));
@@ -272,3 +273,20 @@
     }
     assert!(world.done.contains(&task(0, 0)));
 }
+
+#[test]
+fn fillers_give_way_to_a_task_that_misses_its_latency_objective() {
+    let mut world = World::new(1);
+    let objective = Duration::from_millis(100);
+    let serving = Step { latency_target: objective, ..endless(1, 0, 0) };
+    world.submit(1, spec(vec![serving]));
+    world.submit(2, spec(vec![Step { filler: true, ..endless(1, 0, 0) }]));
+    world.run(seconds(3.0));
+    world.tail_ms = 150;
+    world.run(seconds(2.0));
+    let slowed = |action: &Action| matches!(action, Action::Pace(_, task, _, 0) if task.job == 2);
+    assert!(world.sent.iter().any(slowed), "the filler works on beside it");
+    world.tail_ms = 20;
+    world.run(seconds(12.0));
+    assert_eq!(world.cell.workers()["r0"].pace, 100, "it comes back");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -67,6 +67,8 @@
     pub pending: Option<Vec<Record>>,
     pub run_time: Duration,
     pub fails: bool,
+    /// Tail latency that endless tasks report, in milliseconds.
+    pub tail_ms: u64,
     /// Whether actions on VMs are carried out without an answer, and the list of VMs lags.
     pub mute_machines: bool,
     next_request: u64,
@@ -120,6 +122,7 @@
             pending: None,
             run_time: Duration::from_secs(1),
             fails: false,
+            tail_ms: 0,
             mute_machines: false,
             next_request: 0,
             epoch: 1,
@@ -398,7 +401,7 @@
     }
 
     fn look(&mut self, id: &str, hold: &Hold) -> runner::Answer<Report> {
-        let clock_ms = self.now.as_millis() as u64;
+        let (clock_ms, tail_ms) = (self.now.as_millis() as u64, self.tail_ms);
         let Some(life) = self.lives.get_mut(id).filter(|life| !life.silent) else {
             return runner::Answer::Unknown("silent".into());
         };
@@ -415,7 +418,7 @@
             run: run.number,
             checkpoint: String::new(),
             percent: 100,
-            usage: 0,
+            usage: tail_ms,
         });
         runner::Answer::Done(Report {
             clock_ms,
