--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -13,14 +13,22 @@
         },
     },
     std::{
+        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
 };
 
-/// Time for an answer of the store beside the time for which it is asked to wait.
+/// Time for an answer to a read beside the time for which the store is asked to wait.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// Bounds of the time for an answer to an append.
+const APPEND_ANSWER: (Duration, Duration) =
+    (Duration::from_millis(120), Duration::from_millis(1_000));
+/// Time for an answer to an append, as a multiple of what the last ones took.
+const APPEND_FACTOR: u32 = 6;
+/// Weight of the newest answer in what appends take.
+const NEWEST: f64 = 0.2;
 /// Most calls to the store at once.
 const CALLS: usize = 8;
 
@@ -28,17 +36,19 @@
 pub struct Store {
     channel: Channel,
     meter: Rc<Meter>,
+    append_takes: Cell<Duration>,
 }
 
 impl Store {
     /// Store at `address`.
     pub fn new(address: SocketAddr, meter: Rc<Meter>) -> Self {
-        Self { channel: Channel::new(address, CALLS), meter }
+        let append_takes = Cell::new(APPEND_ANSWER.1 / APPEND_FACTOR);
+        Self { channel: Channel::new(address, CALLS), meter, append_takes }
     }
 
     /// Appends records as a fenced writer; returns the offset of the first.
     pub async fn append(&self, topic: &str, records: &[Record], at: Sequence) -> Result<u64> {
-        store::appended(&self.call("append", &store::append(topic, records, at), ANSWER).await?)
+        store::appended(&self.write("append", &store::append(topic, records, at)).await?)
     }
 
     /// Locks out every writer of a lower epoch.
@@ -48,7 +58,7 @@
 
     /// Appends a record if the partition ends at `at`.
     pub async fn append_at(&self, topic: &str, record: &Record, at: u64) -> Result<u64> {
-        store::appended(&self.call("claim", &store::append_at(topic, record, at), ANSWER).await?)
+        store::appended(&self.write("claim", &store::append_at(topic, record, at)).await?)
     }
 
     /// Appends a record wherever the partition ends.
@@ -83,6 +93,19 @@
         }
     }
 
+    /// Calls that append wait for about as long as the last ones took: the answer of one may be lost,
+    /// and repeating it is harmless.
+    async fn write(&self, name: &str, call: &Call) -> Result<Reply> {
+        let (least, most) = APPEND_ANSWER;
+        let takes = self.append_takes.get();
+        let limit = (takes * APPEND_FACTOR).clamp(least, most);
+        let begun = Instant::now();
+        let outcome = self.call(name, call, limit).await;
+        let newest = if outcome.is_ok() { begun.elapsed() } else { limit };
+        self.append_takes.set(takes.mul_f64(1.0 - NEWEST) + newest.mul_f64(NEWEST));
+        outcome
+    }
+
     async fn call(&self, name: &str, call: &Call, limit: Duration) -> Result<Reply> {
         let begun = Instant::now();
         let outcome = self.channel.call(call, limit).await;
