--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -57,6 +57,8 @@
     pub failures: u32,
     /// Newest checkpoint, or empty.
     pub checkpoint: String,
+    /// Runner on which its last run failed.
+    pub failed_on: Option<RunnerId>,
 }
 
 /// Where a task is.
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -177,6 +177,7 @@
         state.status = Status::Waiting;
         if end.how == How::Failed {
             state.failures += 1;
+            state.failed_on = Some(Rc::clone(runner));
         }
         self.release(now, runner, &end.task);
         if end.how == How::Done && !endless {
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -160,10 +160,12 @@
 
     fn choose(&self, task: &Task, step: &Step, pool: &Pool) -> Choice {
         let need = step.counted();
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let failed_on = state.and_then(|state| state.failed_on.as_ref());
         let mut best: Option<(Fit, usize)> = None;
         let mut roomiest: Option<(u32, usize)> = None;
         for &index in &pool.runners {
-            let Some((_, worker)) = self.workers.get_index(index) else { continue };
+            let Some((id, worker)) = self.workers.get_index(index) else { continue };
             let free = worker.free();
             if !free.holds(&need) {
                 let room = worker.entry.as_ref().map(|entry| entry.room).unwrap_or_default();
@@ -176,7 +178,7 @@
             if !allows(worker, step, task) {
                 continue;
             }
-            let fit = fit(worker, step, free, &need);
+            let fit = Fit { failed: failed_on == Some(id), ..fit(worker, step, free, &need) };
             if best.as_ref().is_none_or(|(other, _)| fit < *other) {
                 best = Some((fit, index));
             }
@@ -198,12 +200,14 @@
         worker.filling
     };
     let first = step.endless && worker.serving + worker.filling == 0;
-    Fit { far, clash, first, left: free.minus(need).millicores }
+    Fit { failed: false, far, clash, first, left: free.minus(need).millicores }
 }
 
 /// How well a runner suits a task; the lowest suits best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
+    /// Whether the task's last run failed on it: the runner may be to blame.
+    failed: bool,
     /// Whether the data is on another rack.
     far: bool,
     /// Tasks on it that would disturb the task, or be disturbed.
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -290,3 +290,18 @@
     world.run(seconds(12.0));
     assert_eq!(world.cell.workers()["r0"].pace, 100, "it comes back");
 }
+
+#[test]
+fn a_task_that_failed_is_tried_on_another_runner() {
+    let mut world = World::new(2);
+    world.fails = true;
+    world.submit(JOB, spec(vec![step(1, 1_000)]));
+    world.run(seconds(4.0));
+    let runner = |action: &Action| match action {
+        Action::Start(runner, _) => Some(runner.clone()),
+        _ => None,
+    };
+    let runners: Vec<_> = world.sent.iter().filter_map(runner).collect();
+    assert_eq!(runners.len(), 2);
+    assert_ne!(runners[0], runners[1], "the runner may be to blame");
+}
