Lay out the source by planes: request, fleet, job

Modules moved into src/request, src/fleet and src/job with git mv; lib.rs re-exports them, so that paths and tests stay as they were. Left: the circle of imports among state, moves, step, budget, history, check, change and wave.

--- a/src/fleet.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,26 @@
 //! A declaration is a whole: it names every pool, service, team and wave that should exist. The VMs
 //! come from the platform's list; a declaration says which pool each belongs to.
 
+pub mod budget;
+pub mod buffer;
+pub mod burn;
+pub mod change;
+pub mod check;
+pub mod controller;
+pub mod declaration;
+pub mod diff;
+pub mod history;
+pub mod moves;
+pub mod operator;
+pub mod plot;
+pub mod record;
+pub mod rpc;
+pub mod snapshot;
+pub mod state;
+pub mod step;
+pub mod verdict;
+pub mod wave;
+
 use {
     crate::id::{PoolId, RackId, ServiceId, TeamId, VmId, WaveId, ZoneId},
     indexmap::IndexMap,
--- a/src/rpc/mod.rs
+++ b/src/fleet/rpc/mod.rs
@@ -14,10 +14,10 @@
 /// Generated messages, client and server.
 #[allow(missing_docs, clippy::all)]
 pub mod proto {
-    include!("../generated/carobhitch.v1.rs");
+    include!("../../generated/carobhitch.v1.rs");
 
     /// Encoded descriptor set of the schema, for reflection.
-    pub const DESCRIPTOR: &[u8] = include_bytes!("../generated/descriptor.bin");
+    pub const DESCRIPTOR: &[u8] = include_bytes!("../../generated/descriptor.bin");
 }
 
 pub use {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,59 +2,39 @@
 //!
 //! The library holds every decision as plain synchronous structs that take the time as an argument
 //! and return actions; the daemons in `src/bin` only parse settings and connect the parts.
+//!
+//! Three planes: [`request`] serves callers at endpoints, [`fleet`] agrees on pools, budgets and waves,
+//! [`job`] places callers' jobs on runners. What they share stands beside them, and [`adapter`] speaks
+//! to the users' platform.
 
 #[path = "../platform/mod.rs"]
 pub mod adapter;
-pub mod admit;
-mod body;
-pub mod budget;
-pub mod buffer;
-pub mod burn;
-pub mod change;
-pub mod check;
 pub mod client;
-pub mod controller;
-pub mod daemon;
-pub mod declaration;
-pub mod diagnose;
-pub mod diff;
-pub mod eject;
-pub mod engine;
 pub mod event;
-pub mod exchange;
 pub mod fault;
 pub mod fleet;
-pub mod history;
 pub mod id;
 pub mod job;
-pub mod learn;
 pub mod lease;
-pub mod link;
 pub mod logging;
 pub mod member;
 pub mod metrics;
-pub mod moves;
-pub mod operator;
-pub mod order;
-pub mod place;
 pub mod platform;
-pub mod plot;
-pub mod quota;
-pub mod record;
-pub mod relay;
 pub mod request;
-pub mod retry;
-pub mod roster;
-pub mod rpc;
-pub mod server;
 pub mod settings;
-pub mod slot;
-pub mod snapshot;
-pub mod state;
-pub mod step;
 pub mod supervise;
 pub mod traffic;
 pub mod units;
-pub mod verdict;
-pub mod wave;
 pub mod wire;
+
+use request::body;
+pub use {
+    fleet::{
+        budget, buffer, burn, change, check, controller, declaration, diff, history, moves,
+        operator, plot, record, rpc, snapshot, state, step, verdict, wave,
+    },
+    job::{diagnose, learn, place, quota},
+    request::{
+        admit, daemon, eject, engine, exchange, link, order, relay, retry, roster, server, slot,
+    },
+};
--- a/src/request.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,20 @@
 //! A caller sends HTTP/1.1 to `/{service}/...`. The answer's [`OUTCOME_HEADER`] says what became of
 //! the request; `not-run` is only said when it is certain.
 
+pub mod admit;
+pub(crate) mod body;
+pub mod daemon;
+pub mod eject;
+pub mod engine;
+pub mod exchange;
+pub mod link;
+pub mod order;
+pub mod relay;
+pub mod retry;
+pub mod roster;
+pub mod server;
+pub mod slot;
+
 use {
     crate::id::{OrderKey, ServiceId, TeamId},
     serde::{Deserialize, Serialize},
