Count waiting jobs by what has begun, and only when the ledger has confirmed the owner

Two causes found by tests that fail without their repairs: a new owner took a start that was stored but never sent as begun, and an owner that had slept counted from what it knew before.

--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -15,6 +15,9 @@
     },
 };
 
+/// Time for which the ledger's confirmation of the owner allows answers about all jobs.
+const FRESH: Duration = Duration::from_millis(1_000);
+
 impl Cell {
     /// Submits a job; its answer follows once the ledger has stored it.
     pub fn submit(
@@ -81,13 +84,15 @@
         self.answer_when_stored(request, stored, Answer::Cancelled);
     }
 
-    /// Counts a queue's jobs of which no task has started.
-    pub fn count(&mut self, request: RequestId, queue: &str) {
+    /// Counts a queue's jobs of which no task has started; an owner that the ledger has not
+    /// confirmed lately asks it first, as a newer one may know more.
+    pub fn count(&mut self, now: Instant, request: RequestId, queue: &str) {
         let waits = |job: &&Job| {
             *job.queue == *queue && job.stored && !job.started && job.outcome == Outcome::Open
         };
         let pending = self.open_jobs().filter(waits).count();
-        self.actions.push(Action::Answer(request, Answer::Pending(pending)));
+        let confirmed = self.confirmed.is_some_and(|at| now.saturating_duration_since(at) < FRESH);
+        self.answer_when_stored(request, confirmed, Answer::Pending(pending));
     }
 
     /// Says that there is no such job, once the ledger has shown that no newer owner knows it.
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -18,7 +18,7 @@
 
 impl Cell {
     /// Next batch to append, if none is on its way and something waits for one.
-    pub fn next_batch(&mut self) -> Option<Batch> {
+    pub fn next_batch(&mut self, now: Instant) -> Option<Batch> {
         let idle = self.effects.is_empty() && !self.pools.changed();
         if self.in_flight.is_some() || idle {
             return None;
@@ -54,11 +54,13 @@
             records.push(ledger::barrier());
         }
         self.in_flight = Some(std::mem::take(&mut self.effects));
+        self.sent = Some(now);
         Some(Batch { records })
     }
 
     /// The ledger has stored the batch on its way.
     pub fn committed(&mut self, now: Instant) {
+        self.confirmed = self.sent.take().or(self.confirmed);
         for effect in self.in_flight.take().into_iter().flatten() {
             self.follow(now, effect);
         }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -155,6 +155,7 @@
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
         let Some(step) = job.step(&end.task) else { return };
         let endless = step.endless;
+        job.started = true;
         let Some(state) = job.task_mut(&end.task) else { return };
         let is_last = matches!(&state.status, Status::Placed(p) if p.runner == *runner)
             && state.run == end.run;
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -84,7 +84,7 @@
                 } else if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
                     placed.push((task, name.clone()));
                 }
-                job.started |= stored.run > 0;
+                job.started |= stored.done || stored.failures > 0;
             }
         }
         if job.outcome != Outcome::Open {
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -230,8 +230,12 @@
             return send(reply, answer);
         };
         if ask.method == Method::Get && rest.is_empty() {
+            let missing = self.ledger_missing(now);
+            if missing > LEDGER_AWAY {
+                return send(reply, Answer::refused(LEDGER_SILENT, missing));
+            }
             let request = self.wait(reply);
-            return self.cell.count(request, &queue);
+            return self.cell.count(now, request, &queue);
         }
         let Some(id) = adapter::front::name(&rest) else {
             let why = String::from("a job's name has 16 hexadecimal digits");
@@ -309,7 +313,7 @@
             self.cell.refuse_unstored(now, LEDGER_SILENT, missing);
             return;
         }
-        let Some(batch) = self.cell.next_batch() else { return };
+        let Some(batch) = self.cell.next_batch(now) else { return };
         self.appending = Some(now);
         self.sequence += 1;
         let sequence = Sequence { epoch: self.epoch, number: self.sequence };
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -305,3 +305,37 @@
     assert_eq!(runners.len(), 2);
     assert_ne!(runners[0], runners[1], "the runner may be to blame");
 }
+
+#[test]
+fn an_owner_that_slept_counts_jobs_only_after_the_ledger_has_confirmed_it() {
+    let mut world = World::new(0);
+    world.submit(JOB, spec(vec![step(1, 1_000)]));
+    world.run(seconds(0.2));
+    let counted = world.count();
+    world.carry_out();
+    assert_eq!(world.answers[&counted], Answer::Pending(1), "it has just been confirmed");
+    world.store_away = true;
+    world.run(seconds(3.0));
+    let counted = world.count();
+    world.run(seconds(0.2));
+    assert!(!world.answers.contains_key(&counted), "a newer owner may have accepted more");
+    world.store_away = false;
+    world.run(seconds(0.2));
+    assert_eq!(world.answers[&counted], Answer::Pending(1));
+}
+
+#[test]
+fn a_new_owner_counts_a_job_whose_start_was_never_sent_as_waiting() {
+    let mut world = World::new(1);
+    world.submit(JOB, spec(vec![step(1, 1_000)]));
+    let now = world.at();
+    world.cell.settle(now);
+    let batch = world.cell.next_batch(now).unwrap();
+    world.ledger.extend(batch.records.into_iter().map(|record| (record.key, record.value)));
+    world.lives["r0"].silent = true;
+    world.take_over();
+    world.run(seconds(0.3));
+    let counted = world.count();
+    world.run(seconds(0.1));
+    assert_eq!(world.answers[&counted], Answer::Pending(1));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -210,6 +210,12 @@
         request
     }
 
+    pub fn count(&mut self) -> u64 {
+        let (request, now) = (self.request(), self.at());
+        self.cell.count(now, request, "quotes");
+        request
+    }
+
     pub fn cancel(&mut self, id: u64) -> u64 {
         let (request, now) = (self.request(), self.at());
         self.cell.cancel(now, request, id);
@@ -262,7 +268,8 @@
     /// Has the ledger store what waits, unless it is away.
     pub fn commit(&mut self) {
         if self.pending.is_none() {
-            self.pending = self.cell.next_batch().map(|batch| batch.records);
+            let now = self.at();
+            self.pending = self.cell.next_batch(now).map(|batch| batch.records);
         }
         if self.store_away {
             return;
