Split what a newcomer would stumble over

Take-over, waves and calls to runners are functions of one step each; the logs of both roles share one layout, and a run that is taken back and one that is lost go one way.

--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -286,19 +286,13 @@
 
     /// Takes back a run that has surely not started.
     pub(super) fn unstart(&mut self, now: Instant, task: &Task, why: &str) {
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
-            return;
-        };
+        let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else { return };
         let Status::Placed(placement) = &state.status else { return };
         info!(
             "start: task={task} run={} runner={} taken_back={why:?}",
             state.run, placement.runner
         );
-        let runner = Rc::clone(&placement.runner);
-        state.status = Status::Waiting;
-        self.release(now, &runner, task);
-        self.mark(task.job);
-        self.wait(task.job);
+        self.lose(now, task);
     }
 
     /// Ends every run on a runner, as it has ended or its lease has lapsed.
@@ -317,7 +311,7 @@
         }
     }
 
-    /// A run has ended without a word.
+    /// A run has ended without a word: its task waits again.
     pub(super) fn lose(&mut self, now: Instant, task: &Task) {
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
             return;
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -71,27 +71,12 @@
     }
 
     fn advance_wave(&mut self, now: Instant, number: Number) {
-        let Some(wave) = self.pools.waves.get(&number) else { return };
+        let left = self.left_of(number);
         if self.pools.machines.is_empty() {
             return;
         }
-        let left: Vec<MachineId> = wave
-            .order
-            .machines
-            .iter()
-            .filter(|id| !self.pools.is_done(number, id) && self.pools.machines.contains_key(*id))
-            .cloned()
-            .collect();
         if left.is_empty() {
-            info!(
-                "wave: number={number} complete=true ms={}",
-                now.saturating_duration_since(wave.begun).as_millis()
-            );
-            if let Some(wave) = self.pools.waves.get_mut(&number) {
-                wave.complete = true;
-            }
-            self.effects.push(Effect::Report(number, true));
-            return;
+            return self.complete_wave(now, number);
         }
         for machine in &left {
             if self.pools.may_have_begun(number, machine) && !self.has_plan(machine) {
@@ -118,6 +103,23 @@
         }
     }
 
+    /// VMs of a wave that are still due.
+    fn left_of(&self, number: Number) -> Vec<MachineId> {
+        let Some(wave) = self.pools.waves.get(&number) else { return Vec::new() };
+        let due = |id: &&MachineId| {
+            !self.pools.is_done(number, id) && self.pools.machines.contains_key(*id)
+        };
+        wave.order.machines.iter().filter(due).cloned().collect()
+    }
+
+    fn complete_wave(&mut self, now: Instant, number: Number) {
+        let Some(wave) = self.pools.waves.get_mut(&number) else { return };
+        let ms = now.saturating_duration_since(wave.begun).as_millis();
+        info!("wave: number={number} complete=true ms={ms}");
+        wave.complete = true;
+        self.effects.push(Effect::Report(number, true));
+    }
+
     fn has_plan(&self, machine: &str) -> bool {
         self.pools.machines.get(machine).is_some_and(|vm| vm.plan.is_some())
     }
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod shared;
 mod stop;
 mod store;
+mod takeover;
 
 pub use output::init as init_log;
 
--- a/src/job/daemon/output.rs
+++ b/src/job/daemon/output.rs
@@ -4,21 +4,19 @@
 //! take is dropped, as are lines above [`LINES_PER_S`], and a later line says how many.
 
 use {
-    crate::logging::{Error, Result},
+    crate::logging::{self, Error, Result},
     log::LevelFilter,
     rustix::{
         fs::{OFlags, fcntl_getfl, fcntl_setfl},
         stdio,
     },
-    simplelog::{ConfigBuilder, WriteLogger},
+    simplelog::WriteLogger,
     std::{
         io::{self, Write},
         time::{Duration, Instant},
     },
 };
 
-/// Lines of other crates are left out.
-const OWN_TARGET: &str = "carobhitch";
 /// Lines written in a second, over a longer time.
 const LINES_PER_S: f64 = 400.0;
 /// Lines written at once after a quiet time.
@@ -30,15 +28,7 @@
 
 /// Writes log lines of `level` and above to standard output; may be called once in a process.
 pub fn init(level: LevelFilter) -> Result<()> {
-    let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .set_time_level(LevelFilter::Error)
-        .set_target_level(LevelFilter::Off)
-        .set_thread_level(LevelFilter::Off)
-        .set_location_level(LevelFilter::Off)
-        .add_filter_allow_str(OWN_TARGET)
-        .build();
-    WriteLogger::init(level, config, Output::new()).map_err(Error::Set)
+    WriteLogger::init(level, logging::layout(), Output::new()).map_err(Error::Set)
 }
 
 /// Writes gathered lines from time to time.
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -1,7 +1,10 @@
 //! The owner's loop: events in, decisions of the cell, and its actions carried out.
 
 use {
-    super::{channel::Channel, follow, peer::Ask, runners::Runners, shared::Shared, store::Store},
+    super::{
+        channel::Channel, follow, peer::Ask, runners::Runners, shared::Shared, store::Store,
+        takeover,
+    },
     crate::{
         adapter::{
             self,
@@ -11,7 +14,7 @@
             answer::Answer,
             cell::{Action, Cell, RequestId, RunnerId},
             claim::Epoch,
-            ledger::{self, Record},
+            ledger::Record,
             manifest::Manifest,
             runner::{self, Entry, Report},
             spec::{self, Task},
@@ -19,7 +22,7 @@
         },
     },
     indexmap::IndexMap,
-    log::{error, info, warn},
+    log::{info, warn},
     std::{
         rc::Rc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -79,7 +82,7 @@
     let begun = Instant::now();
     info!("owner: epoch={epoch} taking_over=true");
     let mut cell = Cell::new(epoch, shared.settings.bounds, begun);
-    if let Err(e) = take_over(&mut cell, &store, epoch).await {
+    if let Err(e) = takeover::run(&mut cell, &store, epoch, wall_ms()).await {
         warn!("owner: epoch={epoch} take over: {e}");
         return;
     }
@@ -112,39 +115,6 @@
     shared.desk.borrow_mut().take();
 }
 
-/// Locks out former owners and reads the ledger and the lists.
-async fn take_over(cell: &mut Cell, store: &Store, epoch: Epoch) -> Result<(), Error> {
-    retry(|| store.fence(JOBS, epoch)).await?;
-    let records = retry(|| store.all(JOBS)).await?.records;
-    let (now, wall_ms) = (Instant::now(), wall_ms());
-    let mut contents = Vec::with_capacity(records.len());
-    for record in &records {
-        match ledger::read(record) {
-            Ok(content) => contents.push(content),
-            Err(e) => error!("owner: {e}"),
-        }
-    }
-    contents.sort_by_key(|content| match content {
-        ledger::Content::Manifest(_) | ledger::Content::Upkeep(_) | ledger::Content::Barrier => 0,
-        ledger::Content::Accepted(..) => 1,
-        ledger::Content::Progress(..) => 2,
-    });
-    for content in contents {
-        cell.restore(now, wall_ms, content);
-    }
-    Ok(())
-}
-
-/// Repeats a call until the store answers it.
-async fn retry<T, F: Future<Output = Result<T, Error>>>(call: impl Fn() -> F) -> Result<T, Error> {
-    loop {
-        match call().await {
-            Err(Error::Refused(_) | Error::Silent(_)) => sleep(APPEND_AGAIN).await,
-            outcome => return outcome,
-        }
-    }
-}
-
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/src/job/daemon/runners.rs
+++ b/src/job/daemon/runners.rs
@@ -51,40 +51,11 @@
         action: Action,
     ) {
         let fence = self.fence;
-        let channel =
-            self.channels.entry(address).or_insert_with(|| Rc::new(Channel::new(address, CALLS)));
-        let (channel, meter, events) = (Rc::clone(channel), Rc::clone(&self.meter), events.clone());
+        let new = || Rc::new(Channel::new(address, CALLS));
+        let channel = Rc::clone(self.channels.entry(address).or_insert_with(new));
+        let (meter, events) = (Rc::clone(&self.meter), events.clone());
         tasks.spawn_local(async move {
-            let event = match action {
-                Action::Start(id, start) => {
-                    let call = adapter::runner::start(&id, &start);
-                    let answer = order(&channel, &meter, "start", &call).await;
-                    Event::Started(id, start.task, start.run, answer)
-                }
-                Action::Stop(id, task, run) => {
-                    let call = adapter::runner::stop(&id, task, run, fence);
-                    let answer = order(&channel, &meter, "stop", &call).await;
-                    Event::Stopped(id, task, run, answer)
-                }
-                Action::Look(id, hold) => {
-                    let call = adapter::runner::hold(&id, &hold);
-                    let reply = send(&channel, &meter, "hold", &call, hold.wait + ANSWER).await;
-                    let answer = match reply {
-                        Ok(reply) => adapter::runner::report(&reply),
-                        Err(e) => Answer::Unknown(e.to_string()),
-                    };
-                    Event::Looked(id, hold.seen, answer)
-                }
-                Action::Pace(id, task, run, percent) => {
-                    let call = adapter::runner::pace(&id, task, run, percent, fence);
-                    let answer = order(&channel, &meter, "pace", &call).await;
-                    if answer != Answer::Done(0) {
-                        log::debug!("pace: task={task} percent={percent} answer={answer:?}");
-                    }
-                    return;
-                }
-                _ => return,
-            };
+            let Some(event) = call(&channel, &meter, fence, action).await else { return };
             if events.send(event).is_err() {
                 log::debug!("runner: an answer came after the cell was lost");
             }
@@ -92,6 +63,37 @@
     }
 }
 
+/// Carries out an action; its answer, if the owner waits for one.
+async fn call(channel: &Channel, meter: &Meter, fence: Fence, action: Action) -> Option<Event> {
+    match action {
+        Action::Start(id, start) => {
+            let call = adapter::runner::start(&id, &start);
+            let answer = order(channel, meter, "start", &call).await;
+            Some(Event::Started(id, start.task, start.run, answer))
+        }
+        Action::Stop(id, task, run) => {
+            let call = adapter::runner::stop(&id, task, run, fence);
+            let answer = order(channel, meter, "stop", &call).await;
+            Some(Event::Stopped(id, task, run, answer))
+        }
+        Action::Look(id, hold) => {
+            let call = adapter::runner::hold(&id, &hold);
+            let answer = match send(channel, meter, "hold", &call, hold.wait + ANSWER).await {
+                Ok(reply) => adapter::runner::report(&reply),
+                Err(e) => Answer::Unknown(e.to_string()),
+            };
+            Some(Event::Looked(id, hold.seen, answer))
+        }
+        Action::Pace(id, task, run, percent) => {
+            let call = adapter::runner::pace(&id, task, run, percent, fence);
+            let answer = order(channel, meter, "pace", &call).await;
+            log::debug!("pace: task={task} percent={percent} answer={answer:?}");
+            None
+        }
+        Action::Answer(..) | Action::Machine(_) | Action::Report(..) => None,
+    }
+}
+
 async fn order(channel: &Channel, meter: &Meter, name: &str, call: &Call) -> Answer<u64> {
     match send(channel, meter, name, call, ANSWER).await {
         Ok(reply) => adapter::runner::order(&reply),
--- /dev/null
+++ b/src/job/daemon/takeover.rs
@@ -0,0 +1,57 @@
+//! What a new owner does before it serves: it locks out former ones and reads the ledger.
+
+use {
+    super::store::Store,
+    crate::{
+        adapter::store::{Error, JOBS},
+        job::{
+            cell::Cell,
+            claim::Epoch,
+            ledger::{self, Content},
+        },
+    },
+    log::error,
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// Pause before a call that the store did not answer is repeated.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// Locks out former owners and reads the ledger and the lists.
+pub(super) async fn run(
+    cell: &mut Cell,
+    store: &Store,
+    epoch: Epoch,
+    wall_ms: u64,
+) -> Result<(), Error> {
+    retry(|| store.fence(JOBS, epoch)).await?;
+    let records = retry(|| store.all(JOBS)).await?.records;
+    let now = Instant::now();
+    let mut contents = Vec::with_capacity(records.len());
+    for record in &records {
+        match ledger::read(record) {
+            Ok(content) => contents.push(content),
+            Err(e) => error!("owner: {e}"),
+        }
+    }
+    contents.sort_by_key(|content| match content {
+        Content::Manifest(_) | Content::Upkeep(_) | Content::Barrier => 0,
+        Content::Accepted(..) => 1,
+        Content::Progress(..) => 2,
+    });
+    for content in contents {
+        cell.restore(now, wall_ms, content);
+    }
+    Ok(())
+}
+
+/// Repeats a call until the store answers it.
+async fn retry<T, F: Future<Output = Result<T, Error>>>(call: impl Fn() -> F) -> Result<T, Error> {
+    loop {
+        match call().await {
+            Err(Error::Refused(_) | Error::Silent(_)) => sleep(AGAIN).await,
+            outcome => return outcome,
+        }
+    }
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -6,7 +6,7 @@
 use {
     displaydoc::Display,
     log::{LevelFilter, SetLoggerError},
-    simplelog::{ConfigBuilder, WriteLogger},
+    simplelog::{Config, ConfigBuilder, WriteLogger},
     std::io,
 };
 
@@ -30,13 +30,18 @@
 /// Writes log lines of `level` and above from now on; may be called once in a process.
 pub fn init(level: &str) -> Result<()> {
     let filter: LevelFilter = level.parse().map_err(|_| Error::Level(String::from(level)))?;
-    let config = ConfigBuilder::new()
+    let config = layout();
+    WriteLogger::init(filter, config, io::stderr()).map_err(Error::Set)
+}
+
+/// Layout of the lines: time and level before the message, own lines only.
+pub(crate) fn layout() -> Config {
+    ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_time_level(LevelFilter::Error)
         .set_target_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str(OWN_TARGET)
-        .build();
-    WriteLogger::init(filter, config, io::stderr()).map_err(Error::Set)
+        .build()
 }
