--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -33,10 +33,11 @@
 const LOOK: Duration = Duration::from_millis(30);
 /// Time between two registrations of a runner.
 const HEARTBEAT: Duration = Duration::from_millis(500);
-/// First port of the entries; each process of tests has a block of its own.
+/// First port of the entries; each process of tests has a block of its own. A block holds the ports of
+/// all sites that live at once, as the port of a killed entry looks free to the others.
 const FIRST_PORT: u16 = 21_000;
-const PORTS_PER_BLOCK: u16 = 80;
-const PORT_BLOCKS: u32 = 130;
+const PORTS_PER_BLOCK: u16 = 700;
+const PORT_BLOCKS: u32 = 16;
 
 /// The platform, runners and entries.
 pub struct Site {
@@ -57,6 +58,7 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     peers: u16,
+    metrics: u16,
     name: String,
     child: Option<Child>,
 }
@@ -176,6 +178,7 @@
             callers: local(port()),
             ready: local(port()),
             peers: port(),
+            metrics: port(),
             name: format!("front-{number}"),
             child: None,
         };
@@ -185,7 +188,6 @@
 
     /// Starts an entry's process.
     pub fn launch(&mut self, number: usize) {
-        let metrics = port();
         let entry = &mut self.entries[number];
         let settings = format!(
             "node={name}\nzone=zone-a\nip=127.0.0.1\nlisten.front={callers}\nlisten.ready={ready}\n\
@@ -194,6 +196,7 @@
             callers = entry.callers,
             ready = entry.ready,
             peers = entry.peers,
+            metrics = entry.metrics,
             store = self.store_address,
             fleet = self.fleet_address,
         );
