Stop renewing leases when nothing confirms the owner

Found by reading: an owner cut off together with some runners, while the store and the new owner are on the other side, went on renewing their leases for as long as the cut lasted, and the new owner waited 7.8 s only before it started their tasks elsewhere. An owner that neither the ledger nor the claims have confirmed for 6 s now renews no more, and the next waits for that and a lease (test: an_owner_that_the_ledger..., fails without the bound). Open: after a suspension, which the steady clock doesn't count, an owner may renew once more before it looks at the log.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -60,7 +60,7 @@
 
     /// The ledger has stored the batch on its way.
     pub fn committed(&mut self, now: Instant) {
-        self.confirmed = self.sent.take().or(self.confirmed);
+        self.confirmed = self.confirmed.max(self.sent.take());
         for effect in self.in_flight.take().into_iter().flatten() {
             self.follow(now, effect);
         }
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -32,7 +32,7 @@
 impl Cell {
     /// Sends the looks that are due.
     pub(super) fn look_at_runners(&mut self, now: Instant) {
-        let fence = self.fence;
+        let (fence, renews) = (self.fence, self.may_renew(now));
         let mut looks = Vec::new();
         for (id, worker) in &mut self.workers {
             if worker.looking.is_some() || worker.entry.is_none() {
@@ -49,7 +49,7 @@
             let calm = worker.held && stored && busy && worker.failing.is_none();
             let settled = worker.next_look <= now && worker.failing.is_none();
             let wait = if calm && !settled { LOOK_WAIT } else { Duration::ZERO };
-            let extends = busy && worker.failing.is_none();
+            let extends = busy && renews && worker.failing.is_none();
             let until_ms = if extends { worker.grant(now) } else { None };
             worker.looking = Some(now);
             worker.next_look = now + Duration::from_secs(3_600);
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -58,6 +58,10 @@
 /// Rate error that a runner's clock may have.
 pub const CLOCK_ERROR: f64 = 0.02;
 
+/// Time after its last confirmation for which an owner renews leases: longer than most outages of the
+/// store, and a bound on how long a former owner that is cut off keeps runners going.
+pub const RENEWING: Duration = Duration::from_secs(6);
+
 /// What the owner does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -157,7 +161,7 @@
             effects: Vec::new(),
             in_flight: None,
             sent: None,
-            confirmed: None,
+            confirmed: Some(now),
             deposed: false,
             actions: Vec::new(),
             pools: Pools::new(now),
@@ -182,6 +186,16 @@
         self.deposed
     }
 
+    /// The log has taken a beat that this owner sent at `sent`.
+    pub fn confirm(&mut self, sent: Instant) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// Whether leases may be renewed: a new owner waits no longer than that for this one.
+    fn may_renew(&self, now: Instant) -> bool {
+        self.confirmed.is_some_and(|at| now.saturating_duration_since(at) < RENEWING)
+    }
+
     /// A newer owner has written.
     pub fn depose(&mut self) {
         self.deposed = true;
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Cell, Job, LEASE, Worker,
+        CLOCK_ERROR, Cell, Job, LEASE, RENEWING, Worker,
         job::{Phase, Placement, Status},
     },
     crate::job::{
@@ -17,8 +17,8 @@
     },
 };
 
-/// Time for which an owner that can't reach the ledger may still have extended leases.
-pub const FORMER_OWNER: Duration = Duration::from_millis(1_500);
+/// Time beyond a former owner's last lease before its tasks count as ended.
+const MARGIN: Duration = Duration::from_millis(300);
 
 impl Cell {
     /// Takes in a record; `wall_ms` is the time of day in milliseconds since the Unix epoch.
@@ -98,7 +98,7 @@
     }
 
     fn restore_placement(&mut self, now: Instant, task: Task, name: &str) {
-        let lapse = now + FORMER_OWNER + LEASE.max(self.bounds.lease).mul_f64(1.05);
+        let lapse = now + RENEWING + LEASE.mul_f64(1.0 + 2.0 * CLOCK_ERROR) + MARGIN;
         let id = match self.workers.get_full(name) {
             Some((_, id, _)) => Rc::clone(id),
             None => {
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -147,6 +147,9 @@
                 }
             }
             let now = Instant::now();
+            if let Some(sent) = self.shared.confirmed.get() {
+                self.cell.confirm(sent);
+            }
             if now.saturating_duration_since(ticked) >= TICK {
                 ticked = now;
                 self.cell.tick(now);
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -7,7 +7,7 @@
 use {
     carobhitch::job::{
         answer::Answer,
-        cell::{Action, LEASE},
+        cell::{Action, LEASE, RENEWING},
         ledger::Outcome,
         spec::{Step, Task},
     },
@@ -339,3 +339,19 @@
     world.run(seconds(0.1));
     assert_eq!(world.answers[&counted], Answer::Pending(1));
 }
+
+#[test]
+fn an_owner_that_the_ledger_does_not_confirm_stops_renewing_leases() {
+    let mut world = World::new(1);
+    world.run_time = seconds(60.0);
+    world.submit(JOB, spec(vec![step(1, 1_000)]));
+    world.run(seconds(0.5));
+    world.store_away = true;
+    world.run(RENEWING - seconds(0.5));
+    assert_eq!(world.runs(task(0, 0)), ["r0"], "an outage of the store ends no run at once");
+    world.run(LEASE * 2);
+    assert!(
+        world.runs(task(0, 0)).is_empty(),
+        "a new owner that can't reach r0 starts it elsewhere"
+    );
+}
