--- a/src/bin/carobhitch-entry/clap_app.rs
+++ b/src/bin/carobhitch-entry/clap_app.rs
@@ -22,6 +22,14 @@
                 .help("Place jobs on runners, with the platform's settings file")
                 .long_help("Place jobs on runners. The settings file is the platform's; the variable CAROBHITCH_CONFIG names it if --settings does not"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .requires("jobs")
+                .value_parser(value_parser!(u16).range(1..))
+                .help("Serve metrics at this port instead of the second one of the settings' range"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/src/bin/carobhitch-entry/config.rs
+++ b/src/bin/carobhitch-entry/config.rs
@@ -27,7 +27,11 @@
     let named = matches.get_one::<PathBuf>("settings").cloned();
     let role = if matches.get_flag("jobs") {
         let path = named.unwrap_or_else(platform_path);
-        Role::Jobs(adapter::settings::load(&path)?)
+        let mut settings = adapter::settings::load(&path)?;
+        if let Some(port) = matches.get_one::<u16>("metrics-port") {
+            settings.metrics.set_port(*port);
+        }
+        Role::Jobs(settings)
     } else {
         Role::Requests(Settings::load(&named.unwrap_or_default())?)
     };
--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -8,7 +8,13 @@
 
 use {
     super::Cell,
-    crate::job::upkeep::{Action, MachineId, State},
+    crate::{
+        id::VmId,
+        job::{
+            spec::Step,
+            upkeep::{Action, State},
+        },
+    },
     indexmap::IndexMap,
     log::info,
     std::time::{Duration, Instant},
@@ -17,7 +23,7 @@
 /// Time between two looks at the balance.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Bounds of the time within which a job's remaining work should be done.
-const HORIZON: (f64, f64) = (0.8, 4.0);
+const HORIZON: (f64, f64) = (0.3, 1.0);
 /// Weight of work that is late already.
 const LATE_WEIGHT: f64 = 0.3;
 /// Cores that a VM is counted with where none of its pool is known, in thousandths.
@@ -27,7 +33,7 @@
 /// Part by which a turn's work may exceed what is forecast.
 const TURN_MARGIN: f64 = 1.1;
 /// VMs beyond the work that a pool keeps while turns agree.
-const RESERVE: f64 = 3.0;
+const RESERVE: f64 = 2.0;
 /// Part of its pool's first cores that a turn asks for where none was seen before.
 const FIRST_TURN: f64 = 1.3;
 /// Time for which a VM must have been empty before it goes back to the spare pool.
@@ -41,7 +47,7 @@
     /// Cores of its VMs, those on their way to it included.
     has: f64,
     /// VMs, those on their way to it included.
-    machines: usize,
+    vms: usize,
     /// Cores that its work asks for.
     needs: f64,
     /// Runners over which the tasks of a step must be spread.
@@ -51,7 +57,7 @@
 /// Logs what decided on moves: VMs and cores that each service has, and cores that it needs.
 fn log_demands(demands: &IndexMap<String, Demand>) {
     let one = |(service, demand): (&String, &Demand)| {
-        format!("{service}:{}:{:.0}:{:.0}", demand.machines, demand.has, demand.needs)
+        format!("{service}:{}:{:.0}:{:.0}", demand.vms, demand.has, demand.needs)
     };
     let all: Vec<String> = demands.iter().map(one).collect();
     info!("balance: services={}", all.join(","));
@@ -91,20 +97,20 @@
             .filter(|(_, missing)| *missing > self.vm_cores() / 2.0)
             .collect();
         short.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let mut free = self.free_machines(&spare, &demands);
+        let mut free = self.free_vms(&spare, &demands);
         let mut moves = Vec::new();
         for (service, missing) in short {
             let wanted = (missing / self.vm_cores()).round().max(1.0) as usize;
             for _ in 0..wanted {
                 let donor = free.iter().position(|(_, pool)| pool != service);
                 let Some(position) = donor else { break };
-                let (machine, _) = free.remove(position);
-                moves.push(Action::Move { machine, pool: service.clone() });
+                let (vm, _) = free.remove(position);
+                moves.push(Action::Move { vm, pool: service.clone() });
             }
         }
-        for (machine, pool) in free {
-            if pool != spare && self.idle(now, &machine) > IDLE {
-                moves.push(Action::Move { machine, pool: spare.clone() });
+        for (vm, pool) in free {
+            if pool != spare && self.idle(now, &vm) > IDLE {
+                moves.push(Action::Move { vm, pool: spare.clone() });
             }
         }
         if !moves.is_empty() {
@@ -116,8 +122,8 @@
     }
 
     fn first_cores(&self, service: &str) -> f64 {
-        let machines = self.pools.sizes.get(service).copied().unwrap_or_default();
-        machines as f64 * self.vm_cores()
+        let vms = self.pools.sizes.get(service).copied().unwrap_or_default();
+        vms as f64 * self.vm_cores()
     }
 
     fn observe_turns(&mut self, now: Instant, spare: &str) {
@@ -143,12 +149,22 @@
         demand.needs = demand.needs.max(cores * TURN_MARGIN + endless);
     }
 
+    /// Endless steps of a service.
+    fn endless_steps(&self, service: &str) -> impl Iterator<Item = &Step> {
+        let jobs = self.open_jobs().filter(move |job| *job.service == *service);
+        jobs.flat_map(|job| &job.spec.steps).filter(|step| step.endless)
+    }
+
     fn endless_cores(&self, service: &str) -> f64 {
-        let jobs = self.open_jobs().filter(|job| *job.service == *service && job.spec.endless());
-        let steps = jobs.flat_map(|job| &job.spec.steps);
-        let millicores =
-            steps.map(|step| u64::from(step.tasks) * u64::from(step.counted().millicores));
-        millicores.sum::<u64>() as f64 / 1_000.0
+        let cores = |step: &Step| f64::from(step.tasks) * f64::from(step.counted().millicores);
+        self.endless_steps(service).map(cores).sum::<f64>() / 1_000.0
+    }
+
+    /// VMs of `cores` cores that surely hold a service's endless tasks, however they are packed.
+    fn endless_vms(&self, service: &str, cores: f64) -> usize {
+        let widest = self.endless_steps(service).map(|step| step.counted().millicores).max();
+        let widest = f64::from(widest.unwrap_or_default()) / 1_000.0;
+        (self.endless_cores(service) / (cores - widest).max(1.0)).ceil() as usize
     }
 
     fn vm_cores(&self) -> f64 {
@@ -158,64 +174,60 @@
     }
 
     /// VMs that can move now, those of the spare pool first.
-    fn free_machines(
-        &self,
-        spare: &str,
-        demands: &IndexMap<String, Demand>,
-    ) -> Vec<(MachineId, String)> {
+    fn free_vms(&self, spare: &str, demands: &IndexMap<String, Demand>) -> Vec<(VmId, String)> {
         let mut free = Vec::new();
         let mut given: IndexMap<&str, usize> = IndexMap::new();
         let sheds = self.load.begun();
-        for (id, vm) in &self.pools.machines {
-            if vm.down() || vm.plan.is_some() {
+        for (id, member) in &self.pools.members {
+            if member.down() || member.plan.is_some() {
                 continue;
             }
-            let pool = vm.listed.pool.as_str();
+            let pool = member.listed.pool.as_str();
             if pool == spare {
-                free.insert(0, (id.clone(), vm.listed.pool.clone()));
+                free.insert(0, (id.clone(), member.listed.pool.clone()));
                 continue;
             }
             let Some(demand) = demands.get(pool) else { continue };
             let first = self.pools.sizes.get(pool).copied().unwrap_or(usize::MAX);
             let given = given.entry(pool).or_default();
             let left = demand.has - self.vm_cores() * (*given + 1) as f64;
-            let beyond = sheds || demand.machines > first + *given;
+            let beyond = sheds || demand.vms > first + *given;
             let needed = demand.needs + RESERVE * self.vm_cores();
             if beyond && left >= needed && self.is_empty(id) {
                 *given += 1;
-                free.push((id.clone(), vm.listed.pool.clone()));
+                free.push((id.clone(), member.listed.pool.clone()));
             }
         }
         free
     }
 
-    fn is_empty(&self, machine: &str) -> bool {
-        let worker = self.runner_of(machine).and_then(|id| self.workers.get(&id));
+    fn is_empty(&self, vm: &str) -> bool {
+        let worker = self.runner_of(vm).and_then(|id| self.workers.get(&id));
         worker.is_some_and(|worker| worker.tasks.is_empty() && !worker.draining())
     }
 
     /// Time for which a VM's runner has had no task.
-    fn idle(&self, now: Instant, machine: &str) -> Duration {
-        let worker = self.runner_of(machine).and_then(|id| self.workers.get(&id));
+    fn idle(&self, now: Instant, vm: &str) -> Duration {
+        let worker = self.runner_of(vm).and_then(|id| self.workers.get(&id));
         worker.map_or(Duration::ZERO, |w| now.saturating_duration_since(w.empty_since))
     }
 
     fn demands(&self, now: Instant) -> IndexMap<String, Demand> {
         let mut demands: IndexMap<String, Demand> = IndexMap::new();
         let cores = self.vm_cores();
-        for vm in self.pools.machines.values() {
-            let planned = vm.plan.as_ref().map(|plan| &plan.action);
+        for member in self.pools.members.values() {
+            let planned = member.plan.as_ref().map(|plan| &plan.action);
             let pool = match planned {
                 Some(Action::Move { pool, .. }) => pool,
                 Some(Action::Upkeep { .. }) => continue,
-                None => &vm.listed.pool,
+                None => &member.listed.pool,
             };
-            if vm.listed.state == State::Down {
+            if member.listed.state == State::Down {
                 continue;
             }
             let demand = demands.entry(pool.clone()).or_default();
             demand.has += cores;
-            demand.machines += 1;
+            demand.vms += 1;
         }
         for job in self.open_jobs() {
             let needs = self.job_cores(now, job);
@@ -224,8 +236,9 @@
             demand.spread = demand.spread.max(spread(job));
         }
         for (service, demand) in &mut demands {
+            let vms = demand.spread.max(self.endless_vms(service, cores));
             demand.needs = demand.needs.max(self.load.cores(service) + self.endless_cores(service));
-            demand.needs = demand.needs.max(demand.spread as f64 * cores);
+            demand.needs = demand.needs.max(vms as f64 * cores);
         }
         demands
     }
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -108,7 +108,7 @@
             Effect::Show(id) => self.show(now, id),
             Effect::StopAll(id) => self.stop_all(now, id),
             Effect::Declare => self.put_into_force(),
-            Effect::Act(action) => self.actions.push(Action::Machine(action)),
+            Effect::Act(action) => self.actions.push(Action::Vm(action)),
             Effect::Report(number, complete) => self.actions.push(Action::Report(number, complete)),
         }
     }
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -186,7 +186,7 @@
             report.running.iter().map(|row| (row.task, row.run)).collect();
         let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
         for task in tasks {
-            let state = self.jobs.get(&task.job).and_then(|job| job.task(&task));
+            let state = self.task(&task);
             let Some(state) = state else { continue };
             let Status::Placed(placement) = &state.status else { continue };
             let (run, phase, since) = (state.run, placement.phase, placement.since);
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -31,13 +31,14 @@
 };
 
 use {
+    self::job::State,
     super::{
         answer::Answer,
         ledger::{Outcome, Record},
         manifest::Manifest,
         runner::{self, Fence, Hold, Start},
         settings::Bounds,
-        spec::{self, Task},
+        spec::{self, Step, Task},
         upkeep,
     },
     indexmap::{IndexMap, IndexSet},
@@ -76,7 +77,7 @@
     /// Renews a lease and looks.
     Look(RunnerId, Hold),
     /// Acts on a VM.
-    Machine(upkeep::Action),
+    Vm(upkeep::Action),
     /// Reports a wave: whether it is complete.
     Report(upkeep::Number, bool),
 }
@@ -90,7 +91,7 @@
             Self::Stop(..) => "stop",
             Self::Pace(..) => "pace",
             Self::Look(..) => "look",
-            Self::Machine(_) => "machine",
+            Self::Vm(_) => "vm",
             Self::Report(..) => "report",
         }
     }
@@ -191,6 +192,12 @@
         self.confirmed = self.confirmed.max(Some(sent));
     }
 
+    /// Forgets when this owner was last confirmed, as the VM slept for a time that the clock hides.
+    pub fn unconfirm(&mut self) {
+        self.confirmed = None;
+        self.sent = None;
+    }
+
     /// Whether leases may be renewed: a new owner waits no longer than that for this one.
     fn may_renew(&self, now: Instant) -> bool {
         self.confirmed.is_some_and(|at| now.saturating_duration_since(at) < RENEWING)
@@ -226,7 +233,7 @@
         }
         self.advance_waves(now);
         self.balance(now);
-        self.empty_machines(now);
+        self.empty_vms(now);
         self.look_at_runners(now);
     }
 
@@ -244,6 +251,21 @@
         jobs.filter(|job| job.outcome == Outcome::Open)
     }
 
+    /// State of a task.
+    fn task(&self, task: &Task) -> Option<&State> {
+        self.jobs.get(&task.job)?.task(task)
+    }
+
+    /// State of a task, to be changed.
+    fn task_mut(&mut self, task: &Task) -> Option<&mut State> {
+        self.jobs.get_mut(&task.job)?.task_mut(task)
+    }
+
+    /// Step of a task.
+    fn step(&self, task: &Task) -> Option<&Step> {
+        self.jobs.get(&task.job)?.step(task)
+    }
+
     fn mark(&mut self, id: spec::Id) {
         self.dirty.insert(id);
     }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -87,7 +87,7 @@
             worker.failing.get_or_insert(now);
             worker.next_look = now;
         }
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task)) else {
+        let Some(state) = self.task_mut(&task) else {
             return;
         };
         if let Some(placement) = placed(state, run, runner, Phase::Sent) {
@@ -98,7 +98,7 @@
 
     /// Sends a stop, unless one is on its way.
     pub(super) fn stop_run(&mut self, now: Instant, task: &Task, runner: &RunnerId, run: u32) {
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+        let state = self.task_mut(task);
         let Some(state) = state else { return };
         let Status::Placed(placement) = &mut state.status else { return };
         if state.run != run || placement.runner != *runner {
@@ -130,7 +130,7 @@
             Answer::Rejected(Reason::Instance) => return self.replaced(now, runner),
             Answer::Rejected(_) | Answer::Unknown(_) => return,
         }
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task)) else {
+        let Some(state) = self.task_mut(&task) else {
             return;
         };
         if let Some(placement) = placed(state, run, runner, Phase::Stopping) {
@@ -235,7 +235,7 @@
 
     /// A run thought lost has ended well: a later one isn't needed.
     fn done_before(&mut self, now: Instant, task: &Task) {
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
+        let Some(state) = self.task_mut(task) else {
             return;
         };
         let run = state.run;
@@ -286,7 +286,7 @@
 
     /// Takes back a run that has surely not started.
     pub(super) fn unstart(&mut self, now: Instant, task: &Task, why: &str) {
-        let Some(state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else { return };
+        let Some(state) = self.task(task) else { return };
         let Status::Placed(placement) = &state.status else { return };
         info!(
             "start: task={task} run={} runner={} taken_back={why:?}",
@@ -313,7 +313,7 @@
 
     /// A run has ended without a word: its task waits again.
     pub(super) fn lose(&mut self, now: Instant, task: &Task) {
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) else {
+        let Some(state) = self.task_mut(task) else {
             return;
         };
         let Status::Placed(placement) = &state.status else { return };
--- a/src/job/cell/pace.rs
+++ b/src/job/cell/pace.rs
@@ -55,7 +55,7 @@
     }
 
     fn step_of(&self, row: &Running) -> Option<&Step> {
-        self.jobs.get(&row.task.job).and_then(|job| job.step(&row.task))
+        self.step(&row.task)
     }
 
     /// Tail latency of a task as a part of its objective; none if it has no objective.
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -147,7 +147,7 @@
         let Some((id, worker)) = self.workers.get_index_mut(runner) else { return };
         let runner = Rc::clone(id);
         worker.add(task, step);
-        let Some(state) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(&task)) else {
+        let Some(state) = self.task_mut(&task) else {
             return;
         };
         state.run += 1;
@@ -160,7 +160,7 @@
 
     fn choose(&self, task: &Task, step: &Step, pool: &Pool) -> Choice {
         let need = step.counted();
-        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let state = self.task(task);
         let failed_on = state.and_then(|state| state.failed_on.as_ref());
         let mut best: Option<(Fit, usize)> = None;
         let mut roomiest: Option<(u32, usize)> = None;
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -6,10 +6,13 @@
 
 use {
     super::{Cell, Effect, Phase, RunnerId, Status},
-    crate::job::{
-        ledger,
-        spec::Task,
-        upkeep::{self, Action, Machine, MachineId, Refusal, State},
+    crate::{
+        id::VmId,
+        job::{
+            ledger,
+            spec::Task,
+            upkeep::{self, Action, Refusal, State, Vm},
+        },
     },
     indexmap::{IndexMap, IndexSet},
     log::{info, warn},
@@ -19,6 +22,8 @@
     },
 };
 
+/// Time after an action in which the platform's list may still show what was before it.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Pause before an action that was not carried out is sent again.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Time for which a VM may refuse an action as busy before the plan is given up.
@@ -32,10 +37,10 @@
 /// VMs and waves of a cell.
 #[derive(Clone, Debug)]
 pub struct Pools {
-    pub(super) machines: IndexMap<MachineId, Vm>,
+    pub(super) members: IndexMap<VmId, Member>,
     pub(super) waves: IndexMap<upkeep::Number, Wave>,
-    pub(super) done: IndexMap<upkeep::Number, Vec<MachineId>>,
-    pub(super) begun: IndexMap<upkeep::Number, Vec<MachineId>>,
+    pub(super) done: IndexMap<upkeep::Number, Vec<VmId>>,
+    pub(super) begun: IndexMap<upkeep::Number, Vec<VmId>>,
     pub(super) sizes: IndexMap<String, usize>,
     pub(super) balanced: Instant,
     changed: bool,
@@ -43,9 +48,9 @@
 
 /// A VM.
 #[derive(Clone, Debug)]
-pub(super) struct Vm {
+pub(super) struct Member {
     /// What the platform says.
-    pub(super) listed: Machine,
+    pub(super) listed: Vm,
     /// What is planned.
     pub(super) plan: Option<Plan>,
     /// Its last action, until its new runner is known.
@@ -93,7 +98,7 @@
     /// No VM yet.
     pub fn new(now: Instant) -> Self {
         Self {
-            machines: IndexMap::new(),
+            members: IndexMap::new(),
             waves: IndexMap::new(),
             done: IndexMap::new(),
             begun: IndexMap::new(),
@@ -124,13 +129,13 @@
     }
 
     /// Whether the call for a VM's upkeep may have been carried out.
-    pub(super) fn may_have_begun(&self, wave: upkeep::Number, machine: &str) -> bool {
-        self.begun.get(&wave).is_some_and(|begun| begun.iter().any(|id| id == machine))
+    pub(super) fn may_have_begun(&self, wave: upkeep::Number, vm: &str) -> bool {
+        self.begun.get(&wave).is_some_and(|begun| begun.iter().any(|id| id == vm))
     }
 
-    fn mark_begun(&mut self, wave: upkeep::Number, machine: &str) {
-        if !self.may_have_begun(wave, machine) {
-            self.begun.entry(wave).or_default().push(String::from(machine));
+    fn mark_begun(&mut self, wave: upkeep::Number, vm: &str) {
+        if !self.may_have_begun(wave, vm) {
+            self.begun.entry(wave).or_default().push(String::from(vm));
             self.changed = true;
         }
     }
@@ -140,15 +145,15 @@
     }
 
     /// Whether a VM of a wave has begun its upkeep.
-    pub(super) fn is_done(&self, wave: upkeep::Number, machine: &str) -> bool {
-        self.done.get(&wave).is_some_and(|done| done.iter().any(|id| id == machine))
+    pub(super) fn is_done(&self, wave: upkeep::Number, vm: &str) -> bool {
+        self.done.get(&wave).is_some_and(|done| done.iter().any(|id| id == vm))
     }
 
-    pub(super) fn mark_done(&mut self, wave: upkeep::Number, machine: &str) {
-        if !self.is_done(wave, machine) {
-            self.done.entry(wave).or_default().push(String::from(machine));
+    pub(super) fn mark_done(&mut self, wave: upkeep::Number, vm: &str) {
+        if !self.is_done(wave, vm) {
+            self.done.entry(wave).or_default().push(String::from(vm));
             if let Some(begun) = self.begun.get_mut(&wave) {
-                begun.retain(|id| id != machine);
+                begun.retain(|id| id != vm);
             }
             self.changed = true;
         }
@@ -156,17 +161,43 @@
 
     /// Notes the sizes of the pools, the first time that they are known.
     fn note_sizes(&mut self) {
-        if !self.sizes.is_empty() || self.machines.is_empty() {
+        if !self.sizes.is_empty() || self.members.is_empty() {
             return;
         }
-        for vm in self.machines.values() {
-            *self.sizes.entry(vm.listed.pool.clone()).or_default() += 1;
+        for member in self.members.values() {
+            *self.sizes.entry(member.listed.pool.clone()).or_default() += 1;
         }
         self.changed = true;
     }
 }
 
-impl Vm {
+impl Member {
+    /// Takes in what the platform lists, unless that is from before the last action.
+    fn relist(&mut self, now: Instant, vm: Vm) {
+        let older = |acted: &Acted| {
+            let recent = now.saturating_duration_since(acted.at) < LIST_LAG;
+            recent && vm.state == State::Up && vm.runner == acted.former
+        };
+        if !self.acted.as_ref().is_some_and(older) {
+            self.listed = vm;
+        }
+    }
+
+    /// Notes that an action was carried out.
+    fn carried_out(&mut self, now: Instant, action: &Action) {
+        let former = self.listed.runner.take();
+        let upkeep = matches!(action, Action::Upkeep { .. });
+        self.plan = None;
+        self.acted = Some(Acted { at: now, former, upkeep });
+        match action {
+            Action::Move { pool, .. } => {
+                self.listed.pool.clone_from(pool);
+                self.listed.state = State::Moving;
+            }
+            Action::Upkeep { .. } => self.listed.state = State::Upkeep,
+        }
+    }
+
     /// Whether it is down, or was acted on and has no new runner yet.
     pub(super) fn down(&self) -> bool {
         self.listed.state != State::Up || self.acted.is_some()
@@ -180,62 +211,63 @@
 
 impl Cell {
     /// The platform lists its VMs.
-    pub fn list_machines(&mut self, now: Instant, machines: Vec<Machine>) {
-        let listed: IndexSet<MachineId> = machines.iter().map(|m| m.id.clone()).collect();
-        for machine in machines {
-            match self.pools.machines.get_mut(&machine.id) {
-                Some(vm) => vm.listed = machine,
+    pub fn list_vms(&mut self, now: Instant, vms: Vec<Vm>) {
+        let listed: IndexSet<VmId> = vms.iter().map(|m| m.id.clone()).collect();
+        for vm in vms {
+            match self.pools.members.get_mut(&vm.id) {
+                Some(member) => member.relist(now, vm),
                 None => {
-                    let id = machine.id.clone();
-                    let vm = Vm { listed: machine, plan: None, acted: None };
-                    self.pools.machines.insert(id, vm);
+                    let id = vm.id.clone();
+                    let member = Member { listed: vm, plan: None, acted: None };
+                    self.pools.members.insert(id, member);
                 }
             }
         }
-        self.pools.machines.retain(|id, vm| listed.contains(id) || vm.plan.is_some());
+        self.pools.members.retain(|id, member| listed.contains(id) || member.plan.is_some());
         self.pools.note_sizes();
-        for vm in self.pools.machines.values_mut() {
-            let Some(Acted { at, former, .. }) = &vm.acted else { continue };
-            let renewed = vm.listed.state == State::Up && vm.listed.runner != *former;
-            let off =
-                vm.listed.state == State::Up && vm.listed.runner.is_none() && former.is_none();
+        for member in self.pools.members.values_mut() {
+            let Some(Acted { at, former, .. }) = &member.acted else { continue };
+            let renewed = member.listed.state == State::Up && member.listed.runner != *former;
+            let off = member.listed.state == State::Up
+                && member.listed.runner.is_none()
+                && former.is_none();
             let stale = now.saturating_duration_since(*at) > SETTLE;
             if renewed || stale || off && now.saturating_duration_since(*at) > AGAIN * 8 {
-                vm.acted = None;
+                member.acted = None;
             }
         }
     }
 
     /// Runner of a VM, if one is known.
-    pub(super) fn runner_of(&self, machine: &str) -> Option<RunnerId> {
-        let vm = self.pools.machines.get(machine)?;
-        let id = vm.listed.runner.as_deref()?;
+    pub(super) fn runner_of(&self, vm: &str) -> Option<RunnerId> {
+        let member = self.pools.members.get(vm)?;
+        let id = member.listed.runner.as_deref()?;
         self.workers.get_key_value(id).map(|(id, _)| Rc::clone(id))
     }
 
     /// Plans an action; its VM gets no new tasks from now on.
     pub(super) fn plan_action(&mut self, now: Instant, action: Action) {
-        let runner = self.runner_of(action.machine());
+        let runner = self.runner_of(action.vm());
         if let Some(worker) = runner.as_ref().and_then(|id| self.workers.get_mut(id)) {
             worker.reserved = true;
         }
-        let Some(vm) = self.pools.machines.get_mut(action.machine()) else { return };
-        info!("machine: id={} plan={action:?} runner={runner:?}", vm.listed.id);
-        vm.plan = Some(Plan { action, since: now, stage: Stage::Empty });
+        let Some(member) = self.pools.members.get_mut(action.vm()) else { return };
+        info!("vm: id={} plan={action:?} runner={runner:?}", member.listed.id);
+        member.plan = Some(Plan { action, since: now, stage: Stage::Empty });
     }
 
     /// Empties the reserved VMs, and acts on those that are empty.
-    pub(super) fn empty_machines(&mut self, now: Instant) {
-        let planned: Vec<MachineId> = self
+    pub(super) fn empty_vms(&mut self, now: Instant) {
+        let planned: Vec<VmId> = self
             .pools
-            .machines
+            .members
             .iter()
-            .filter(|(_, vm)| vm.plan.is_some())
+            .filter(|(_, member)| member.plan.is_some())
             .map(|(id, _)| id.clone())
             .collect();
-        for machine in planned {
-            let runner = self.runner_of(&machine);
-            let Some(plan) = self.pools.machines.get(&machine).and_then(|vm| vm.plan.clone())
+        for vm in planned {
+            let runner = self.runner_of(&vm);
+            let Some(plan) = self.pools.members.get(&vm).and_then(|member| member.plan.clone())
             else {
                 continue;
             };
@@ -243,27 +275,27 @@
                 Stage::Empty => {
                     let worker = runner.as_ref().and_then(|id| self.workers.get(id));
                     if worker.is_none_or(|worker| worker.tasks.is_empty()) {
-                        self.act(&machine, &plan.action);
+                        self.act(&vm, &plan.action);
                     } else if let Some(runner) = runner {
                         self.stop_endless(now, &runner);
                     }
                 }
-                Stage::Again(at) if at <= now => self.act(&machine, &plan.action),
+                Stage::Again(at) if at <= now => self.act(&vm, &plan.action),
                 Stage::Again(_) | Stage::Sent => {}
             }
         }
     }
 
-    fn act(&mut self, machine: &str, action: &Action) {
+    fn act(&mut self, vm: &str, action: &Action) {
         if let Action::Upkeep { wave, .. } = action {
             let (wave, most) = (*wave, self.most_down(*wave));
-            let resumes = self.pools.may_have_begun(wave, machine);
+            let resumes = self.pools.may_have_begun(wave, vm);
             if !resumes && self.down_of(wave) >= most {
                 return;
             }
-            self.pools.mark_begun(wave, machine);
+            self.pools.mark_begun(wave, vm);
         }
-        if let Some(plan) = self.pools.machines.get_mut(machine).and_then(|vm| vm.plan.as_mut()) {
+        if let Some(plan) = self.pools.members.get_mut(vm).and_then(|member| member.plan.as_mut()) {
             plan.stage = Stage::Sent;
         }
         self.effects.push(Effect::Act(action.clone()));
@@ -275,7 +307,7 @@
         let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
         for task in tasks {
             if self.may_stop(now, &task) {
-                let run = self.jobs.get(&task.job).and_then(|job| job.task(&task)).map(|s| s.run);
+                let run = self.task(&task).map(|s| s.run);
                 self.stop_run(now, &task, runner, run.unwrap_or_default());
             }
         }
@@ -303,18 +335,16 @@
 
     /// The platform answers an action on a VM.
     pub fn acted(&mut self, now: Instant, action: &Action, outcome: Result<(), Refusal>) {
-        let machine = action.machine();
-        let runner = self.runner_of(machine);
-        let Some(vm) = self.pools.machines.get_mut(machine) else { return };
-        let Some(plan) = vm.plan.as_mut().filter(|plan| plan.action == *action) else { return };
+        let vm = action.vm();
+        let runner = self.runner_of(vm);
+        let Some(member) = self.pools.members.get_mut(vm) else { return };
+        let Some(plan) = member.plan.as_mut().filter(|plan| plan.action == *action) else { return };
         let given_up = match outcome {
             Ok(()) => {
-                info!("machine: id={machine} done={action:?}");
-                vm.plan = None;
-                let upkeep = matches!(action, Action::Upkeep { .. });
-                vm.acted = Some(Acted { at: now, former: vm.listed.runner.clone(), upkeep });
+                info!("vm: id={vm} done={action:?}");
+                member.carried_out(now, action);
                 if let Action::Upkeep { wave, .. } = action {
-                    self.pools.mark_done(*wave, machine);
+                    self.pools.mark_done(*wave, vm);
                 }
                 self.end_life(now, runner);
                 return;
@@ -324,22 +354,22 @@
             Err(Refusal::Fence | Refusal::Impossible | Refusal::Wave) => true,
         };
         if given_up {
-            warn!("machine: id={machine} given_up={action:?} why={outcome:?}");
+            warn!("vm: id={vm} given_up={action:?} why={outcome:?}");
             if let (Action::Upkeep { wave, .. }, Err(Refusal::Wave | Refusal::Impossible)) =
                 (action, &outcome)
             {
-                self.pools.mark_done(*wave, machine);
+                self.pools.mark_done(*wave, vm);
             }
-            return self.give_up_plan(machine);
+            return self.give_up_plan(vm);
         }
-        info!("machine: id={machine} again={action:?} why={outcome:?}");
+        info!("vm: id={vm} again={action:?} why={outcome:?}");
         plan.stage = Stage::Again(now + AGAIN);
     }
 
-    fn give_up_plan(&mut self, machine: &str) {
-        let runner = self.runner_of(machine);
-        if let Some(vm) = self.pools.machines.get_mut(machine) {
-            vm.plan = None;
+    fn give_up_plan(&mut self, vm: &str) {
+        let runner = self.runner_of(vm);
+        if let Some(member) = self.pools.members.get_mut(vm) {
+            member.plan = None;
         }
         if let Some(worker) = runner.and_then(|id| self.workers.get_mut(&id)) {
             worker.reserved = false;
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -6,9 +6,12 @@
 use {
     super::{
         Cell, Effect,
-        pools::{Vm, Wave},
+        pools::{Member, Wave},
+    },
+    crate::{
+        id::VmId,
+        job::upkeep::{Action, Number, Order},
     },
-    crate::job::upkeep::{Action, MachineId, Number, Order},
     indexmap::IndexMap,
     log::info,
     std::time::{Duration, Instant},
@@ -27,8 +30,8 @@
             return;
         }
         info!(
-            "wave: number={number} machines={} most={} within_s={}",
-            order.machines.len(),
+            "wave: number={number} vms={} most={} within_s={}",
+            order.vms.len(),
             order.most,
             order.within.as_secs_f64()
         );
@@ -42,13 +45,13 @@
     /// VMs of a wave that are down for it, or are about to be.
     pub(super) fn down_of(&self, wave: Number) -> usize {
         let of_wave = |id: &str| {
-            self.pools.waves.get(&wave).is_some_and(|w| w.order.machines.iter().any(|m| m == id))
+            self.pools.waves.get(&wave).is_some_and(|w| w.order.vms.iter().any(|m| m == id))
         };
-        let down = |vm: &&Vm| {
-            let id = vm.listed.id.as_str();
-            self.pools.may_have_begun(wave, id) || vm.in_upkeep() && of_wave(id)
+        let down = |member: &&Member| {
+            let id = member.listed.id.as_str();
+            self.pools.may_have_begun(wave, id) || member.in_upkeep() && of_wave(id)
         };
-        self.pools.machines.values().filter(down).count()
+        self.pools.members.values().filter(down).count()
     }
 
     /// Most VMs of a wave that may be down at once.
@@ -72,44 +75,42 @@
 
     fn advance_wave(&mut self, now: Instant, number: Number) {
         let left = self.left_of(number);
-        if self.pools.machines.is_empty() {
+        if self.pools.members.is_empty() {
             return;
         }
         if left.is_empty() {
             return self.complete_wave(now, number);
         }
-        for machine in &left {
-            if self.pools.may_have_begun(number, machine) && !self.has_plan(machine) {
-                let machine = machine.clone();
-                self.plan_action(now, Action::Upkeep { machine, wave: number });
+        for vm in &left {
+            if self.pools.may_have_begun(number, vm) && !self.has_plan(vm) {
+                let vm = vm.clone();
+                self.plan_action(now, Action::Upkeep { vm, wave: number });
             }
         }
-        let emptying =
-            |id: &&MachineId| self.has_plan(id) && !self.pools.may_have_begun(number, id);
+        let emptying = |id: &&VmId| self.has_plan(id) && !self.pools.may_have_begun(number, id);
         let busy = left.iter().filter(emptying).count() + self.down_of(number);
         let room = self.at_once(now, number, left.len()).saturating_sub(busy);
         if room == 0 {
             return;
         }
         let pressures = self.pressures(now);
-        let mut ready: Vec<(u64, MachineId)> = left
+        let mut ready: Vec<(u64, VmId)> = left
             .into_iter()
             .filter(|id| !self.has_plan(id))
             .filter_map(|id| self.upkeep_cost(&pressures, &id).map(|cost| (cost, id)))
             .collect();
         ready.sort_unstable();
-        for (_, machine) in ready.into_iter().take(room) {
-            self.plan_action(now, Action::Upkeep { machine, wave: number });
+        for (_, vm) in ready.into_iter().take(room) {
+            self.plan_action(now, Action::Upkeep { vm, wave: number });
         }
     }
 
     /// VMs of a wave that are still due.
-    fn left_of(&self, number: Number) -> Vec<MachineId> {
+    fn left_of(&self, number: Number) -> Vec<VmId> {
         let Some(wave) = self.pools.waves.get(&number) else { return Vec::new() };
-        let due = |id: &&MachineId| {
-            !self.pools.is_done(number, id) && self.pools.machines.contains_key(*id)
-        };
-        wave.order.machines.iter().filter(due).cloned().collect()
+        let due =
+            |id: &&VmId| !self.pools.is_done(number, id) && self.pools.members.contains_key(*id);
+        wave.order.vms.iter().filter(due).cloned().collect()
     }
 
     fn complete_wave(&mut self, now: Instant, number: Number) {
@@ -120,8 +121,8 @@
         self.effects.push(Effect::Report(number, true));
     }
 
-    fn has_plan(&self, machine: &str) -> bool {
-        self.pools.machines.get(machine).is_some_and(|vm| vm.plan.is_some())
+    fn has_plan(&self, vm: &str) -> bool {
+        self.pools.members.get(vm).is_some_and(|member| member.plan.is_some())
     }
 
     /// VMs to keep down or in preparation, so that the wave ends in time.
@@ -136,20 +137,18 @@
     }
 
     /// What taking a VM down costs its service now; none if it can't be.
-    fn upkeep_cost(&self, pressures: &IndexMap<String, f64>, machine: &str) -> Option<u64> {
-        let vm = self.pools.machines.get(machine)?;
-        if vm.down() {
+    fn upkeep_cost(&self, pressures: &IndexMap<String, f64>, vm: &str) -> Option<u64> {
+        let member = self.pools.members.get(vm)?;
+        if member.down() {
             return None;
         }
-        let Some(runner) = self.runner_of(machine) else { return Some(0) };
+        let Some(runner) = self.runner_of(vm) else { return Some(0) };
         let worker = self.workers.get(&runner)?;
         if worker.failing.is_some() || worker.draining() {
             return None;
         }
-        let endless = worker.tasks.keys().filter(|task| {
-            self.jobs.get(&task.job).and_then(|job| job.step(task)).is_some_and(|s| s.endless)
-        });
-        let pressure = pressures.get(&vm.listed.pool).copied().unwrap_or_default();
+        let endless = worker.tasks.keys().filter(|task| self.step(task).is_some_and(|s| s.endless));
+        let pressure = pressures.get(&member.listed.pool).copied().unwrap_or_default();
         let pressure = (pressure * 1_000.0) as u64;
         Some(
             1 + pressure * 100
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -214,7 +214,7 @@
             }
             return;
         };
-        let machine = entry.machine.clone();
+        let vm = entry.vm.clone();
         match self.workers.get_mut(id) {
             Some(worker) if worker.ignores(&entry) => {}
             Some(worker) => {
@@ -243,19 +243,19 @@
                 self.workers.insert(Rc::from(id), Worker::new(Some(entry), now, now));
             }
         }
-        self.end_former_lives(now, id, &machine);
+        self.end_former_lives(now, id, &vm);
     }
 
     /// Runners of the same VM that are not its newest have ended.
-    fn end_former_lives(&mut self, now: Instant, id: &str, machine: &str) {
-        if machine.is_empty() {
+    fn end_former_lives(&mut self, now: Instant, id: &str, vm: &str) {
+        if vm.is_empty() {
             return;
         }
         let Some(born) = self.workers.get(id).and_then(|worker| worker.born) else { return };
         let former = |(other, worker): (&RunnerId, &Worker)| {
             let entry = worker.entry.as_ref()?;
             let older = worker.born.is_some_and(|other_born| other_born < born);
-            (entry.machine == machine && older).then(|| Rc::clone(other))
+            (entry.vm == vm && older).then(|| Rc::clone(other))
         };
         let former: Vec<_> = self.workers.iter().filter_map(former).collect();
         for other in former {
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -63,7 +63,7 @@
     }
 
     /// Sends a call and waits for its whole reply, at most `limit`.
-    pub async fn call(&self, call: &Call, limit: Duration) -> Result<Reply> {
+    pub async fn call(&self, call: Call, limit: Duration) -> Result<Reply> {
         let Ok(_permit) = self.permits.acquire().await else {
             return Err(Error::Connect(self.address, String::from("the channel is closed")));
         };
@@ -75,7 +75,7 @@
         outcome
     }
 
-    async fn exchange(&self, call: &Call) -> Result<Reply> {
+    async fn exchange(&self, call: Call) -> Result<Reply> {
         let mut request = self.request(call)?;
         loop {
             let pooled = self.idle.borrow_mut().pop();
@@ -116,7 +116,7 @@
         Ok(Reply { status, body: body.to_bytes().to_vec() })
     }
 
-    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>> {
+    fn request(&self, call: Call) -> Result<Request<Full<Bytes>>> {
         let mut builder = Request::builder()
             .method(call.method)
             .uri(call.path.as_str())
@@ -124,11 +124,11 @@
         if !call.body.is_empty() {
             builder = builder.header(CONTENT_TYPE, "application/json");
         }
-        for (name, value) in &call.headers {
-            builder = builder.header(*name, value.as_str());
+        for (name, value) in call.headers {
+            builder = builder.header(name, value);
         }
         builder
-            .body(Full::new(Bytes::from(call.body.clone())))
+            .body(Full::new(Bytes::from(call.body)))
             .map_err(|e| Error::Connect(self.address, e.to_string()))
     }
 
--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -1,7 +1,7 @@
 //! What the owner follows on the platform: the operators' records, the runners and the VMs.
 
 use {
-    super::{channel::Channel, owner::Event, shared::Shared, store::Store},
+    super::{channel::Channel, event::Event, shared::Shared, store::Store},
     crate::{
         adapter::{self, manifest, runner, store::Error},
         job::ledger::Record,
@@ -33,7 +33,7 @@
     tasks.spawn_local(records(Rc::clone(store), events.clone()));
     tasks.spawn_local(runners(Rc::clone(store), events.clone()));
     if let Some(address) = shared.settings.fleet {
-        tasks.spawn_local(machines(Channel::new(address, 1), events.clone()));
+        tasks.spawn_local(vms(Channel::new(address, 1), events.clone()));
     }
 }
 
@@ -124,15 +124,15 @@
     tail(&store, runner::TOPIC, Duration::ZERO, RUNNERS_PAUSE, take).await;
 }
 
-async fn machines(channel: Channel, events: UnboundedSender<Event>) {
+async fn vms(channel: Channel, events: UnboundedSender<Event>) {
     let mut away = false;
     loop {
         match list(&channel).await {
-            Ok(machines) => {
+            Ok(vms) => {
                 if std::mem::take(&mut away) {
                     info!("fleet: answers=true");
                 }
-                if events.send(Event::Machines(machines)).is_err() {
+                if events.send(Event::Vms(vms)).is_err() {
                     return;
                 }
             }
@@ -146,17 +146,17 @@
     }
 }
 
-async fn list(channel: &Channel) -> Result<Vec<crate::job::upkeep::Machine>, String> {
-    let mut machines = Vec::new();
+async fn list(channel: &Channel) -> Result<Vec<crate::job::upkeep::Vm>, String> {
+    let mut vms = Vec::new();
     let mut token: Option<String> = None;
     loop {
         let call = adapter::fleet::list(token.as_deref());
-        let reply = channel.call(&call, FLEET_ANSWER).await.map_err(|e| e.to_string())?;
+        let reply = channel.call(call, FLEET_ANSWER).await.map_err(|e| e.to_string())?;
         let page = adapter::fleet::page(&reply)?;
-        machines.extend(page.machines);
+        vms.extend(page.vms);
         match page.next {
             Some(next) => token = Some(next),
-            None => return Ok(machines),
+            None => return Ok(vms),
         }
     }
 }
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        listener::Listener,
         peer::{Ask, Method},
         shared::Shared,
     },
@@ -16,13 +17,13 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    log::{info, warn},
+    log::info,
     std::{
         convert::Infallible,
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, sync::watch, task::spawn_local, time::sleep},
+    tokio::{sync::watch, task::spawn_local, time::sleep},
 };
 
 /// Time for a caller to send its request's head.
@@ -35,28 +36,15 @@
 const DEADLINE: Duration = Duration::from_secs(3);
 /// What is left of a deadline for the answer's way back.
 const WAY_BACK: Duration = Duration::from_millis(60);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves callers until a stop is asked for and open connections have ended.
-pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+pub async fn serve(shared: Rc<Shared>, listener: Listener) {
     let mut stopping = shared.stopping.subscribe();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = listener.accept() => stream,
             () = lingered(&mut stopping) => return,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                warn!("front: accept: {e}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if let Err(e) = stream.set_nodelay(true) {
-            warn!("front: set no delay: {e}");
-        }
         spawn_local(connection(Rc::clone(&shared), TokioIo::new(stream)));
     }
 }
@@ -156,12 +144,9 @@
 }
 
 /// Tells the balancer whether this entry is ready.
-pub async fn serve_ready(shared: Rc<Shared>, listener: TcpListener) {
+pub async fn serve_ready(shared: Rc<Shared>, listener: Listener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = listener.accept().await;
         let shared = Rc::clone(&shared);
         spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- a/src/job/daemon/meter.rs
+++ b/src/job/daemon/meter.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms, served as text.
 
 use {
-    super::peer::Method,
+    super::{listener::Listener, peer::Method},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn},
@@ -11,13 +11,11 @@
         Encoder, HistogramVec, IntCounterVec, Registry, TextEncoder, histogram_opts, opts,
     },
     std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+    tokio::task::spawn_local,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Counters and latency histograms.
 pub struct Meter {
@@ -78,12 +76,9 @@
 }
 
 /// Serves the metrics.
-pub async fn serve(meter: Rc<Meter>, listener: TcpListener) {
+pub async fn serve(meter: Rc<Meter>, listener: Listener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = listener.accept().await;
         let meter = Rc::clone(&meter);
         spawn_local(async move {
             let service = service_fn(|_: Request<Incoming>| {
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -6,8 +6,10 @@
 
 mod channel;
 mod claimant;
+mod event;
 mod follow;
 mod front;
+mod listener;
 mod meter;
 mod output;
 mod owner;
@@ -16,12 +18,13 @@
 mod shared;
 mod stop;
 mod store;
+mod suspension;
 mod takeover;
 
 pub use output::init as init_log;
 
 use {
-    self::{meter::Meter, peer::Link, shared::Shared, store::Store},
+    self::{listener::Listener, meter::Meter, peer::Link, shared::Shared, store::Store},
     crate::job::settings::Settings,
     displaydoc::Display,
     log::info,
@@ -33,7 +36,6 @@
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
         runtime::Builder,
         sync::watch,
         task::{LocalSet, spawn_local},
@@ -71,10 +73,10 @@
 async fn serve(settings: Settings) -> Result<()> {
     info!("start: node={} zone={} callers={}", settings.node, settings.zone, settings.callers);
     let meter = Rc::new(Meter::new().map_err(Error::Metrics)?);
-    let callers = listen(settings.callers).await?;
-    let ready = listen(settings.ready).await?;
-    let peers = listen(settings.peer).await?;
-    let metrics = listen(settings.metrics).await?;
+    let callers = listen("front", settings.callers).await?;
+    let ready = listen("front", settings.ready).await?;
+    let peers = listen("peer", settings.peer).await?;
+    let metrics = listen("metrics", settings.metrics).await?;
     let store = Rc::new(Store::new(settings.store, Rc::clone(&meter)));
     let shared = Rc::new(Shared {
         settings,
@@ -100,8 +102,8 @@
     outcome
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|e| Error::Listen(address, e))
+async fn listen(part: &'static str, address: SocketAddr) -> Result<Listener> {
+    Listener::bind(part, address).await.map_err(|e| Error::Listen(address, e))
 }
 
 /// Keeps a connection to the owner open, so that requests find one and the balancer hears the truth.
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        channel::Channel, follow, peer::Ask, runners::Runners, shared::Shared, store::Store,
-        takeover,
+        channel::Channel, event::Event, follow, peer::Ask, runners::Runners, shared::Shared,
+        store::Store, suspension::Watch, takeover,
     },
     crate::{
         adapter::{
@@ -12,13 +12,10 @@
         },
         job::{
             answer::Answer,
-            cell::{Action, Cell, RequestId, RunnerId},
+            cell::{Action, Cell, RequestId},
             claim::Epoch,
             ledger::Record,
-            manifest::Manifest,
-            runner::{self, Entry, Report},
-            spec::{self, Task},
-            upkeep::{self, Machine},
+            spec, upkeep,
         },
     },
     indexmap::IndexMap,
@@ -53,30 +50,6 @@
 /// Time for which a former owner's last actions on VMs may still be on their way.
 const FORMER_ACTIONS: Duration = Duration::from_millis(1_000);
 
-/// What the owner hears of.
-pub enum Event {
-    /// A caller's request.
-    Ask(Ask, oneshot::Sender<Answer>),
-    /// A runner's answer to a start.
-    Started(RunnerId, Task, u32, runner::Answer<u64>),
-    /// A runner's answer to a stop.
-    Stopped(RunnerId, Task, u32, runner::Answer<u64>),
-    /// A runner's answer to a look, with the last end it was told to forget.
-    Looked(RunnerId, u64, runner::Answer<Report>),
-    /// The batch on its way is stored, or a newer owner has written.
-    Appended(Result<(), Error>),
-    /// Runners that the store lists, or no longer.
-    Listed(Vec<(String, Option<Entry>)>),
-    /// The operators' manifest.
-    Manifest(Manifest),
-    /// A wave that the operators ask for.
-    Wave(upkeep::Order),
-    /// The platform's list of VMs.
-    Machines(Vec<Machine>),
-    /// What came of an action on a VM.
-    Acted(upkeep::Action, Result<(), upkeep::Refusal>),
-}
-
 /// Owns the cell until it is lost or the task is aborted.
 pub async fn run(shared: Rc<Shared>, store: Rc<Store>, epoch: Epoch) {
     let begun = Instant::now();
@@ -103,6 +76,7 @@
         store,
         cell,
         epoch,
+        watch: Watch::new(),
         began: begun,
         sequence: 0,
         appending: None,
@@ -124,6 +98,7 @@
     store: Rc<Store>,
     cell: Cell,
     epoch: Epoch,
+    watch: Watch,
     began: Instant,
     sequence: u64,
     appending: Option<Instant>,
@@ -140,6 +115,7 @@
         let mut ticked = Instant::now();
         loop {
             let first = timeout(TICK, receiver.recv()).await;
+            self.notice_suspension();
             if let Ok(Some(event)) = first {
                 self.handle(event);
                 while let Ok(event) = receiver.try_recv() {
@@ -166,6 +142,15 @@
         }
     }
 
+    /// After a suspension another entry may own the cell: this one must be confirmed anew.
+    fn notice_suspension(&mut self) {
+        if let Some(slept) = self.watch.slept() {
+            warn!("owner: epoch={} slept_ms={} confirmed=false", self.epoch, slept.as_millis());
+            self.shared.confirmed.set(None);
+            self.cell.unconfirm();
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         match event {
@@ -187,7 +172,7 @@
             }
             Event::Manifest(manifest) => self.cell.declare(manifest),
             Event::Wave(order) => self.cell.order_wave(now, order),
-            Event::Machines(machines) => self.cell.list_machines(now, machines),
+            Event::Vms(vms) => self.cell.list_vms(now, vms),
             Event::Acted(action, outcome) => self.cell.acted(now, &action, outcome),
         }
     }
@@ -314,7 +299,7 @@
                         send(reply, answer);
                     }
                 }
-                Action::Machine(action) => self.act(action),
+                Action::Vm(action) => self.act(action),
                 Action::Report(number, complete) => self.report(number, complete),
                 other => self.call_runner(other),
             }
@@ -351,7 +336,7 @@
         let holder = self.shared.settings.node.clone();
         self.tasks.spawn_local(async move {
             let call = adapter::fleet::act(&action, &holder, epoch);
-            let outcome = match fleet.call(&call, follow::FLEET_ANSWER).await {
+            let outcome = match fleet.call(call, follow::FLEET_ANSWER).await {
                 Ok(reply) => adapter::fleet::acted(&reply),
                 Err(e) => Err(upkeep::Refusal::Unknown(e.to_string())),
             };
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -1,7 +1,7 @@
 //! Requests between entries: HTTP/2 streams with one bincode message each way.
 
 use {
-    super::shared::Shared,
+    super::{listener::Listener, shared::Shared},
     crate::job::answer::Answer,
     ::serde::{Deserialize, Serialize},
     bincode::{config, serde},
@@ -19,11 +19,7 @@
     std::{
         cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        task::spawn_local,
-        time::timeout,
-    },
+    tokio::{net::TcpStream, task::spawn_local, time::timeout},
 };
 
 /// Time for opening a connection to another entry.
@@ -160,19 +156,9 @@
 }
 
 /// Serves the other entries.
-pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+pub async fn serve(shared: Rc<Shared>, listener: Listener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                warn!("peer: accept: {e}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        if let Err(e) = stream.set_nodelay(true) {
-            warn!("peer: set no delay: {e}");
-        }
+        let stream = listener.accept().await;
         let shared = Rc::clone(&shared);
         spawn_local(async move {
             let service = service_fn(move |request| answer(Rc::clone(&shared), request));
--- a/src/job/daemon/runners.rs
+++ b/src/job/daemon/runners.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         channel::{self, Channel},
+        event::Event,
         meter::Meter,
-        owner::Event,
     },
     crate::{
         adapter,
@@ -68,17 +68,17 @@
     match action {
         Action::Start(id, start) => {
             let call = adapter::runner::start(&id, &start);
-            let answer = order(channel, meter, "start", &call).await;
+            let answer = order(channel, meter, "start", call).await;
             Some(Event::Started(id, start.task, start.run, answer))
         }
         Action::Stop(id, task, run) => {
             let call = adapter::runner::stop(&id, task, run, fence);
-            let answer = order(channel, meter, "stop", &call).await;
+            let answer = order(channel, meter, "stop", call).await;
             Some(Event::Stopped(id, task, run, answer))
         }
         Action::Look(id, hold) => {
             let call = adapter::runner::hold(&id, &hold);
-            let answer = match send(channel, meter, "hold", &call, hold.wait + ANSWER).await {
+            let answer = match send(channel, meter, "hold", call, hold.wait + ANSWER).await {
                 Ok(reply) => adapter::runner::report(&reply),
                 Err(e) => Answer::Unknown(e.to_string()),
             };
@@ -86,15 +86,15 @@
         }
         Action::Pace(id, task, run, percent) => {
             let call = adapter::runner::pace(&id, task, run, percent, fence);
-            let answer = order(channel, meter, "pace", &call).await;
+            let answer = order(channel, meter, "pace", call).await;
             log::debug!("pace: task={task} percent={percent} answer={answer:?}");
             None
         }
-        Action::Answer(..) | Action::Machine(_) | Action::Report(..) => None,
+        Action::Answer(..) | Action::Vm(_) | Action::Report(..) => None,
     }
 }
 
-async fn order(channel: &Channel, meter: &Meter, name: &str, call: &Call) -> Answer<u64> {
+async fn order(channel: &Channel, meter: &Meter, name: &str, call: Call) -> Answer<u64> {
     match send(channel, meter, name, call, ANSWER).await {
         Ok(reply) => adapter::runner::order(&reply),
         Err(e) if e.not_sent() => Answer::Rejected(Reason::Unhealthy),
@@ -106,7 +106,7 @@
     channel: &Channel,
     meter: &Meter,
     name: &str,
-    call: &Call,
+    call: Call,
     limit: Duration,
 ) -> channel::Result<Reply> {
     let begun = Instant::now();
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        event::Event,
         meter::Meter,
-        owner::Event,
         peer::{Ask, Link},
     },
     crate::job::{
--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -48,32 +48,32 @@
 
     /// Appends records as a fenced writer; returns the offset of the first.
     pub async fn append(&self, topic: &str, records: &[Record], at: Sequence) -> Result<u64> {
-        store::appended(&self.write("append", &store::append(topic, records, at)).await?)
+        store::appended(&self.write("append", store::append(topic, records, at)).await?)
     }
 
     /// Locks out every writer of a lower epoch.
     pub async fn fence(&self, topic: &str, epoch: u64) -> Result<u64> {
-        store::appended(&self.call("fence", &store::fence(topic, epoch), ANSWER).await?)
+        store::appended(&self.call("fence", store::fence(topic, epoch), ANSWER).await?)
     }
 
     /// Appends a record if the partition ends at `at`.
     pub async fn append_at(&self, topic: &str, record: &Record, at: u64) -> Result<u64> {
-        store::appended(&self.write("claim", &store::append_at(topic, record, at)).await?)
+        store::appended(&self.write("claim", store::append_at(topic, record, at)).await?)
     }
 
     /// Appends a record wherever the partition ends.
     pub async fn append_any(&self, topic: &str, record: &Record) -> Result<u64> {
-        store::appended(&self.call("report", &store::append_any(topic, record), ANSWER).await?)
+        store::appended(&self.call("report", store::append_any(topic, record), ANSWER).await?)
     }
 
     /// Reads records from an offset; waits for one up to `wait`.
     pub async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Page> {
-        store::page(&self.call("read", &store::read(topic, from, wait), wait + ANSWER).await?)
+        store::page(&self.call("read", store::read(topic, from, wait), wait + ANSWER).await?)
     }
 
     /// Reads a page of the newest records.
     pub async fn newest(&self, topic: &str, after: &str) -> Result<Newest> {
-        store::items(&self.call("newest", &store::newest(topic, after), ANSWER).await?)
+        store::items(&self.call("newest", store::newest(topic, after), ANSWER).await?)
     }
 
     /// Reads all newest records of a partition.
@@ -95,7 +95,7 @@
 
     /// Calls that append wait for about as long as the last ones took: the answer of one may be lost,
     /// and repeating it is harmless.
-    async fn write(&self, name: &str, call: &Call) -> Result<Reply> {
+    async fn write(&self, name: &str, call: Call) -> Result<Reply> {
         let (least, most) = APPEND_ANSWER;
         let takes = self.append_takes.get();
         let limit = (takes * APPEND_FACTOR).clamp(least, most);
@@ -106,7 +106,7 @@
         outcome
     }
 
-    async fn call(&self, name: &str, call: &Call, limit: Duration) -> Result<Reply> {
+    async fn call(&self, name: &str, call: Call, limit: Duration) -> Result<Reply> {
         let begun = Instant::now();
         let outcome = self.channel.call(call, limit).await;
         let label = match &outcome {
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -7,6 +7,7 @@
 
 use {
     super::{manifest::Manifest, spec, upkeep},
+    crate::id::VmId,
     ::serde::{Deserialize, Serialize},
     bincode::{config, error::DecodeError, error::EncodeError, serde},
     displaydoc::Display,
@@ -109,9 +110,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Upkeep {
     /// VMs of each wave that have begun their upkeep.
-    pub waves: IndexMap<upkeep::Number, Vec<upkeep::MachineId>>,
+    pub waves: IndexMap<upkeep::Number, Vec<VmId>>,
     /// VMs of each wave that may have begun it: the call is on its way.
-    pub begun: IndexMap<upkeep::Number, Vec<upkeep::MachineId>>,
+    pub begun: IndexMap<upkeep::Number, Vec<VmId>>,
     /// VMs of each pool when the cell was first owned.
     pub sizes: IndexMap<String, usize>,
 }
--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -26,7 +26,7 @@
     /// Availability zone.
     pub zone: String,
     /// VM whose life it is, or empty.
-    pub machine: String,
+    pub vm: String,
     /// Incarnation, if it says so.
     pub born: Option<Born>,
     /// Whether it is leaving.
--- a/src/job/upkeep.rs
+++ b/src/job/upkeep.rs
@@ -1,22 +1,21 @@
 //! VMs of a cell: what the platform says of them, and the waves of upkeep due on them.
 
 use {
+    crate::id::VmId,
     displaydoc::Display,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
-/// Name of a VM.
-pub type MachineId = String;
 /// Number of a wave.
 pub type Number = u64;
 
 /// A VM as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Machine {
+pub struct Vm {
     /// Name.
-    pub id: MachineId,
+    pub id: VmId,
     /// Service whose pool it is in.
     pub pool: String,
     /// What it does.
@@ -50,7 +49,7 @@
     /// Number.
     pub number: Number,
     /// VMs that are due.
-    pub machines: Vec<MachineId>,
+    pub vms: Vec<VmId>,
     /// Time within which all of them must have had their upkeep.
     pub within: Duration,
     /// Most VMs that may be in upkeep at once.
@@ -63,14 +62,14 @@
     /// Puts a VM into another pool.
     Move {
         /// VM.
-        machine: MachineId,
+        vm: VmId,
         /// Service whose pool it joins.
         pool: String,
     },
     /// Takes a VM down for its upkeep.
     Upkeep {
         /// VM.
-        machine: MachineId,
+        vm: VmId,
         /// Wave.
         wave: Number,
     },
@@ -78,9 +77,9 @@
 
 impl Action {
     /// VM that the action is on.
-    pub fn machine(&self) -> &str {
+    pub fn vm(&self) -> &str {
         match self {
-            Self::Move { machine, .. } | Self::Upkeep { machine, .. } => machine,
+            Self::Move { vm, .. } | Self::Upkeep { vm, .. } => vm,
         }
     }
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -202,8 +202,8 @@
         "id":"i-1"},{"machine":"m-2","pool":"p","state":"odd","id":null}],"nextToken":"t"}"#;
     let page = fleet::page(&reply(200, body)).unwrap();
     assert_eq!(page.next.as_deref(), Some("t"));
-    assert_eq!((page.machines[0].state, page.machines[1].state), (State::Up, State::Down));
-    let action = upkeep::Action::Move { machine: "m-1".into(), pool: "q".into() };
+    assert_eq!((page.vms[0].state, page.vms[1].state), (State::Up, State::Down));
+    let action = upkeep::Action::Move { vm: "m-1".into(), pool: "q".into() };
     let call = fleet::act(&action, "front-a-1", 12);
     assert_eq!(call.body, br#"{"machine":"m-1","pool":"q"}"#);
     let holder = [("x-duty-holder", "front-a-1".into()), ("x-fence-token", "12".into())];
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -355,3 +355,26 @@
         "a new owner that can't reach r0 starts it elsewhere"
     );
 }
+
+#[test]
+fn an_owner_that_slept_renews_leases_only_after_it_was_confirmed_anew() {
+    let mut world = World::new(1);
+    world.run_time = seconds(60.0);
+    world.submit(JOB, spec(vec![step(1, 1_000)]));
+    world.run(seconds(0.5));
+    world.carry_out();
+    world.cell.unconfirm();
+    world.store_away = true;
+    let renewals = |world: &World| {
+        let renews =
+            |action: &&Action| matches!(action, Action::Look(_, hold) if hold.until_ms.is_some());
+        world.sent.iter().filter(renews).count()
+    };
+    let before = renewals(&world);
+    world.run(seconds(1.0));
+    assert_eq!(renewals(&world), before, "another entry may own the cell");
+    let now = world.at();
+    world.cell.confirm(now);
+    world.run(seconds(1.0));
+    assert!(renewals(&world) > before);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
         runner::{self, End, Entry, Hold, How, Reason, Report, Running, Start},
         settings::Bounds,
         spec::{Need, Spec, Step, Task},
-        upkeep::{self, Machine, State},
+        upkeep::{self, State, Vm},
     },
     indexmap::IndexMap,
     std::time::{Duration, Instant},
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Life {
     pub service: String,
-    pub machine: String,
+    pub vm: String,
     pub born: u64,
     pub fence: u64,
     pub running: IndexMap<Task, Run>,
@@ -60,7 +60,7 @@
     pub ledger: IndexMap<String, Vec<u8>>,
     pub store_away: bool,
     pub lives: IndexMap<String, Life>,
-    pub machines: IndexMap<String, Machine>,
+    pub vms: IndexMap<String, Vm>,
     pub answers: IndexMap<u64, Answer>,
     pub sent: Vec<Action>,
     pub done: Vec<Task>,
@@ -70,7 +70,7 @@
     /// Tail latency that endless tasks report, in milliseconds.
     pub tail_ms: u64,
     /// Whether actions on VMs are carried out without an answer, and the list of VMs lags.
-    pub mute_machines: bool,
+    pub mute_vms: bool,
     next_request: u64,
     epoch: u64,
 }
@@ -115,7 +115,7 @@
             ledger: IndexMap::new(),
             store_away: false,
             lives: IndexMap::new(),
-            machines: IndexMap::new(),
+            vms: IndexMap::new(),
             answers: IndexMap::new(),
             sent: Vec::new(),
             done: Vec::new(),
@@ -123,7 +123,7 @@
             run_time: Duration::from_secs(1),
             fails: false,
             tail_ms: 0,
-            mute_machines: false,
+            mute_vms: false,
             next_request: 0,
             epoch: 1,
         };
@@ -146,7 +146,7 @@
             service: life.service.clone(),
             address: "127.0.0.1:9".parse().unwrap(),
             zone: "z".into(),
-            machine: life.machine.clone(),
+            vm: life.vm.clone(),
             born: Some(life.born),
             draining: false,
             room: Need { millicores: MILLICORES, memory_mib: 64_000, accelerators: 0 },
@@ -156,41 +156,40 @@
     }
 
     /// Adds a runner, and its VM.
-    pub fn add(&mut self, id: &str, service: &str, machine: &str, born: u64) {
-        let life =
-            Life { service: service.into(), machine: machine.into(), born, ..Life::default() };
+    pub fn add(&mut self, id: &str, service: &str, vm: &str, born: u64) {
+        let life = Life { service: service.into(), vm: vm.into(), born, ..Life::default() };
         self.lives.insert(id.into(), life);
         let entry = self.entry(id);
         let now = self.at();
         self.cell.list(now, id, Some(entry));
-        let vm = Machine {
-            id: machine.into(),
+        let listed = Vm {
+            id: vm.into(),
             pool: service.into(),
             state: State::Up,
             zone: "z".into(),
             labels: Vec::new(),
             runner: Some(id.into()),
         };
-        self.machines.insert(machine.into(), vm);
+        self.vms.insert(vm.into(), listed);
     }
 
-    pub fn add_spare(&mut self, machine: &str) {
-        let vm = Machine {
-            id: machine.into(),
+    pub fn add_spare(&mut self, vm: &str) {
+        let listed = Vm {
+            id: vm.into(),
             pool: "spare".into(),
             state: State::Up,
             zone: "z".into(),
             labels: Vec::new(),
             runner: None,
         };
-        self.machines.insert(machine.into(), vm);
+        self.vms.insert(vm.into(), listed);
     }
 
     /// Tells the cell what the platform lists as VMs.
-    pub fn list_machines(&mut self) {
-        let machines = self.machines.values().cloned().collect();
+    pub fn list_vms(&mut self) {
+        let vms = self.vms.values().cloned().collect();
         let now = self.at();
-        self.cell.list_machines(now, machines);
+        self.cell.list_vms(now, vms);
     }
 
     fn request(&mut self) -> u64 {
@@ -327,20 +326,20 @@
                     let answer = self.look(&id, &hold);
                     self.cell.look_answered(now, &id, hold.seen, answer);
                 }
-                Action::Machine(action) => self.act(&action),
+                Action::Vm(action) => self.act(&action),
                 Action::Pace(..) | Action::Report(..) => {}
             }
         }
     }
 
     fn act(&mut self, action: &upkeep::Action) {
-        if self.mute_machines {
-            let runner = self.machines[action.machine()].runner.clone();
+        if self.mute_vms {
+            let runner = self.vms[action.vm()].runner.clone();
             let life = runner.and_then(|id| self.lives.get_mut(&id));
             life.into_iter().for_each(|life| life.silent = true);
             return;
         }
-        let vm = self.machines.get_mut(action.machine()).unwrap();
+        let vm = self.vms.get_mut(action.vm()).unwrap();
         match action {
             upkeep::Action::Move { pool, .. } => {
                 vm.pool = pool.clone();
