Tell the balancer the truth when the owner is cut off, and replace an owner that has ended at once

After a power loss of all VMs, entries linked to the owner's address, where a new process said that it does not own the cell, until its silence had passed.

Ruled out: longer Retry-After (callers come back after about a second whatever it says), and shorter silence.

Change: an entry is ready while the owner was confirmed by the log in the last 1.2 s; one that doesn't see that in the log asks the owner over the link, which also tells the life of its process and the newest owner it knows. An ownership whose process has ended, or is an earlier life of this process, is claimed without waiting. A request that finds no owner waits for one only until 1.5 s after the last was sound; before, it opened connections of its own.

Tests: entries_are_not_ready_while_the_store_confirms_no_owner and an_owner_that_was_started_again_is_replaced_... failed before. Site::owner waits for the log line that it reads.

--- a/src/job/answer.rs
+++ b/src/job/answer.rs
@@ -44,6 +44,8 @@
         /// When the caller should come back.
         retry_after: Duration,
     },
+    /// not passed on to an owner of the cell: {0}
+    NoOwner(String),
     /// the outcome is not known: {0}
     Unknown(String),
 }
@@ -57,7 +59,7 @@
             Self::NoJob => 410,
             Self::Malformed(_) => 400,
             Self::Method => 405,
-            Self::Refused { .. } => 503,
+            Self::Refused { .. } | Self::NoOwner(_) => 503,
             Self::Unknown(_) => 504,
         }
     }
--- a/src/job/claim.rs
+++ b/src/job/claim.rs
@@ -48,7 +48,8 @@
 }
 
 /// An ownership.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Owner {
     /// Epoch.
     pub epoch: Epoch,
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Takes in a record that was just written.
+    fn hear(&mut self, offset: u64, record: &Record) {
+        self.shared.seen.set(Some(Instant::now()));
+        self.learn(offset, record);
+    }
+
     fn learn(&mut self, offset: u64, record: &Record) {
         let claim = match Claim::decode(&record.value) {
             Ok(claim) => claim,
@@ -97,21 +103,37 @@
         WEAKNESS.mul_f64(missing).min(WEAKEST)
     }
 
+    /// Whether the owner's process is known to have ended.
+    fn is_vacant(&self) -> bool {
+        let has_ended = |owner: &Owner| self.shared.ended.get() == Some(owner.epoch);
+        self.owner()
+            .is_none_or(|owner| owner.released || self.is_former_self(&owner) || has_ended(&owner))
+    }
+
+    /// Whether the owner is an earlier life of this process.
+    fn is_former_self(&self, owner: &Owner) -> bool {
+        owner.node == self.shared.settings.node && owner.incarnation != self.shared.incarnation
+    }
+
     /// Waits for news of the owner, or for its silence.
     async fn follow(&mut self) {
-        let vacant = self.owner().is_none_or(|owner| owner.released);
+        let vacant = self.is_vacant();
         let spread = Duration::from_millis(rand::rng().random_range(0..SPREAD_MS));
-        let wait = self.weakness() + if vacant { spread / 3 } else { SILENCE + spread };
-        let read = if wait.as_millis() < 20 && vacant {
-            self.read(Duration::ZERO).await
-        } else {
-            self.read(wait).await
+        let first = self.weakness() + spread / 3;
+        let wait = if vacant { first } else { self.weakness() + SILENCE + spread };
+        let shared = Rc::clone(&self.shared);
+        let read = tokio::select! {
+            read = self.read(wait) => read,
+            () = shared.vacated.notified(), if !vacant => return,
         };
         if self.shared.stopping.borrow().is_some() {
             return;
         }
         match read {
-            Some(0) => self.claim().await,
+            Some(0) => {
+                info!("claim: at={} vacant={vacant} waited_ms={}", self.end, wait.as_millis());
+                self.claim().await;
+            }
             Some(_) => {
                 let own = self.owner().filter(|owner| {
                     owner.incarnation == self.shared.incarnation && !owner.released
@@ -131,7 +153,7 @@
                 let count = page.records.len();
                 let first = page.end.saturating_sub(count as u64).max(self.end);
                 for (offset, record) in (first..).zip(page.records.iter().flatten()) {
-                    self.learn(offset, record);
+                    self.hear(offset, record);
                 }
                 self.end = page.end;
                 Some(count)
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod peer;
 mod runners;
 mod shared;
+mod standing;
 mod stop;
 mod store;
 mod suspension;
@@ -33,19 +34,15 @@
         io,
         net::SocketAddr,
         rc::Rc,
-        time::Duration,
+        time::Instant,
     },
     tokio::{
         runtime::Builder,
-        sync::watch,
+        sync::{Notify, watch},
         task::{LocalSet, spawn_local},
-        time::sleep,
     },
 };
 
-/// Time between two looks at the connection to the owner.
-const LINK_PAUSE: Duration = Duration::from_millis(200);
-
 /// Outcome of the daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -85,8 +82,12 @@
         stopping: watch::Sender::new(None),
         desk: RefCell::default(),
         link: Link::default(),
-        linked: Cell::new(false),
+        linked: watch::Sender::new(false),
+        sound_at: Cell::new(Instant::now()),
         confirmed: Cell::new(None),
+        seen: Cell::new(None),
+        ended: Cell::new(None),
+        vacated: Notify::new(),
         requests: Cell::new(0),
         meter: Rc::clone(&meter),
     });
@@ -94,7 +95,7 @@
     spawn_local(front::serve_ready(Rc::clone(&shared), ready));
     spawn_local(peer::serve(Rc::clone(&shared), peers));
     spawn_local(meter::serve(meter, metrics));
-    spawn_local(keep_linked(Rc::clone(&shared)));
+    spawn_local(standing::keep(Rc::clone(&shared)));
     spawn_local(output::flush_often());
     spawn_local(claimant::run(Rc::clone(&shared), store));
     let outcome = stop::wait(shared).await.map_err(Error::Signal);
@@ -105,20 +106,3 @@
 async fn listen(part: &'static str, address: SocketAddr) -> Result<Listener> {
     Listener::bind(part, address).await.map_err(|e| Error::Listen(address, e))
 }
-
-/// Keeps a connection to the owner open, so that requests find one and the balancer hears the truth.
-async fn keep_linked(shared: Rc<Shared>) {
-    loop {
-        let owner = shared.owner.borrow().clone();
-        let linked = match owner {
-            Some(owner) if !owner.released && owner.incarnation != shared.incarnation => {
-                shared.link.connect(owner.peer).await
-            }
-            _ => false,
-        };
-        if shared.linked.replace(linked) != linked {
-            info!("peer: linked={linked}");
-        }
-        sleep(LINK_PAUSE).await;
-    }
-}
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -2,8 +2,11 @@
 
 use {
     super::{listener::Listener, shared::Shared},
-    crate::job::answer::Answer,
-    ::serde::{Deserialize, Serialize},
+    crate::job::{
+        answer::Answer,
+        claim::{Incarnation, Owner},
+    },
+    ::serde::{Deserialize, Serialize, de::DeserializeOwned},
     bincode::{config, serde},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
@@ -30,6 +33,10 @@
 const PING_ANSWER: Duration = Duration::from_millis(500);
 /// Longest message.
 const MAX_BYTES: usize = 4 << 20;
+/// Path of callers' requests.
+const ASK: &str = "/ask";
+/// Path of the question how an entry stands to the cell.
+const STANDING: &str = "/standing";
 
 /// A caller's request, as one entry passes it to the owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -59,6 +66,18 @@
     Other,
 }
 
+/// How an entry stands to the cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Standing {
+    /// Life of its process.
+    pub incarnation: Incarnation,
+    /// Whether the log has confirmed it as the owner lately.
+    pub confirmed: bool,
+    /// Newest owner that it knows.
+    pub owner: Option<Owner>,
+}
+
 /// Spawns the tasks of HTTP/2 connections on this thread.
 #[derive(Clone, Copy)]
 struct Local;
@@ -69,59 +88,66 @@
     }
 }
 
+/// Whether a connection was open already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// It was.
+    Kept,
+    /// It was opened now; another process may answer than before.
+    New,
+}
+
 /// Connection to the owner.
 #[derive(Default)]
 pub struct Link {
-    open: RefCell<Option<(SocketAddr, SendRequest<Full<Bytes>>)>>,
+    connection: RefCell<Option<(SocketAddr, SendRequest<Full<Bytes>>)>>,
 }
 
 impl Link {
-    /// Passes a request to the owner at `peer`; a refusal means that it was not passed on.
+    /// Passes a request to the owner at `peer`; one that was not passed on has no owner.
     pub async fn pass(&self, peer: SocketAddr, ask: &Ask, limit: Duration) -> Answer {
-        let body = match serde::encode_to_vec(ask, config::standard()) {
-            Ok(body) => Bytes::from(body),
-            Err(e) => return Answer::Malformed(e.to_string()),
-        };
-        let mut sender = match self.connected(peer).await {
-            Ok(sender) => sender,
-            Err(why) => {
-                let why = format!("connect to the owner at {peer}: {why}");
-                return Answer::refused(why, Duration::ZERO);
-            }
+        let Some(sender) = self.sender(peer) else {
+            return Answer::NoOwner(format!("no connection to the owner at {peer}"));
         };
-        let request = match Request::post("/").body(Full::new(body)) {
+        let request = match encode(ASK, ask) {
             Ok(request) => request,
-            Err(e) => return Answer::Malformed(e.to_string()),
+            Err(why) => return Answer::Malformed(why),
         };
-        match timeout(limit, exchange(&mut sender, request)).await {
+        match timeout(limit, exchange(sender, request)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(why)) => self.lost(peer, &why),
             Err(_) => self.lost(peer, &format!("no answer after {limit:?}")),
         }
     }
 
-    /// Opens the connection ahead of the first request; tells whether it is open.
-    pub async fn connect(&self, peer: SocketAddr) -> bool {
-        match self.connected(peer).await {
-            Ok(_) => true,
-            Err(why) => {
-                warn!("peer: owner={peer} connected=false why={why:?}");
-                false
-            }
+    /// Asks the entry at `peer` how it stands to the cell.
+    pub async fn standing(&self, peer: SocketAddr, limit: Duration) -> Result<Standing, String> {
+        let sender = self.sender(peer).ok_or_else(|| String::from("no connection"))?;
+        let answer = timeout(limit, exchange(sender, encode(STANDING, &())?)).await;
+        answer.unwrap_or_else(|_| Err(format!("no answer after {limit:?}")))
+    }
+
+    /// Opens the connection to `peer` ahead of the first request, unless it is open.
+    pub async fn connect(&self, peer: SocketAddr) -> Result<Connection, String> {
+        if self.sender(peer).is_some() {
+            return Ok(Connection::Kept);
         }
+        self.open(peer).await.map(|()| Connection::New)
     }
 
     fn lost(&self, peer: SocketAddr, why: &str) -> Answer {
         warn!("peer: owner={peer} answer=none why={why:?}");
-        self.open.borrow_mut().take();
+        self.connection.borrow_mut().take();
         Answer::Unknown(format!("the owner at {peer}: {why}"))
     }
 
-    async fn connected(&self, peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-        let open = self.open.borrow().clone();
-        if let Some((_, sender)) = open.filter(|(at, sender)| *at == peer && !sender.is_closed()) {
-            return Ok(sender);
-        }
+    /// Open connection to an entry.
+    fn sender(&self, peer: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let open = self.connection.borrow().clone();
+        open.filter(|(at, sender)| *at == peer && !sender.is_closed()).map(|(_, sender)| sender)
+    }
+
+    async fn open(&self, peer: SocketAddr) -> Result<(), String> {
         let stream = timeout(CONNECT, TcpStream::connect(peer)).await;
         let stream = stream.map_err(|_| format!("no answer after {CONNECT:?}"))?;
         let stream = stream.map_err(|e| e.to_string())?;
@@ -139,15 +165,20 @@
                 info!("peer: owner={peer} connection ended: {e}");
             }
         });
-        *self.open.borrow_mut() = Some((peer, sender.clone()));
-        Ok(sender)
+        *self.connection.borrow_mut() = Some((peer, sender));
+        Ok(())
     }
 }
 
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
+fn encode<T: Serialize>(path: &str, message: &T) -> Result<Request<Full<Bytes>>, String> {
+    let body = serde::encode_to_vec(message, config::standard()).map_err(|e| e.to_string())?;
+    Request::post(path).body(Full::new(Bytes::from(body))).map_err(|e| e.to_string())
+}
+
+async fn exchange<T: DeserializeOwned>(
+    mut sender: SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
-) -> Result<Answer, String> {
+) -> Result<T, String> {
     let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
     let body = Limited::new(response.into_body(), MAX_BYTES).collect().await;
     let body = body.map_err(|e| e.to_string())?.to_bytes();
@@ -174,6 +205,9 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    if request.uri().path() == STANDING {
+        return Ok(reply(&shared.standing()));
+    }
     let body = match Limited::new(request.into_body(), MAX_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => return Ok(plain(StatusCode::BAD_REQUEST, e.to_string().into_bytes())),
@@ -183,10 +217,14 @@
         Ok((ask, _)) => shared.decide(ask).await,
         Err(e) => Answer::Malformed(e.to_string()),
     };
-    Ok(match serde::encode_to_vec(&answer, config::standard()) {
+    Ok(reply(&answer))
+}
+
+fn reply<T: Serialize>(message: &T) -> Response<Full<Bytes>> {
+    match serde::encode_to_vec(message, config::standard()) {
         Ok(body) => plain(StatusCode::OK, body),
         Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, e.to_string().into_bytes()),
-    })
+    }
 }
 
 fn plain(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -102,6 +102,35 @@
     assert_eq!(site.judge.done(), 18, "the refused job has not run");
 }
 
+#[test]
+fn entries_are_not_ready_while_the_store_confirms_no_owner() {
+    let site = Site::start("unready", 3, 1);
+    site.store.take_away(Duration::from_secs(4));
+    wait("all entries to be not ready", || (0..3).all(|entry| !site.is_ready(entry)));
+    site.wait_ready();
+    site.submit(1, 1);
+    site.wait_complete([1]);
+}
+
+#[test]
+fn an_owner_that_was_started_again_is_replaced_without_waiting_for_its_silence() {
+    let mut site = Site::start("again", 3, 1);
+    let owner = site.owner();
+    site.kill(owner);
+    site.launch(owner);
+    let claims = |entry: usize| {
+        let log = site.log(&format!("front-{entry}"));
+        log.lines().filter(|line| line.contains("claim: at=")).map(String::from).collect::<Vec<_>>()
+    };
+    let second = || (0..3).flat_map(claims).any(|line| !line.contains("at=0 "));
+    wait("a second claim", second);
+    let silent = (0..3).flat_map(claims).filter(|line| line.contains("vacant=false")).count();
+    assert_eq!(silent, 0, "an entry waited for the silence of an owner that had ended");
+    site.wait_ready();
+    site.submit(1, 1);
+    site.wait_complete([1]);
+}
+
 #[test]
 fn lost_answers_of_the_store_and_of_runners_repeat_nothing() {
     let site = Site::start("lost", 2, 3);
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -217,14 +217,17 @@
 
     /// Waits until every entry is ready.
     pub fn wait_ready(&self) {
-        for entry in &self.entries {
-            wait("an entry to be ready", || {
-                exchange(entry.ready, "GET", "/v1/ready", None)
-                    .is_some_and(|heard| heard.status == 200)
-            });
+        for entry in 0..self.entries.len() {
+            wait("an entry to be ready", || self.is_ready(entry));
         }
     }
 
+    /// Whether an entry tells the balancer that it is ready.
+    pub fn is_ready(&self, entry: usize) -> bool {
+        let heard = exchange(self.entries[entry].ready, "GET", "/v1/ready", None);
+        heard.is_some_and(|heard| heard.status == 200)
+    }
+
     /// Entry that owns the cell, by the logs.
     pub fn owner(&self) -> usize {
         let newest = |entry: &Entry| {
@@ -232,8 +235,13 @@
             let serving = log.lines().filter(|line| line.contains("serving=true"));
             serving.filter_map(epoch).next_back()
         };
-        let epochs = self.entries.iter().map(newest).enumerate();
-        epochs.max_by_key(|(_, epoch)| *epoch).map(|(number, _)| number).expect("an owner")
+        let mut owner = None;
+        wait("an owner to log that it serves", || {
+            let epochs = self.entries.iter().map(newest).enumerate();
+            owner = epochs.max_by_key(|(_, epoch)| *epoch).filter(|(_, epoch)| epoch.is_some());
+            owner.is_some()
+        });
+        owner.map(|(number, _)| number).expect("an owner")
     }
 
     /// What an entry has logged.
