Send no tasks to runners that are silent, and take a refused connection as a runner's end

Cause: with an availability zone cut off, tasks went on being placed on its runners until their calls timed out (0.7 s for a start, 1.7 s for a waiting look), and each such task is stuck until the runner's lease has lapsed, 3 s. VMs out of reach counted as room of their pool and were moved.

Ruled out: shorter leases (a change of owner takes 1.2 s, and leases must outlive it), a fixed short timeout (an owner on a slow VM would see silence everywhere).

Change: a runner whose order is unanswered while calls sent 60 ms later to others were answered is silent; a failure domain with two silent runners and no answer since is too. Silent ones get no tasks while others have room, count for no pool and don't move; idle ones of a silent domain are looked at.

Tests: tests/job_silence.rs.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -7,7 +7,7 @@
 //! it costs nothing.
 
 use {
-    super::Cell,
+    super::{Cell, pools::Member},
     crate::{
         id::VmId,
         job::{
@@ -15,9 +15,12 @@
             upkeep::{Action, State},
         },
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     log::info,
-    std::time::{Duration, Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two looks at the balance.
@@ -178,8 +181,9 @@
         let mut free = Vec::new();
         let mut given: IndexMap<&str, usize> = IndexMap::new();
         let sheds = self.load.begun();
+        let silent = self.silent_domains();
         for (id, member) in &self.pools.members {
-            if member.down() || member.plan.is_some() {
+            if member.down() || member.plan.is_some() || self.is_out_of_reach(member, &silent) {
                 continue;
             }
             let pool = member.listed.pool.as_str();
@@ -201,6 +205,12 @@
         free
     }
 
+    /// Whether a VM's runner is silent, or the VM is in a failure domain that is.
+    fn is_out_of_reach(&self, member: &Member, silent: &IndexSet<Rc<str>>) -> bool {
+        let worker = self.runner_of(&member.listed.id).and_then(|id| self.workers.get(&id));
+        worker.is_some_and(|worker| self.silence.is_silent(worker)) || member.is_in(silent)
+    }
+
     fn is_empty(&self, vm: &str) -> bool {
         let worker = self.runner_of(vm).and_then(|id| self.workers.get(&id));
         worker.is_some_and(|worker| worker.tasks.is_empty() && !worker.draining())
@@ -215,6 +225,7 @@
     fn demands(&self, now: Instant) -> IndexMap<String, Demand> {
         let mut demands: IndexMap<String, Demand> = IndexMap::new();
         let cores = self.vm_cores();
+        let silent = self.silent_domains();
         for member in self.pools.members.values() {
             let planned = member.plan.as_ref().map(|plan| &plan.action);
             let pool = match planned {
@@ -222,7 +233,7 @@
                 Some(Action::Upkeep { .. }) => continue,
                 None => &member.listed.pool,
             };
-            if member.listed.state == State::Down {
+            if member.listed.state == State::Down || self.is_out_of_reach(member, &silent) {
                 continue;
             }
             let demand = demands.entry(pool.clone()).or_default();
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -156,6 +156,7 @@
         placement.since = now;
         let checkpoint = state.checkpoint.clone();
         let start = Start { task, run, text, until_ms, fence, checkpoint };
+        self.await_answer(now, &runner);
         self.actions.push(Action::Start(runner, start));
     }
 
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -20,10 +20,12 @@
 
 /// Longest time for which a runner may wait for an end before it answers a look.
 pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+/// The same while calls get no answers.
+const LOSSY_WAIT: Duration = Duration::from_millis(300);
 /// Time between two looks while the ledger has not stored the ends of the last one.
 const UNCOMMITTED_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two looks at a runner that does not answer.
-const FAILING_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const FAILING_PAUSE: Duration = Duration::from_millis(250);
 /// Ends that a runner lists at once.
 const LISTED_ENDS: usize = 500;
 /// Time after which a stop without an answer is sent again.
@@ -33,6 +35,8 @@
     /// Sends the looks that are due.
     pub(super) fn look_at_runners(&mut self, now: Instant) {
         let (fence, renews) = (self.fence, self.may_renew(now));
+        let longest = if self.silence.is_lossy(now) { LOSSY_WAIT } else { LOOK_WAIT };
+        let silent = self.silent_domains();
         let mut looks = Vec::new();
         for (id, worker) in &mut self.workers {
             if worker.looking.is_some() || worker.entry.is_none() {
@@ -43,12 +47,13 @@
             let fresh = !worker.held && worker.listed;
             let stored = worker.uncommitted == 0;
             let due = worker.next_look <= now || stored && worker.failing.is_none();
-            if !(due && (busy || untold || fresh || worker.failing.is_some())) {
+            let doubted = worker.is_in(&silent);
+            if !(due && (busy || untold || fresh || doubted || worker.failing.is_some())) {
                 continue;
             }
             let calm = worker.held && stored && busy && worker.failing.is_none();
             let settled = worker.next_look <= now && worker.failing.is_none();
-            let wait = if calm && !settled { LOOK_WAIT } else { Duration::ZERO };
+            let wait = if calm && !settled && !doubted { longest } else { Duration::ZERO };
             let extends = busy && renews && worker.failing.is_none();
             let until_ms = if extends { worker.grant(now) } else { None };
             worker.looking = Some(now);
@@ -69,6 +74,9 @@
     ) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
         let Some(sent) = worker.looking.take() else { return };
+        if !matches!(answer, Answer::Unknown(_) | Answer::Rejected(Reason::Ended)) {
+            self.note_look(now, runner, sent);
+        }
         match answer {
             Answer::Done(report) => self.report(now, runner, sent, seen, &report),
             Answer::Rejected(Reason::Fence) => {
@@ -76,6 +84,7 @@
                 self.deposed = true;
             }
             Answer::Rejected(Reason::Instance) => self.replaced(now, runner),
+            Answer::Rejected(Reason::Ended) => self.found_ended(now, runner),
             Answer::Rejected(reason) => self.look_failed(now, runner, &format!("{reason:?}")),
             Answer::Unknown(why) => self.look_failed(now, runner, &why),
         }
@@ -88,6 +97,7 @@
         }
         worker.failing.get_or_insert(now);
         worker.next_look = now + FAILING_PAUSE;
+        self.silence.note_lost(now);
     }
 
     fn report(
@@ -105,6 +115,7 @@
             self.reborn(now, runner, report.born);
         }
         let Some(worker) = self.workers.get_mut(runner) else { return };
+        worker.ended = false;
         if worker.failing.take().is_some() {
             info!("runner: id={runner} answers=true");
         }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -19,6 +19,7 @@
 mod place;
 mod pools;
 mod restore;
+mod silence;
 mod wave;
 mod workers;
 
@@ -31,7 +32,7 @@
 };
 
 use {
-    self::job::State,
+    self::{job::State, silence::Silence},
     super::{
         answer::Answer,
         ledger::{Outcome, Record},
@@ -140,6 +141,7 @@
     pools: Pools,
     load: Load,
     forecast: Forecast,
+    silence: Silence,
     place_due: bool,
 }
 
@@ -168,6 +170,7 @@
             pools: Pools::new(now),
             load: Load::new(now),
             forecast: Forecast::default(),
+            silence: Silence::default(),
             place_due: false,
         }
     }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -4,6 +4,7 @@
     super::{
         Action, Cell, Effect, RunnerId,
         job::{Phase, Status},
+        look::FAILING_PAUSE,
     },
     crate::job::{
         ledger::Outcome,
@@ -34,6 +35,7 @@
         run: u32,
         answer: Answer<u64>,
     ) {
+        self.stop_awaiting(runner, !matches!(answer, Answer::Unknown(_)));
         let Answer::Done(clock_ms) = answer else {
             return self.start_failed(now, runner, task, run, answer);
         };
@@ -67,6 +69,7 @@
         match reason {
             Reason::Fence => self.deposed = true,
             Reason::Instance => self.replaced(now, runner),
+            Reason::Ended => self.found_ended(now, runner),
             Reason::Room | Reason::Unhealthy | Reason::Ticket | Reason::Malformed => {
                 if let Some(worker) = self.workers.get_mut(runner) {
                     worker.shunned = Some(now + SHUN);
@@ -83,6 +86,7 @@
 
     fn start_unsure(&mut self, now: Instant, runner: &RunnerId, task: Task, run: u32, why: &str) {
         warn!("start: task={task} run={run} runner={runner} answer=none why={why:?}");
+        self.silence.note_lost(now);
         if let Some(worker) = self.workers.get_mut(runner) {
             worker.failing.get_or_insert(now);
             worker.next_look = now;
@@ -128,6 +132,7 @@
             Answer::Done(_) | Answer::Rejected(Reason::Old) => {}
             Answer::Rejected(Reason::Fence) => self.deposed = true,
             Answer::Rejected(Reason::Instance) => return self.replaced(now, runner),
+            Answer::Rejected(Reason::Ended) => return self.found_ended(now, runner),
             Answer::Rejected(_) | Answer::Unknown(_) => return,
         }
         let Some(state) = self.task_mut(&task) else {
@@ -150,6 +155,19 @@
         }
     }
 
+    /// Nothing listens at a runner's address: what ran on it has ended. It may be one that does not
+    /// serve yet, so it is looked at again while the store lists it.
+    pub(super) fn found_ended(&mut self, now: Instant, runner: &RunnerId) {
+        self.lose_all(now, runner, "nothing listens at its address");
+        if let Some(worker) = self.workers.get_mut(runner) {
+            let born = worker.born;
+            worker.renew(born, now);
+            worker.ended = true;
+            worker.failing = Some(now);
+            worker.next_look = now + FAILING_PAUSE;
+        }
+    }
+
     /// A run has ended.
     pub(super) fn ended(&mut self, now: Instant, runner: &RunnerId, end: &End) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -47,6 +47,7 @@
     /// Runners of each service that take tasks.
     fn candidates(&self, now: Instant) -> IndexMap<Rc<str>, Pool> {
         let mut pools: IndexMap<Rc<str>, Pool> = IndexMap::new();
+        let silent = self.silent_domains();
         for (index, worker) in self.workers.values().enumerate() {
             let Some(entry) = worker.entry.as_ref().filter(|_| worker.takes_tasks(now)) else {
                 continue;
@@ -56,10 +57,18 @@
                 None => pools.entry(Rc::from(entry.service.as_str())).or_default(),
             };
             pool.widest = pool.widest.max(entry.room.millicores);
-            if worker.free().millicores > 0 {
+            if worker.free().millicores == 0 || self.silence.is_silent(worker) {
+                continue;
+            }
+            if worker.is_in(&silent) {
+                pool.doubted.push(index);
+            } else {
                 pool.runners.push(index);
             }
         }
+        for pool in pools.values_mut().filter(|pool| pool.runners.is_empty()) {
+            pool.runners = std::mem::take(&mut pool.doubted);
+        }
         pools
     }
 
@@ -223,6 +232,8 @@
 struct Pool {
     /// Positions of those with room that is not kept for a task that fits nowhere.
     runners: Vec<usize>,
+    /// Positions of those with room in a failure domain that is silent.
+    doubted: Vec<usize>,
     /// Room of the largest, in thousandths of a core.
     widest: u32,
     /// Tasks that fitted nowhere.
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// Whether it is in one of these failure domains.
+    pub(super) fn is_in(&self, domains: &IndexSet<Rc<str>>) -> bool {
+        let own = || std::iter::once(&self.listed.zone).chain(&self.listed.labels);
+        !domains.is_empty() && own().any(|domain| domains.contains(domain.as_str()))
+    }
+
     /// Whether it is down, or was acted on and has no new runner yet.
     pub(super) fn down(&self) -> bool {
         self.listed.state != State::Up || self.acted.is_some()
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -9,6 +9,7 @@
     indexmap::IndexMap,
     log::info,
     std::{
+        collections::VecDeque,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -64,6 +65,10 @@
     pub uncommitted: u32,
     /// Since when it has not answered.
     pub failing: Option<Instant>,
+    /// Whether nothing listened at its address when it was called last.
+    pub ended: bool,
+    /// When the orders were sent that it has not answered yet.
+    pub awaited: VecDeque<Instant>,
     /// Until when nothing is started on it.
     pub shunned: Option<Instant>,
     /// Runs that failed on it since one was done there.
@@ -128,6 +133,8 @@
             told: 0,
             uncommitted: 0,
             failing: None,
+            ended: false,
+            awaited: VecDeque::new(),
             shunned: None,
             strikes: 0,
             retired: None,
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod follow;
 mod front;
+mod limit;
 mod listener;
 mod meter;
 mod output;
--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store, as the entry calls it.
 
 use {
-    super::{channel::Channel, meter::Meter},
+    super::{channel::Channel, limit::Limit, meter::Meter},
     crate::{
         adapter::{
             frame::Page,
@@ -13,7 +13,6 @@
         },
     },
     std::{
-        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -25,10 +24,6 @@
 /// Bounds of the time for an answer to an append.
 const APPEND_ANSWER: (Duration, Duration) =
     (Duration::from_millis(120), Duration::from_millis(1_000));
-/// Time for an answer to an append, as a multiple of what the last ones took.
-const APPEND_FACTOR: u32 = 6;
-/// Weight of the newest answer in what appends take.
-const NEWEST: f64 = 0.2;
 /// Most calls to the store at once.
 const CALLS: usize = 8;
 
@@ -36,14 +31,14 @@
 pub struct Store {
     channel: Channel,
     meter: Rc<Meter>,
-    append_takes: Cell<Duration>,
+    appends: Limit,
 }
 
 impl Store {
     /// Store at `address`.
     pub fn new(address: SocketAddr, meter: Rc<Meter>) -> Self {
-        let append_takes = Cell::new(APPEND_ANSWER.1 / APPEND_FACTOR);
-        Self { channel: Channel::new(address, CALLS), meter, append_takes }
+        let appends = Limit::new(APPEND_ANSWER.0, APPEND_ANSWER.1);
+        Self { channel: Channel::new(address, CALLS), meter, appends }
     }
 
     /// Appends records as a fenced writer; returns the offset of the first.
@@ -96,13 +91,10 @@
     /// Calls that append wait for about as long as the last ones took: the answer of one may be lost,
     /// and repeating it is harmless.
     async fn write(&self, name: &str, call: Call) -> Result<Reply> {
-        let (least, most) = APPEND_ANSWER;
-        let takes = self.append_takes.get();
-        let limit = (takes * APPEND_FACTOR).clamp(least, most);
+        let limit = self.appends.get();
         let begun = Instant::now();
         let outcome = self.call(name, call, limit).await;
-        let newest = if outcome.is_ok() { begun.elapsed() } else { limit };
-        self.append_takes.set(takes.mul_f64(1.0 - NEWEST) + newest.mul_f64(NEWEST));
+        self.appends.note(begun, limit, outcome.is_ok());
         outcome
     }
 
--- /dev/null
+++ b/tests/job_silence.rs
@@ -0,0 +1,129 @@
+//! Runners that fall silent or end: where tasks go meanwhile, and when theirs start again.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use {
+    carobhitch::job::{cell::Action, upkeep},
+    std::time::Duration,
+    world::{World, spec, step},
+};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Starts sent to runners whose names begin with `name`.
+fn starts(world: &World, name: &str) -> usize {
+    let to = |action: &&Action| matches!(action, Action::Start(id, _) if id.starts_with(name));
+    world.sent.iter().filter(to).count()
+}
+
+/// A world with three runners in each of two availability zones.
+fn two_zones() -> World {
+    let mut world = World::new(0);
+    for number in 0..3 {
+        for zone in ["b", "a"] {
+            let id = format!("{zone}{number}");
+            world.add_in(zone, &id, "desk", &format!("m-{id}"), 1);
+        }
+    }
+    world.run(seconds(0.2));
+    world
+}
+
+fn cut(world: &mut World, zone: &str, cut: bool) {
+    for life in world.lives.values_mut().filter(|life| life.zone == zone) {
+        life.cut = cut;
+    }
+}
+
+#[test]
+fn a_zone_that_falls_silent_gets_no_tasks_before_its_calls_time_out() {
+    let mut world = two_zones();
+    cut(&mut world, "b", true);
+    world.submit(1, spec(vec![step(16, 4_000)]));
+    world.run(seconds(0.1));
+    let lost = starts(&world, "b");
+    assert_eq!(lost, 8, "the first tasks filled two runners in each zone");
+    for job in 2..6 {
+        world.submit(job, spec(vec![step(1, 1_000)]));
+        world.run(seconds(0.1));
+    }
+    assert_eq!(starts(&world, "b"), lost, "no further task was sent to the silent zone");
+}
+
+#[test]
+fn a_zone_that_answers_again_gets_tasks_again() {
+    let mut world = two_zones();
+    cut(&mut world, "b", true);
+    world.submit(1, spec(vec![step(12, 4_000)]));
+    world.run(seconds(1.5));
+    cut(&mut world, "b", false);
+    world.run(seconds(3.0));
+    let before = starts(&world, "b");
+    world.submit(2, spec(vec![step(18, 4_000)]));
+    world.run(seconds(0.5));
+    assert!(starts(&world, "b") > before);
+}
+
+#[test]
+fn one_runner_without_an_answer_casts_no_doubt_on_its_zone() {
+    let mut world = two_zones();
+    world.lives["b0"].cut = true;
+    world.submit(1, spec(vec![step(18, 4_000)]));
+    world.run(seconds(0.2));
+    let before = starts(&world, "b1") + starts(&world, "b2");
+    world.submit(2, spec(vec![step(18, 4_000)]));
+    world.run(seconds(1.5));
+    assert!(starts(&world, "b1") + starts(&world, "b2") > before);
+}
+
+#[test]
+fn tasks_of_a_runner_that_ended_start_elsewhere_at_once() {
+    let mut world = World::new(2);
+    world.run_time = seconds(60.0);
+    world.submit(1, spec(vec![step(1, 1_000)]));
+    world.run(seconds(0.5));
+    let first = world.lives.iter().find(|(_, life)| !life.running.is_empty()).unwrap().0.clone();
+    let life = &mut world.lives[&first];
+    life.gone = true;
+    life.lease = Duration::ZERO;
+    world.run(seconds(0.2));
+    let other = world.lives.iter().find(|(id, _)| **id != first).unwrap().1;
+    assert_eq!(other.running.len(), 1, "its lease need not lapse, as nothing listens there");
+}
+
+#[test]
+fn a_runner_that_listens_late_gets_tasks_once_it_does() {
+    let mut world = World::new(1);
+    world.lives["r0"].gone = true;
+    world.submit(1, spec(vec![step(1, 1_000)]));
+    world.run(seconds(1.0));
+    world.lives["r0"].gone = false;
+    world.run(seconds(0.5));
+    assert_eq!(world.lives["r0"].running.len(), 1);
+}
+
+#[test]
+fn vms_out_of_reach_neither_count_for_a_pool_nor_move() {
+    let mut world = two_zones();
+    world.add_spare("s0");
+    world.list_vms();
+    cut(&mut world, "b", true);
+    world.submit(1, spec(vec![step(24, 8_000)]));
+    world.run(seconds(0.4));
+    world.list_vms();
+    world.run(seconds(0.5));
+    let moved = |action: &Action| match action {
+        Action::Vm(upkeep::Action::Move { vm, pool }) => Some((vm.clone(), pool.clone())),
+        _ => None,
+    };
+    let moves: Vec<_> = world.sent.iter().filter_map(moved).collect();
+    assert!(
+        moves.contains(&("s0".into(), "desk".into())),
+        "3 of 6 VMs are out of reach: {moves:?}"
+    );
+    assert!(!moves.iter().any(|(vm, _)| vm.starts_with("m-b")), "{moves:?}");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,6 +24,8 @@
 pub const MILLICORES: u32 = 16_000;
 /// Time between two steps of the world.
 pub const STEP: Duration = Duration::from_millis(20);
+/// Time after which a call without an answer is given up.
+pub const TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A runner of the world.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +39,13 @@
     pub highest: IndexMap<Task, u32>,
     pub lease: Duration,
     pub used: u32,
+    /// Failure domains that it is in, beside the one of all.
+    pub zone: String,
     pub silent: bool,
+    /// Calls are not carried out, and found out to be so only after [`TIMEOUT`].
+    pub cut: bool,
+    /// Nothing listens at its address.
+    pub gone: bool,
     pub loses_answers: bool,
     pub starts: usize,
     pub ends: u64,
@@ -65,6 +73,8 @@
     pub sent: Vec<Action>,
     pub done: Vec<Task>,
     pub pending: Option<Vec<Record>>,
+    /// Calls that get no answer, and when their time is over.
+    pub unheard: Vec<(Duration, Action)>,
     pub run_time: Duration,
     pub fails: bool,
     /// Tail latency that endless tasks report, in milliseconds.
@@ -120,6 +130,7 @@
             sent: Vec::new(),
             done: Vec::new(),
             pending: None,
+            unheard: Vec::new(),
             run_time: Duration::from_secs(1),
             fails: false,
             tail_ms: 0,
@@ -145,7 +156,7 @@
         Entry {
             service: life.service.clone(),
             address: "127.0.0.1:9".parse().unwrap(),
-            zone: "z".into(),
+            zone: life.zone.clone(),
             vm: life.vm.clone(),
             born: Some(life.born),
             draining: false,
@@ -157,7 +168,13 @@
 
     /// Adds a runner, and its VM.
     pub fn add(&mut self, id: &str, service: &str, vm: &str, born: u64) {
-        let life = Life { service: service.into(), vm: vm.into(), born, ..Life::default() };
+        self.add_in("z", id, service, vm, born);
+    }
+
+    /// Adds a runner in an availability zone, and its VM.
+    pub fn add_in(&mut self, zone: &str, id: &str, service: &str, vm: &str, born: u64) {
+        let zone = String::from(zone);
+        let life = Life { service: service.into(), zone, vm: vm.into(), born, ..Life::default() };
         self.lives.insert(id.into(), life);
         let entry = self.entry(id);
         let now = self.at();
@@ -166,7 +183,7 @@
             id: vm.into(),
             pool: service.into(),
             state: State::Up,
-            zone: "z".into(),
+            zone: self.lives[id].zone.clone(),
             labels: Vec::new(),
             runner: Some(id.into()),
         };
@@ -254,6 +271,7 @@
         while self.now < until {
             self.now += STEP;
             self.advance_runners();
+            self.give_up_calls();
             let now = self.at();
             self.cell.tick(now);
             for _ in 0..4 {
@@ -309,6 +327,10 @@
     pub fn carry_out(&mut self) {
         for action in self.cell.take_actions() {
             self.sent.push(action.clone());
+            if self.is_cut(&action) {
+                self.unheard.push((self.now + TIMEOUT, action));
+                continue;
+            }
             let now = self.at();
             match action {
                 Action::Answer(request, answer) => {
@@ -332,6 +354,37 @@
         }
     }
 
+    fn is_cut(&self, action: &Action) -> bool {
+        let (Action::Start(id, ..) | Action::Stop(id, ..) | Action::Look(id, ..)) = action else {
+            return false;
+        };
+        self.lives.get(&**id).is_some_and(|life| life.cut)
+    }
+
+    /// Tells the cell of calls whose time is over.
+    fn give_up_calls(&mut self) {
+        let due: Vec<Action> =
+            self.unheard.extract_if(.., |(at, _)| *at <= self.now).map(|(_, a)| a).collect();
+        let (now, why) = (self.at(), || String::from("no answer"));
+        for action in due {
+            match action {
+                Action::Start(id, start) => {
+                    let answer = runner::Answer::Unknown(why());
+                    self.cell.start_answered(now, &id, start.task, start.run, answer);
+                }
+                Action::Stop(id, task, run) => {
+                    let answer = runner::Answer::Unknown(why());
+                    self.cell.stop_answered(now, &id, task, run, answer);
+                }
+                Action::Look(id, hold) => {
+                    let answer = runner::Answer::Unknown(why());
+                    self.cell.look_answered(now, &id, hold.seen, answer);
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn act(&mut self, action: &upkeep::Action) {
         if self.mute_vms {
             let runner = self.vms[action.vm()].runner.clone();
@@ -366,6 +419,9 @@
         let Some(life) = self.lives.get_mut(id) else {
             return runner::Answer::Unknown("gone".into());
         };
+        if life.gone {
+            return runner::Answer::Rejected(Reason::Ended);
+        }
         if life.silent {
             return runner::Answer::Unknown("silent".into());
         }
@@ -408,6 +464,9 @@
 
     fn look(&mut self, id: &str, hold: &Hold) -> runner::Answer<Report> {
         let (clock_ms, tail_ms) = (self.now.as_millis() as u64, self.tail_ms);
+        if self.lives.get(id).is_some_and(|life| life.gone) {
+            return runner::Answer::Rejected(Reason::Ended);
+        }
         let Some(life) = self.lives.get_mut(id).filter(|life| !life.silent) else {
             return runner::Answer::Unknown("silent".into());
         };
