Don't take a refused connection for a runner's end

Change: such a runner is one that doesn't answer; its tasks wait for its lease. What the change was for, stale registrations that cast doubt on their zone or rack, is mended by the platform's list: a runner whose VM has another one or none says nothing about its domain.

--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -25,7 +25,7 @@
 /// Time between two looks while the ledger has not stored the ends of the last one.
 const UNCOMMITTED_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two looks at a runner that does not answer.
-pub(super) const FAILING_PAUSE: Duration = Duration::from_millis(250);
+const FAILING_PAUSE: Duration = Duration::from_millis(250);
 /// Ends that a runner lists at once.
 const LISTED_ENDS: usize = 500;
 /// Time after which a stop without an answer is sent again.
@@ -74,7 +74,7 @@
     ) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
         let Some(sent) = worker.looking.take() else { return };
-        if !matches!(answer, Answer::Unknown(_) | Answer::Rejected(Reason::Ended)) {
+        if !matches!(answer, Answer::Unknown(_)) {
             self.note_look(now, runner, sent);
         }
         match answer {
@@ -84,7 +84,6 @@
                 self.deposed = true;
             }
             Answer::Rejected(Reason::Instance) => self.replaced(now, runner),
-            Answer::Rejected(Reason::Ended) => self.found_ended(now, runner),
             Answer::Rejected(reason) => self.look_failed(now, runner, &format!("{reason:?}")),
             Answer::Unknown(why) => self.look_failed(now, runner, &why),
         }
@@ -115,7 +114,6 @@
             self.reborn(now, runner, report.born);
         }
         let Some(worker) = self.workers.get_mut(runner) else { return };
-        worker.ended = false;
         if worker.failing.take().is_some() {
             info!("runner: id={runner} answers=true");
         }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -4,7 +4,6 @@
     super::{
         Action, Cell, Effect, RunnerId,
         job::{Phase, Status},
-        look::FAILING_PAUSE,
     },
     crate::job::{
         ledger::Outcome,
@@ -69,7 +68,6 @@
         match reason {
             Reason::Fence => self.deposed = true,
             Reason::Instance => self.replaced(now, runner),
-            Reason::Ended => self.found_ended(now, runner),
             Reason::Room | Reason::Unhealthy | Reason::Ticket | Reason::Malformed => {
                 if let Some(worker) = self.workers.get_mut(runner) {
                     worker.shunned = Some(now + SHUN);
@@ -132,7 +130,6 @@
             Answer::Done(_) | Answer::Rejected(Reason::Old) => {}
             Answer::Rejected(Reason::Fence) => self.deposed = true,
             Answer::Rejected(Reason::Instance) => return self.replaced(now, runner),
-            Answer::Rejected(Reason::Ended) => return self.found_ended(now, runner),
             Answer::Rejected(_) | Answer::Unknown(_) => return,
         }
         let Some(state) = self.task_mut(&task) else {
@@ -155,19 +152,6 @@
         }
     }
 
-    /// Nothing listens at a runner's address: what ran on it has ended. It may be one that does not
-    /// serve yet, so it is looked at again while the store lists it.
-    pub(super) fn found_ended(&mut self, now: Instant, runner: &RunnerId) {
-        self.lose_all(now, runner, "nothing listens at its address");
-        if let Some(worker) = self.workers.get_mut(runner) {
-            let born = worker.born;
-            worker.renew(born, now);
-            worker.ended = true;
-            worker.failing = Some(now);
-            worker.next_look = now + FAILING_PAUSE;
-        }
-    }
-
     /// A run has ended.
     pub(super) fn ended(&mut self, now: Instant, runner: &RunnerId, end: &End) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -230,6 +230,7 @@
             }
         }
         self.pools.members.retain(|id, member| listed.contains(id) || member.plan.is_some());
+        self.find_former_runners();
         self.pools.note_sizes();
         for member in self.pools.members.values_mut() {
             let Some(Acted { at, former, .. }) = &member.acted else { continue };
@@ -244,6 +245,16 @@
         }
     }
 
+    /// Finds runners whose VMs have another one by now, or none.
+    fn find_former_runners(&mut self) {
+        for (id, worker) in &mut self.workers {
+            let vm = worker.entry.as_ref().map(|entry| entry.vm.as_str()).unwrap_or_default();
+            let member = self.pools.members.get(vm);
+            worker.former =
+                member.is_some_and(|member| member.listed.runner.as_deref() != Some(&**id));
+        }
+    }
+
     /// Runner of a VM, if one is known.
     pub(super) fn runner_of(&self, vm: &str) -> Option<RunnerId> {
         let member = self.pools.members.get(vm)?;
--- a/src/job/cell/silence.rs
+++ b/src/job/cell/silence.rs
@@ -6,6 +6,7 @@
 //! VM as well. A failure domain (an availability zone, or runners with a label in common, such as a
 //! rack) is silent if several of its runners are and nothing in it has answered since. Runners of a
 //! silent domain get no task while others have room; they are looked at, and one answer ends the doubt.
+//! Former runners of VMs, which the store may list for a while, say nothing about their domain.
 
 use {
     super::{Cell, Worker},
@@ -61,11 +62,8 @@
         }
     }
 
-    /// Since when a runner is silent; one that has ended is not.
+    /// Since when a runner is silent.
     fn since(&self, worker: &Worker) -> Option<Instant> {
-        if worker.ended {
-            return None;
-        }
         let overdue = |sent: &&Instant| self.answered.is_some_and(|at| at > **sent + OVERDUE);
         worker.failing.or(worker.awaited.front().filter(overdue).copied())
     }
@@ -106,7 +104,7 @@
     /// Failure domains that are silent.
     pub(super) fn silent_domains(&self) -> IndexSet<Rc<str>> {
         let mut found: IndexMap<&str, (usize, Instant)> = IndexMap::new();
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| !worker.former) {
             let Some(since) = self.silence.since(worker) else { continue };
             for domain in worker.domains() {
                 let (count, first) = found.entry(domain).or_insert((0, since));
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -65,8 +65,8 @@
     pub uncommitted: u32,
     /// Since when it has not answered.
     pub failing: Option<Instant>,
-    /// Whether nothing listened at its address when it was called last.
-    pub ended: bool,
+    /// Whether the platform lists another runner of its VM, or none.
+    pub former: bool,
     /// When the orders were sent that it has not answered yet.
     pub awaited: VecDeque<Instant>,
     /// Until when nothing is started on it.
@@ -133,7 +133,7 @@
             told: 0,
             uncommitted: 0,
             failing: None,
-            ended: false,
+            former: false,
             awaited: VecDeque::new(),
             shunned: None,
             strikes: 0,
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -15,7 +15,7 @@
         header::{CONTENT_TYPE, HOST},
     },
     hyper_util::rt::TokioIo,
-    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, time::Duration},
     tokio::{net::TcpStream, sync::Semaphore, task::spawn_local, time::timeout},
 };
 
@@ -28,8 +28,6 @@
 /// Why a call has no reply.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Error {
-    /// connect to {0}: nothing listens there
-    Refused(SocketAddr),
     /// connect to {0}: {1}
     Connect(SocketAddr, String),
     /// send to {0}: {1}
@@ -45,7 +43,7 @@
 impl Error {
     /// Whether the call surely did not reach the server.
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::Connect(..) | Self::Refused(_))
+        matches!(self, Self::Connect(..))
     }
 }
 
@@ -137,9 +135,6 @@
     async fn connect(&self) -> Result<Sender> {
         let failed = |why: String| Error::Connect(self.address, why);
         let stream = match timeout(CONNECT, TcpStream::connect(self.address)).await {
-            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-                return Err(Error::Refused(self.address));
-            }
             Ok(stream) => stream.map_err(|e| failed(e.to_string()))?,
             Err(_) => return Err(failed(format!("no answer after {CONNECT:?}"))),
         };
--- a/src/job/daemon/runners.rs
+++ b/src/job/daemon/runners.rs
@@ -88,7 +88,6 @@
             let call = adapter::runner::hold(&id, &hold);
             let answer = match send(channel, tools, "hold", call, hold.wait).await {
                 Ok(reply) => adapter::runner::report(&reply),
-                Err(channel::Error::Refused(_)) => Answer::Rejected(Reason::Ended),
                 Err(e) => Answer::Unknown(e.to_string()),
             };
             Some(Event::Looked(id, hold.seen, answer))
@@ -106,7 +105,6 @@
 async fn order(channel: &Channel, tools: &Tools, name: &str, call: Call) -> Answer<u64> {
     match send(channel, tools, name, call, Duration::ZERO).await {
         Ok(reply) => adapter::runner::order(&reply),
-        Err(channel::Error::Refused(_)) => Answer::Rejected(Reason::Ended),
         Err(e) if e.not_sent() => Answer::Rejected(Reason::Unhealthy),
         Err(e) => Answer::Unknown(e.to_string()),
     }
--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -142,8 +142,6 @@
     Instance,
     /// It found the order malformed.
     Malformed,
-    /// Nothing listens at its address: it has ended, or does not serve yet.
-    Ended,
 }
 
 /// What came of an order.
