Share VMs out to work that can be in time before late work

Change: need is the room of tasks that may run now, timely and late apart, with the trend of what is submitted and the learned peak of turns; VMs are shared out floor first, then timely, then late work; busy VMs are emptied for a service that is short. A turn begins when a quiet service asks for half its pool by several jobs.

--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -40,8 +40,7 @@
             return;
         };
         let spec = Rc::new(spec);
-        let work = self.load.submitted(now, &queue.service, &queue.name, &spec);
-        self.forecast.submitted(&queue.service, work);
+        self.load.submitted(now, &queue.service, &queue.name, &spec);
         self.jobs.insert(id, Job::new(spec, queue, at_ms, now, Duration::ZERO));
         self.accepted.push(id);
         self.mark(id);
--- a/src/job/cell/forecast.rs
+++ b/src/job/cell/forecast.rs
@@ -1,9 +1,11 @@
 //! Turns of demand: which service is busiest, and which follows it when.
 //!
 //! Services whose callers come by turns show it in what they submit: one after the other asks for far
-//! more than its pool has, for about the same time each. Once two turns have taken about as long, the
-//! start of the next one is known; whose it is follows from the order seen before, or from being the
-//! last that has not had one. A turn that does not come ends the forecast until turns agree again.
+//! more than its pool has, for about the same time each. A turn begins when a service that was quiet
+//! asks for a good part of its pool. Once two turns have taken about as long, the start of the next one is
+//! known; whose it is follows from the order seen before, or from being the last that has not had one. A
+//! turn that does not come ends the forecast until turns agree again. What a turn asks for at its peak, as
+//! a multiple of its pool, is learned from the turns seen, of whichever service.
 
 use {
     indexmap::IndexMap,
@@ -16,6 +18,16 @@
 
 /// Part of a pool's cores that submitted work asks for in a turn.
 const TURN_LOAD: f64 = 0.5;
+/// Part of a pool's cores below which a service is quiet between its turns.
+const QUIET_LOAD: f64 = 0.25;
+/// Jobs submitted lately from which on the load is more than chance.
+const LEAST_JOBS: f64 = 4.0;
+/// Part of its peak below which a turn's load falls.
+const FALLING: f64 = 0.7;
+/// Multiple of its pool's cores that a turn asks for at its peak, where none was seen.
+const FIRST_PEAK: f64 = 1.5;
+/// Bounds of what is learned of it.
+const PEAKS: (f64, f64) = (0.5, 4.0);
 /// Times between turns that are kept.
 const KEPT: usize = 4;
 /// Times between turns that must agree.
@@ -36,19 +48,21 @@
     times: VecDeque<Duration>,
     next: IndexMap<String, String>,
     seen: IndexMap<String, Seen>,
+    busy: IndexMap<String, bool>,
 }
 
 #[derive(Clone, Debug)]
 struct Turn {
     service: String,
     began: Instant,
-    work: f64,
+    load: f64,
+    peak: f64,
 }
 
 #[derive(Clone, Debug)]
 struct Seen {
     began: Instant,
-    cores: f64,
+    peak: f64,
 }
 
 /// A turn to come.
@@ -58,47 +72,67 @@
     pub service: String,
     /// When it begins.
     pub at: Instant,
-    /// Cores that its work will ask for, if it had a turn before.
-    pub cores: Option<f64>,
 }
 
 impl Forecast {
-    /// Notes work submitted to a service, in core-seconds.
-    pub fn submitted(&mut self, service: &str, work: f64) {
+    /// Notes that a service's work asks for `load` of its pool's cores, by `jobs` jobs submitted lately.
+    pub fn observe(&mut self, now: Instant, service: &str, load: f64, jobs: f64, lag: Duration) {
         if let Some(turn) = self.current.as_mut().filter(|turn| turn.service == service) {
-            turn.work += work;
+            turn.load = load;
+            turn.peak = turn.peak.max(load);
         }
-    }
-
-    /// Notes that a service's work asks for `load` of its pool's cores.
-    pub fn observe(&mut self, now: Instant, service: &str, load: f64, lag: Duration) {
-        let is_current = self.current.as_ref().is_some_and(|turn| turn.service == service);
-        if is_current || load < TURN_LOAD {
+        let busy = self.busy.entry(String::from(service)).or_default();
+        if load < QUIET_LOAD {
+            *busy = false;
+        }
+        if *busy || load < TURN_LOAD || jobs < LEAST_JOBS {
             return;
         }
+        *busy = true;
+        self.begin(now, service, load, lag);
+    }
+
+    fn begin(&mut self, now: Instant, service: &str, load: f64, lag: Duration) {
         let began = now.checked_sub(lag).unwrap_or(now);
         if let Some(turn) = self.current.take() {
             let time = began.saturating_duration_since(turn.began);
-            if time < SHORTEST {
+            if time < SHORTEST && turn.load > load {
                 self.current = Some(turn);
                 return;
             }
             self.end(turn, service, time);
         }
         info!("turn: service={service} load={load:.2} times={:?}", self.times);
-        self.current = Some(Turn { service: String::from(service), began, work: 0.0 });
+        self.current = Some(Turn { service: String::from(service), began, load, peak: load });
     }
 
     fn end(&mut self, turn: Turn, next: &str, time: Duration) {
-        if time <= LONGEST {
+        if (SHORTEST..=LONGEST).contains(&time) {
             self.times.push_back(time);
             if self.times.len() > KEPT {
                 self.times.pop_front();
             }
             self.next.insert(turn.service.clone(), String::from(next));
         }
-        let cores = turn.work / time.as_secs_f64();
-        self.seen.insert(turn.service, Seen { began: turn.began, cores });
+        self.seen.insert(turn.service, Seen { began: turn.began, peak: turn.peak });
+    }
+
+    /// Service whose turn it is, unless what it asks for falls already.
+    pub fn rising(&self) -> Option<&str> {
+        let turn = self.current.as_ref().filter(|turn| turn.load >= FALLING * turn.peak)?;
+        Some(&turn.service)
+    }
+
+    /// Multiple of its pool's first cores that a service's turn asks for at its peak.
+    pub fn peak(&self, service: &str) -> f64 {
+        if let Some(seen) = self.seen.get(service) {
+            return seen.peak.clamp(PEAKS.0, PEAKS.1);
+        }
+        if self.seen.is_empty() {
+            return FIRST_PEAK;
+        }
+        let mean = self.seen.values().map(|seen| seen.peak).sum::<f64>() / self.seen.len() as f64;
+        mean.clamp(PEAKS.0, PEAKS.1)
     }
 
     /// Whether turns agree, and the one in progress has not outlasted them.
@@ -107,11 +141,6 @@
         now <= turn.began + time + LATENESS
     }
 
-    /// Service in its turn.
-    pub fn current(&self) -> Option<&str> {
-        self.current.as_ref().map(|turn| turn.service.as_str())
-    }
-
     /// Turn that follows, if turns agree; `services` are those that may have one.
     pub fn coming(&self, now: Instant, services: &[&str]) -> Option<Coming> {
         if !self.confident(now) {
@@ -120,8 +149,7 @@
         let turn = self.current.as_ref()?;
         let at = turn.began + self.time()?;
         let service = self.following(&turn.service, services)?;
-        let cores = self.seen.get(service).map(|seen| seen.cores);
-        Some(Coming { service: String::from(service), at, cores })
+        Some(Coming { service: String::from(service), at })
     }
 
     fn following<'a>(&'a self, current: &str, services: &[&'a str]) -> Option<&'a str> {
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Time that a start and the news of an end take beside the work itself.
+const OVERHEAD: Duration = Duration::from_millis(50);
+
 /// A job.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -73,6 +76,16 @@
     Done,
 }
 
+impl State {
+    /// Since when its run is on a runner, if it is on one.
+    pub fn begun(&self) -> Option<Instant> {
+        match &self.status {
+            Status::Placed(placement) => Some(placement.since),
+            Status::Waiting | Status::Done => None,
+        }
+    }
+}
+
 /// A run on a runner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -174,6 +187,11 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Whether it can't be complete in time any more.
+    pub fn is_late(&self, now: Instant) -> bool {
+        !self.spec.endless() && now + self.remaining + OVERHEAD > self.due
+    }
+
     /// Whether it has ended and nothing of it is on a runner.
     pub fn settled(&self) -> bool {
         let placed = |state: &State| matches!(state.status, Status::Placed(_));
--- a/src/job/cell/load.rs
+++ b/src/job/cell/load.rs
@@ -8,17 +8,30 @@
 
 /// Time over which the rate of submitted work is averaged.
 const MEMORY: Duration = Duration::from_millis(700);
+/// Time over which it is averaged to tell whether it rises.
+const LONG_MEMORY: Duration = Duration::from_millis(2_000);
 /// Weight of a run in the learned run time of its queue.
 const RUN_WEIGHT: f64 = 0.02;
 /// Bounds of the learned factor between run times and their estimates.
 const FACTORS: (f64, f64) = (0.3, 3.0);
 
+/// Work submitted to a service lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    /// Cores that it asks for.
+    cores: f64,
+    /// The same over a longer time.
+    long: f64,
+    /// Jobs, weighted as the work is.
+    jobs: f64,
+}
+
 /// Demand of each service.
 #[derive(Clone, Debug)]
 pub struct Load {
     at: Instant,
     begun: bool,
-    rates: IndexMap<String, f64>,
+    rates: IndexMap<String, Rate>,
     factors: IndexMap<String, f64>,
 }
 
@@ -28,16 +41,18 @@
         Self { at: now, begun: false, rates: IndexMap::new(), factors: IndexMap::new() }
     }
 
-    /// Notes a submitted job; returns its work in core-seconds.
-    pub fn submitted(&mut self, now: Instant, service: &str, queue: &str, spec: &Spec) -> f64 {
+    /// Notes a submitted job.
+    pub fn submitted(&mut self, now: Instant, service: &str, queue: &str, spec: &Spec) {
         if spec.endless() {
-            return 0.0;
+            return;
         }
         self.advance(now);
         self.begun = true;
         let work = spec.work() * self.factor(queue);
-        *self.rates.entry(String::from(service)).or_default() += work / MEMORY.as_secs_f64();
-        work
+        let rate = self.rates.entry(String::from(service)).or_default();
+        rate.cores += work / MEMORY.as_secs_f64();
+        rate.long += work / LONG_MEMORY.as_secs_f64();
+        rate.jobs += 1.0;
     }
 
     /// Notes a run of a task that was estimated to take `estimate`.
@@ -60,14 +75,31 @@
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = now;
         let keep = (-passed / MEMORY.as_secs_f64()).exp();
+        let keep_long = (-passed / LONG_MEMORY.as_secs_f64()).exp();
         for rate in self.rates.values_mut() {
-            *rate *= keep;
+            rate.cores *= keep;
+            rate.jobs *= keep;
+            rate.long *= keep_long;
         }
     }
 
     /// Cores that the work submitted to a service lately asks for.
     pub fn cores(&self, service: &str) -> f64 {
-        self.rates.get(service).copied().unwrap_or_default()
+        self.rates.get(service).map_or(0.0, |rate| rate.cores)
+    }
+
+    /// Cores that work will ask for after `ahead`, if it goes on rising as it does; if it falls, no less
+    /// than now.
+    pub fn cores_after(&self, service: &str, ahead: Duration) -> f64 {
+        let Some(rate) = self.rates.get(service) else { return 0.0 };
+        let over = (LONG_MEMORY - MEMORY).as_secs_f64();
+        let slope = ((rate.cores - rate.long) / over).max(0.0);
+        rate.cores + slope * ahead.as_secs_f64()
+    }
+
+    /// Jobs submitted to a service lately.
+    pub fn jobs(&self, service: &str) -> f64 {
+        self.rates.get(service).map_or(0.0, |rate| rate.jobs)
     }
 
     /// Whether any finite job was submitted since the cell was taken over.
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -14,6 +14,7 @@
 mod job;
 mod load;
 mod look;
+mod need;
 mod order;
 mod pace;
 mod place;
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -13,11 +13,7 @@
     crate::job::spec::{self, Need, Step, Task},
     indexmap::{IndexMap, IndexSet},
     log::info,
-    std::{
-        cmp::Reverse,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cmp::Reverse, rc::Rc, time::Instant},
 };
 
 impl Cell {
@@ -271,16 +267,12 @@
     due: Instant,
 }
 
-/// Time that a start and the news of an end take beside the work itself.
-const OVERHEAD: Duration = Duration::from_millis(50);
-
 impl Rank {
     fn of(job: &Job, now: Instant) -> Self {
         let endless = job.spec.endless();
-        let late = !endless && now + job.remaining + OVERHEAD > job.due;
         Self {
             finite: !endless,
-            late,
+            late: job.is_late(now),
             priority: job.priority,
             due: job.due,
             started: Reverse(job.started),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -79,6 +79,11 @@
     pub tail_ms: u64,
     /// Whether actions on VMs are carried out without an answer, and the list of VMs lags.
     pub mute_vms: bool,
+    /// Time after which a VM that was acted on has its new runner; it gets none if this is not set.
+    pub move_time: Option<Duration>,
+    /// VMs that will have a new runner, and when.
+    moving: Vec<(Duration, String)>,
+    next_life: u64,
     next_request: u64,
     epoch: u64,
 }
@@ -133,6 +138,9 @@
             fails: false,
             tail_ms: 0,
             mute_vms: false,
+            move_time: None,
+            moving: Vec::new(),
+            next_life: 1,
             next_request: 0,
             epoch: 1,
         };
@@ -213,8 +221,12 @@
     }
 
     pub fn submit(&mut self, id: u64, spec: Spec) -> u64 {
+        self.submit_to("quotes", id, spec)
+    }
+
+    pub fn submit_to(&mut self, queue: &str, id: u64, spec: Spec) -> u64 {
         let (request, now) = (self.request(), self.at());
-        self.cell.submit(now, 1_000_000 + self.now.as_millis() as u64, request, "quotes", id, spec);
+        self.cell.submit(now, 1_000_000 + self.now.as_millis() as u64, request, queue, id, spec);
         request
     }
 
@@ -269,6 +281,7 @@
         while self.now < until {
             self.now += STEP;
             self.advance_runners();
+            self.arrive();
             self.give_up_calls();
             let now = self.at();
             self.cell.tick(now);
@@ -402,10 +415,27 @@
             let life = self.lives.swap_remove(&id).unwrap();
             assert!(life.running.is_empty(), "an action ended {:?}", life.running.keys());
         }
+        if let Some(time) = self.move_time {
+            self.moving.push((self.now + time, action.vm().into()));
+        }
         let now = self.at();
         self.cell.acted(now, action, Ok(()));
     }
 
+    /// Gives VMs that have moved their new runners; those of the spare pool are off.
+    fn arrive(&mut self) {
+        let due: Vec<String> =
+            self.moving.extract_if(.., |(at, _)| *at <= self.now).map(|(_, vm)| vm).collect();
+        for vm in due {
+            let pool = self.vms[&vm].pool.clone();
+            self.vms[&vm].state = State::Up;
+            if pool != "spare" {
+                self.next_life += 1;
+                self.add(&format!("{vm}-{}", self.next_life), &pool, &vm, self.next_life);
+            }
+        }
+    }
+
     fn start(&mut self, id: &str, start: &Start) -> runner::Answer<u64> {
         let clock_ms = self.now.as_millis() as u64;
         let step = self.cell.jobs()[&start.task.job].step(&start.task).unwrap().clone();
