Don't move VMs that are overdue for their upkeep

Traced by its name: down with its rack until 18.6 s, then moved to another pool at 20.9 s, and planned for upkeep at 25.7 s of 28 only, as a VM counted as down until the list showed its new runner (up to 1.8 s), and a wave past its aim planned no more VMs than were left, those just done and still down included. The lines that showed it had been dropped: 400 a second are too few for 60 jobs a second.

Change: such VMs don't move; a new runner's registration ends the action on its VM; past its aim a wave takes as many VMs as it may; VMs are listed each 0.5 s; 1,500 log lines a second.

Tests: two in tests/job_vms.rs, which fail without.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -175,7 +175,8 @@
         let silent = self.silent_domains();
         let mut found: Vec<(bool, Duration, Free)> = Vec::new();
         for (id, member) in &self.pools.members {
-            if member.down() || member.plan.is_some() || self.is_out_of_reach(member, &silent) {
+            let taken = member.down() || member.plan.is_some() || self.is_overdue(now, id);
+            if taken || self.is_out_of_reach(member, &silent) {
                 continue;
             }
             let pool = member.listed.pool.clone();
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -10,6 +10,7 @@
         id::VmId,
         job::{
             ledger,
+            runner::Entry,
             spec::Task,
             upkeep::{self, Action, Refusal, State, Vm},
         },
@@ -198,6 +199,16 @@
         }
     }
 
+    /// Takes in that a runner of this VM has registered: the action before it has come to its end.
+    fn arrived(&mut self, runner: &str, service: &str) {
+        let Some(acted) = &self.acted else { return };
+        if service == self.listed.pool && acted.former.as_deref() != Some(runner) {
+            self.listed.state = State::Up;
+            self.listed.runner = Some(String::from(runner));
+            self.acted = None;
+        }
+    }
+
     /// Whether it is in one of these failure domains.
     pub(super) fn is_in(&self, domains: &IndexSet<Rc<str>>) -> bool {
         let own = || std::iter::once(&self.listed.zone).chain(&self.listed.labels);
@@ -245,6 +256,13 @@
         }
     }
 
+    /// A runner that was not known has registered.
+    pub(super) fn register(&mut self, runner: &str, entry: &Entry) {
+        if let Some(member) = self.pools.members.get_mut(entry.vm.as_str()) {
+            member.arrived(runner, &entry.service);
+        }
+    }
+
     /// Finds runners whose VMs have another one by now, or none.
     fn find_former_runners(&mut self) {
         for (id, worker) in &mut self.workers {
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -113,6 +113,15 @@
         wave.order.vms.iter().filter(due).cloned().collect()
     }
 
+    /// Whether a VM should have had its upkeep by now.
+    pub(super) fn is_overdue(&self, now: Instant, vm: &str) -> bool {
+        self.pools.waves.iter().any(|(number, wave)| {
+            let aimed = now.saturating_duration_since(wave.begun) > wave.order.within.mul_f64(AIM);
+            let due = || wave.order.vms.iter().any(|id| id == vm);
+            !wave.complete && aimed && due() && !self.pools.is_done(*number, vm)
+        })
+    }
+
     fn complete_wave(&mut self, now: Instant, number: Number) {
         let Some(wave) = self.pools.waves.get_mut(&number) else { return };
         let ms = now.saturating_duration_since(wave.begun).as_millis();
@@ -130,6 +139,9 @@
         let Some(wave) = self.pools.waves.get(&number) else { return 0 };
         let passed = now.saturating_duration_since(wave.begun);
         let time = wave.order.within.mul_f64(AIM).saturating_sub(passed);
+        if time.is_zero() {
+            return wave.order.most;
+        }
         let each = EMPTYING + self.bounds.upkeep_time;
         let rounds = (time.as_secs_f64() / each.as_secs_f64()).max(1.0);
         let needed = (left as f64 / rounds).ceil() as usize;
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -247,6 +247,7 @@
             }
             None => {
                 info!("runner: id={id} new service={} sequence={}", entry.service, entry.sequence);
+                self.register(id, &entry);
                 self.workers.insert(Rc::from(id), Worker::new(Some(entry), now, now));
             }
         }
--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -17,7 +17,7 @@
 /// Time between two reads of the runners' registrations.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two reads of the list of VMs.
-const MACHINES_PAUSE: Duration = Duration::from_millis(1_000);
+const VMS_PAUSE: Duration = Duration::from_millis(500);
 /// Time for an answer of the platform's list of VMs.
 pub const FLEET_ANSWER: Duration = Duration::from_millis(800);
 /// Pause after the store did not answer.
@@ -142,7 +142,7 @@
                 }
             }
         }
-        sleep(MACHINES_PAUSE).await;
+        sleep(VMS_PAUSE).await;
     }
 }
 
--- a/src/job/daemon/output.rs
+++ b/src/job/daemon/output.rs
@@ -18,7 +18,7 @@
 };
 
 /// Lines written in a second, over a longer time.
-const LINES_PER_S: f64 = 400.0;
+const LINES_PER_S: f64 = 1_500.0;
 /// Lines written at once after a quiet time.
 const BURST_LINES: f64 = 4_000.0;
 /// Bytes gathered before they are written.
--- a/tests/job_vms.rs
+++ b/tests/job_vms.rs
@@ -168,3 +168,34 @@
     let to_desk = moves(&world).iter().filter(|(_, pool)| pool == "desk").count();
     assert_eq!(to_desk, 1, "10 of 11 tasks fit on the one VM");
 }
+
+#[test]
+fn a_vm_that_is_overdue_for_its_upkeep_does_not_move_first() {
+    let mut world = World::new(2);
+    world.add_spare("s0");
+    world.list_vms();
+    world.run(seconds(0.5));
+    world.mute_vms = true;
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "s0"], 1));
+    world.run(seconds(0.5));
+    assert_eq!(upkeeps(&world).len(), 1, "the wave may have one VM down at once");
+    let other = if upkeeps(&world)[0] == "s0" { "m0" } else { "s0" };
+    world.run(seconds(15.0));
+    for id in 2..22 {
+        world.submit_to("checks", id, spec(vec![step(8, 2_000)]));
+    }
+    world.run(seconds(1.0));
+    assert!(!moves(&world).iter().any(|(vm, _)| vm == other), "its upkeep comes first");
+}
+
+#[test]
+fn a_runner_that_has_registered_ends_the_action_on_its_vm_before_the_list_says_so() {
+    let mut world = World::new(2);
+    world.move_time = Some(seconds(2.0));
+    world.list_vms();
+    let now = world.at();
+    world.cell.order_wave(now, wave(&["m0", "m1"], 1));
+    world.run(seconds(6.0));
+    assert_eq!(upkeeps(&world).len(), 2, "the second VM went down once the first was back");
+}
