Keep a step's tasks in one zone, and go on as the owner until another has taken over

Cause: with each step's tasks spread over all zones, a cut of one zone made nearly every job in progress late (30 of 60 jobs of the two seconds before it).

Change: a task goes to the zone of its step's other tasks if that has room. An owner that has given the cell up goes on (renewing, seeing ends) until it reads another's claim or its grace ends; it acts on no VM then, and any append of its own is fenced by the claim as before. Weak VMs wait 20 ms for each halving instead of 45 before they claim.

--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -103,12 +103,14 @@
                 continue;
             }
             let mut planned = Vec::new();
+            let mut zone = self.zone_of(id, number);
             for index in self.waiting_tasks(id, number) {
                 let task = Task { job: id, occurrence: 0, step: number as u16, index };
-                match self.choose(&task, step, pool) {
+                match self.choose(&task, step, zone.as_deref(), pool) {
                     Choice::Runner(runner) => {
                         self.plan(now, task, step, runner);
                         planned.push(task);
+                        zone = zone.or_else(|| self.zone_of(id, number));
                     }
                     Choice::Nowhere(roomiest) => {
                         all_placed = false;
@@ -163,7 +165,17 @@
         self.effects.push(Effect::Start(runner, task, run));
     }
 
-    fn choose(&self, task: &Task, step: &Step, pool: &Pool) -> Choice {
+    /// Availability zone of a step's first task that is placed.
+    fn zone_of(&self, id: spec::Id, step: usize) -> Option<String> {
+        let tasks = self.jobs.get(&id)?.steps.get(step)?;
+        let placed = tasks.iter().find_map(|state| match &state.status {
+            Status::Placed(placement) => Some(&placement.runner),
+            _ => None,
+        })?;
+        Some(self.workers.get(placed)?.entry.as_ref()?.zone.clone())
+    }
+
+    fn choose(&self, task: &Task, step: &Step, zone: Option<&str>, pool: &Pool) -> Choice {
         let need = step.counted();
         let state = self.task(task);
         let failed_on = state.and_then(|state| state.failed_on.as_ref());
@@ -183,7 +195,9 @@
             if !allows(worker, step, task) {
                 continue;
             }
-            let fit = Fit { failed: failed_on == Some(id), ..fit(worker, step, free, &need) };
+            let apart = !step.endless && zone.is_some_and(|zone| worker.zone() != zone);
+            let failed = failed_on == Some(id);
+            let fit = Fit { failed, apart, ..fit(worker, step, free, &need) };
             if best.as_ref().is_none_or(|(other, _)| fit < *other) {
                 best = Some((fit, index));
             }
@@ -205,7 +219,7 @@
         worker.filling
     };
     let first = step.endless && worker.serving + worker.filling == 0;
-    Fit { failed: false, far, clash, first, left: free.minus(need).millicores }
+    Fit { failed: false, far, clash, first, apart: false, left: free.minus(need).millicores }
 }
 
 /// How well a runner suits a task; the lowest suits best.
@@ -219,6 +233,9 @@
     clash: u32,
     /// Whether an endless task would be the first on it.
     first: bool,
+    /// Whether it is in another availability zone than the step's other tasks: a cut of one zone
+    /// should hit as few jobs as it can.
+    apart: bool,
     /// Thousandths of a core left.
     left: u32,
 }
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -178,6 +178,11 @@
         self.entry.as_ref().map_or_else(Need::default, |entry| entry.room.minus(&self.used))
     }
 
+    /// Availability zone, or empty.
+    pub fn zone(&self) -> &str {
+        self.entry.as_ref().map_or("", |entry| &entry.zone)
+    }
+
     /// Labels.
     pub fn labels(&self) -> &[String] {
         self.entry.as_ref().map_or(&[], |entry| &entry.labels)
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -28,7 +28,7 @@
 /// Spread of the time after which several entries claim at once.
 const SPREAD_MS: u64 = 90;
 /// Time by which a VM of half a core waits longer than one of a whole core; twice as weak, twice as long.
-const WEAKNESS: Duration = Duration::from_millis(45);
+const WEAKNESS: Duration = Duration::from_millis(20);
 /// Longest time for which a weak VM lets others claim first.
 const WEAKEST: Duration = Duration::from_millis(250);
 
@@ -45,6 +45,9 @@
     claimant.resume().await;
     loop {
         match claimant.owning.take() {
+            Some((epoch, task)) if claimant.has_released(epoch) => {
+                claimant.hand_over(epoch, task).await;
+            }
             Some((epoch, task)) => claimant.beat(epoch, task).await,
             None => claimant.follow().await,
         }
@@ -219,8 +222,8 @@
                 self.end = offset + 1;
                 self.shared.confirmed.set(Some(sent));
                 if matches!(kind, Kind::Release(_)) {
+                    self.shared.confirmed.set(None);
                     self.learn(offset, &record);
-                    return self.depose(epoch, &task, "it was given up");
                 }
             }
             Err(Error::Moved) => {
@@ -237,6 +240,25 @@
         self.owning = Some((epoch, task));
     }
 
+    fn has_released(&self, epoch: Epoch) -> bool {
+        self.owner().is_some_and(|owner| owner.epoch == epoch && owner.released)
+    }
+
+    /// Goes on as the owner until another entry has claimed the cell, so that leases are renewed
+    /// meanwhile, also if the store goes away now.
+    async fn hand_over(&mut self, epoch: Epoch, task: JoinHandle<()>) {
+        if task.is_finished() {
+            return self.depose(epoch, &task, "it was given up");
+        }
+        if self.read(BEAT).await.is_none() {
+            sleep(PAUSE).await;
+        }
+        if self.owner().is_none_or(|owner| owner.epoch != epoch) {
+            return self.depose(epoch, &task, "another entry has claimed it");
+        }
+        self.owning = Some((epoch, task));
+    }
+
     fn depose(&mut self, epoch: Epoch, task: &JoinHandle<()>, why: &str) {
         info!("owner: epoch={epoch} lost=true why={why:?}");
         task.abort();
--- a/src/job/daemon/stop.rs
+++ b/src/job/daemon/stop.rs
@@ -1,4 +1,4 @@
-//! A planned stop: no longer ready, the cell given up, and open requests finished.
+//! A planned stop: no longer ready, the cell handed over, and open requests finished.
 
 use {
     super::shared::Shared,
@@ -37,7 +37,8 @@
     info!("stop: begun requests={}", shared.requests.get());
     shared.stopping.send_replace(Some(begun + LINGER));
     sleep(LINGER + PAUSE).await;
-    while shared.requests.get() > 0 && begun.elapsed() < grace {
+    let owns = || shared.desk.borrow().is_some();
+    while (shared.requests.get() > 0 || owns()) && begun.elapsed() < grace {
         sleep(PAUSE).await;
     }
     info!("stop: done requests={} ms={}", shared.requests.get(), begun.elapsed().as_millis());
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -167,6 +167,18 @@
     assert_eq!(site.judge.done(), 18);
 }
 
+#[test]
+fn an_owner_that_stops_goes_on_until_another_has_taken_over() {
+    let mut site = Site::start("last", 1, 1);
+    site.submit(1, 1);
+    site.wait_complete([1]);
+    site.signal(0, "-TERM");
+    wait("the cell to be given up", || site.log("front-0").contains("released=true"));
+    let heard = site.call(0, "GET", "0000000000000001", None).unwrap();
+    assert_eq!((heard.status, heard.body["state"].as_str()), (200, Some("complete")));
+    site.wait_end(0);
+}
+
 #[test]
 fn a_removed_manifest_stays_in_force_over_a_restart_of_everything() {
     let mut site = Site::start("manifest", 2, 1);
