Run gangs and scheduled jobs

Change: a job has occurrences, each with its steps; those of a schedule open by the time of day. A gang's members are assigned together, start under one run number in one batch, and break, fail, finish and checkpoint as one.

--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -1,12 +1,15 @@
 //! Callers' requests: submit, ask, cancel, count.
 
 use {
-    super::{Cell, Effect, Job, RequestId, Status, job::Phase},
+    super::{
+        Cell, Effect, Job, RequestId, Status,
+        job::{Phase, State},
+    },
     crate::job::{
         answer::Answer,
         cell::Action,
         ledger::Outcome,
-        spec::{self, Spec},
+        spec::{self, Spec, Task},
     },
     log::info,
     std::{
@@ -41,6 +44,9 @@
         };
         let spec = Rc::new(spec);
         self.load.submitted(now, &queue.service, &queue.name, &spec);
+        if spec.schedule.is_some() {
+            self.scheduled.insert(id);
+        }
         self.jobs.insert(id, Job::new(spec, queue, at_ms, now, Duration::ZERO));
         self.accepted.push(id);
         self.mark(id);
@@ -110,20 +116,16 @@
     /// Takes back placements that were not sent.
     pub(super) fn unplan(&mut self, now: Instant, id: spec::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let mut freed = Vec::new();
-        for (step, tasks) in job.steps.iter_mut().enumerate() {
-            for (index, state) in tasks.iter_mut().enumerate() {
-                let Status::Placed(placement) = &state.status else { continue };
-                if placement.phase == Phase::Planned {
-                    let task = spec::Task {
-                        job: id,
-                        occurrence: 0,
-                        step: step as u16,
-                        index: index as u16,
-                    };
-                    freed.push((task, Rc::clone(&placement.runner)));
-                    state.status = Status::Waiting;
-                }
+        let planned = |(task, state): (Task, &State)| match &state.status {
+            Status::Placed(placement) if placement.phase == Phase::Planned => {
+                Some((task, Rc::clone(&placement.runner)))
+            }
+            _ => None,
+        };
+        let freed: Vec<_> = job.tasks(id).filter_map(planned).collect();
+        for (task, _) in &freed {
+            if let Some(state) = job.task_mut(task) {
+                state.status = Status::Waiting;
             }
         }
         for (task, runner) in freed {
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -1,7 +1,7 @@
 //! Batches for the ledger, and what follows once they are stored.
 
 use {
-    super::{Action, Batch, Cell, Effect, Phase, RunnerId, Status},
+    super::{Action, Batch, Cell, Effect, Phase, RunnerId, Status, job::State},
     crate::job::{
         answer::Answer,
         ledger::{self, Outcome, Record},
@@ -142,6 +142,7 @@
         let fence = self.fence;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let (text, open) = (job.spec.text.clone(), job.outcome == Outcome::Open);
+        let checkpoint = String::from(job.checkpoint(&task));
         let Some(state) = job.task_mut(&task) else { return };
         let Status::Placed(placement) = &mut state.status else { return };
         if state.run != run || placement.phase != Phase::Planned || placement.runner != runner {
@@ -154,7 +155,6 @@
         };
         placement.phase = Phase::Sent;
         placement.since = now;
-        let checkpoint = state.checkpoint.clone();
         let start = Start { task, run, text, until_ms, fence, checkpoint };
         self.await_answer(now, &runner);
         self.actions.push(Action::Start(runner, start));
@@ -168,17 +168,12 @@
 
     /// Runs of a job that are on runners, or may be.
     fn runs_of(&self, id: spec::Id) -> Vec<(Task, RunnerId, u32)> {
-        let mut runs = Vec::new();
-        let Some(job) = self.jobs.get(&id) else { return runs };
-        for (step, tasks) in job.steps.iter().enumerate() {
-            for (index, state) in tasks.iter().enumerate() {
-                let Status::Placed(placement) = &state.status else { continue };
-                let (step, index) = (step as u16, index as u16);
-                let task = Task { job: id, occurrence: 0, step, index };
-                runs.push((task, Rc::clone(&placement.runner), state.run));
-            }
-        }
-        runs
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        let placed = |(task, state): (Task, &State)| match &state.status {
+            Status::Placed(placement) => Some((task, Rc::clone(&placement.runner), state.run)),
+            _ => None,
+        };
+        job.tasks(id).filter_map(placed).collect()
     }
 }
 
--- a/src/job/cell/load.rs
+++ b/src/job/cell/load.rs
@@ -43,7 +43,7 @@
 
     /// Notes a submitted job.
     pub fn submitted(&mut self, now: Instant, service: &str, queue: &str, spec: &Spec) {
-        if spec.endless() {
+        if spec.endless() || spec.schedule.is_some() {
             return;
         }
         self.advance(now);
--- a/src/job/cell/look.rs
+++ b/src/job/cell/look.rs
@@ -157,11 +157,9 @@
         for row in &report.running {
             let job = self.jobs.get_mut(&row.task.job);
             let open = job.as_ref().is_some_and(|job| job.outcome == Outcome::Open);
-            let state = job.and_then(|job| {
+            let wanted = job.is_some_and(|job| {
                 job.started = true;
-                job.task_mut(&row.task)
-            });
-            let wanted = state.is_some_and(|state| {
+                let Some(state) = job.task_mut(&row.task) else { return false };
                 let run = state.run;
                 let Status::Placed(placement) = &mut state.status else { return false };
                 if placement.runner != *runner || run != row.run {
@@ -172,9 +170,7 @@
                     placement.since = now;
                 }
                 placement.percent = row.percent;
-                if !row.checkpoint.is_empty() {
-                    state.checkpoint.clone_from(&row.checkpoint);
-                }
+                job.keep_checkpoint(&row.task, &row.checkpoint);
                 true
             });
             if !wanted {
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -11,6 +11,7 @@
 mod balance;
 mod commit;
 mod forecast;
+mod gang;
 mod job;
 mod load;
 mod look;
@@ -129,6 +130,8 @@
     workers: IndexMap<RunnerId, Worker>,
     open: IndexSet<spec::Id>,
     waiting: IndexSet<spec::Id>,
+    scheduled: IndexSet<spec::Id>,
+    wall: Option<(Instant, u64)>,
     ended: VecDeque<(Instant, spec::Id)>,
     dirty: IndexSet<spec::Id>,
     accepted: Vec<spec::Id>,
@@ -158,6 +161,8 @@
             workers: IndexMap::new(),
             open: IndexSet::new(),
             waiting: IndexSet::new(),
+            scheduled: IndexSet::new(),
+            wall: None,
             ended: VecDeque::new(),
             dirty: IndexSet::new(),
             accepted: Vec::new(),
@@ -227,10 +232,35 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Notes the time of day at `now`, in milliseconds since the Unix epoch.
+    pub fn set_wall(&mut self, now: Instant, wall_ms: u64) {
+        self.wall = Some((now, wall_ms));
+    }
+
+    /// Opens the occurrences of scheduled jobs whose time has come. The time of day may jump; each look
+    /// takes it as it is.
+    fn open_occurrences(&mut self, now: Instant) {
+        let Some((at, wall_ms)) = self.wall else { return };
+        let wall_ms = wall_ms + now.saturating_duration_since(at).as_millis() as u64;
+        for id in &self.scheduled {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if job.outcome == Outcome::Open && job.open_occurrences(now, wall_ms) {
+                self.waiting.insert(*id);
+                self.place_due = true;
+            }
+        }
+        let jobs = &self.jobs;
+        self.scheduled.retain(|id| {
+            let waits = |job: &Job| job.opened < job.occurrences.len();
+            jobs.get(id).is_some_and(|job| job.outcome == Outcome::Open && waits(job))
+        });
+    }
+
     /// Does what is due at `now`: looks at runners, losses, placement, moves and upkeep.
     pub fn tick(&mut self, now: Instant) {
         self.expire_leases(now);
         self.forget_ended(now);
+        self.open_occurrences(now);
         self.load.advance(now);
         if self.place_due {
             self.place(now);
--- a/src/job/cell/need.rs
+++ b/src/job/cell/need.rs
@@ -6,7 +6,7 @@
 //! that a VM takes to move, and at the start of a turn what turns usually ask for.
 
 use {
-    super::{Cell, Job},
+    super::{Cell, Job, job::Occurrence},
     crate::job::spec::Step,
     indexmap::IndexMap,
     std::time::{Duration, Instant},
@@ -42,11 +42,13 @@
         let mut spreads: IndexMap<&str, usize> = IndexMap::new();
         for job in self.open_jobs() {
             let need = needs.entry(job.service.to_string()).or_default();
-            let ready = ready_cores(job, cores);
-            if job.is_late(now) {
-                need.late += ready;
-            } else {
-                need.timely += ready;
+            for (_, occurrence) in job.open() {
+                let ready = ready_cores(job, occurrence, cores);
+                if occurrence.is_late(now) {
+                    need.late += ready;
+                } else {
+                    need.timely += ready;
+                }
             }
             let widest = spreads.entry(&job.service).or_default();
             *widest = spread(job).max(*widest);
@@ -116,10 +118,10 @@
     }
 }
 
-/// Cores for a job's finite tasks that may run now, on VMs of `vm` cores.
-fn ready_cores(job: &Job, vm: f64) -> f64 {
-    let steps = job.spec.steps.iter().zip(&job.left);
-    let ready = steps.filter(|(step, left)| **left > 0 && !step.endless && job.ready(step));
+/// Cores for finite tasks that may run now, on VMs of `vm` cores.
+fn ready_cores(job: &Job, occurrence: &Occurrence, vm: f64) -> f64 {
+    let steps = job.spec.steps.iter().zip(&occurrence.left);
+    let ready = steps.filter(|(step, left)| **left > 0 && !step.endless && occurrence.ready(step));
     ready.map(|(step, left)| f64::from(*left) * packed_cores(step, vm)).sum()
 }
 
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -174,14 +174,12 @@
             Status::Placed(placement) => now.saturating_duration_since(placement.since),
             _ => Duration::ZERO,
         };
-        if !end.checkpoint.is_empty() {
-            state.checkpoint.clone_from(&end.checkpoint);
-        }
         state.status = Status::Waiting;
         if end.how == How::Failed {
-            state.failures += 1;
             state.failed_on = Some(Rc::clone(runner));
+            job.count_failure(&end.task, end.run);
         }
+        job.keep_checkpoint(&end.task, &end.checkpoint);
         self.release(now, runner, &end.task);
         if end.how == How::Done && !endless {
             self.learn(end.task, took);
@@ -189,9 +187,18 @@
         self.judge(now, runner, end.how);
         self.mark(end.task.job);
         match end.how {
-            How::Done if !endless => self.done(now, end.task),
-            How::Failed if !endless => self.failed(now, end.task),
-            _ => self.wait(end.task.job),
+            How::Done if !endless => {
+                self.done(now, end.task);
+                self.finish_gang(now, &end.task, end.run);
+            }
+            How::Failed if !endless => {
+                self.break_gang(now, &end.task);
+                self.failed(now, end.task);
+            }
+            _ => {
+                self.break_gang(now, &end.task);
+                self.wait(end.task.job);
+            }
         }
     }
 
@@ -217,17 +224,16 @@
         }
     }
 
-    fn done(&mut self, now: Instant, task: Task) {
+    pub(super) fn done(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if let Some(state) = job.task_mut(&task) {
             state.status = Status::Done;
             state.checkpoint = String::new();
         }
-        let step = usize::from(task.step);
-        job.count_done(step);
-        if job.left.get(step) == Some(&0) {
+        if job.count_done(&task) {
             let ms = now.saturating_duration_since(job.since).as_millis();
-            info!("step: job={:016x} step={step} done=true ms={ms}", task.job);
+            let Task { job, occurrence, step, .. } = task;
+            info!("step: job={job:016x} occurrence={occurrence} step={step} done=true ms={ms}");
         }
         if job.finished() && job.outcome == Outcome::Open {
             self.finish(now, task.job, Outcome::Complete);
@@ -256,7 +262,7 @@
     fn failed(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let attempts = self.manifest.queue(&job.queue).map_or(1, |queue| queue.attempts);
-        let failures = job.task(&task).map_or(0, |state| state.failures);
+        let failures = job.failures(&task);
         if failures < attempts || job.outcome != Outcome::Open {
             return self.wait(task.job);
         }
@@ -270,7 +276,7 @@
         job.outcome = outcome;
         let (ms, due_ms) = (
             now.saturating_duration_since(job.since).as_millis(),
-            job.due.saturating_duration_since(job.since).as_millis(),
+            job.due().saturating_duration_since(job.since).as_millis(),
         );
         info!("job: job={id:016x} outcome={outcome:?} ms={ms} due_ms={due_ms}");
         self.waiting.swap_remove(&id);
@@ -324,6 +330,7 @@
         self.release(now, &runner, task);
         self.mark(task.job);
         self.wait(task.job);
+        self.break_gang(now, task);
     }
 
     /// Gives back the room of a task on a runner.
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         Cell, Effect, Worker,
-        job::{Job, Phase, Placement, Status},
+        job::{Job, Occurrence, Phase, Placement, State, Status},
     },
     crate::job::spec::{self, Need, Step, Task},
     indexmap::{IndexMap, IndexSet},
@@ -20,24 +20,26 @@
     /// Plans starts of waiting tasks.
     pub(super) fn place(&mut self, now: Instant) {
         self.place_due = false;
-        let mut order: Vec<(Rank, spec::Id)> = Vec::with_capacity(self.waiting.len());
+        let mut order: Vec<(Rank, spec::Id, u32)> = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
-            if let Some(job) = self.jobs.get(id) {
-                order.push((Rank::of(job, now), *id));
-            }
+            let Some(job) = self.jobs.get(id) else { continue };
+            let unfinished = job.open().filter(|(_, occurrence)| !occurrence.finished());
+            order.extend(unfinished.map(|(number, o)| (Rank::of(job, o, now), *id, number)));
         }
         order.sort_unstable();
         self.promote_wide(&mut order);
         let mut pools = self.candidates(now);
-        for (_, id) in order {
+        let mut unplaced: IndexSet<spec::Id> = IndexSet::new();
+        for (_, id, occurrence) in order {
             let Some(service) = self.jobs.get(&id).map(|job| Rc::clone(&job.service)) else {
                 continue;
             };
-            let Some(pool) = pools.get_mut(&service).filter(|pool| pool.misses < MAX_MISSES) else {
-                continue;
-            };
-            self.place_job(now, id, pool);
+            let pool = pools.get_mut(&service).filter(|pool| pool.misses < MAX_MISSES);
+            if !pool.is_some_and(|pool| self.place_occurrence(now, id, occurrence, pool)) {
+                unplaced.insert(id);
+            }
         }
+        self.waiting = unplaced;
     }
 
     /// Runners of each service that take tasks.
@@ -70,9 +72,9 @@
 
     /// Puts one late job of each service first whose tasks need most of a runner: on a busy pool
     /// they would otherwise never find one empty enough.
-    fn promote_wide(&self, order: &mut [(Rank, spec::Id)]) {
+    fn promote_wide(&self, order: &mut [(Rank, spec::Id, u32)]) {
         let mut promoted: IndexSet<Rc<str>> = IndexSet::new();
-        for (rank, id) in order.iter_mut().filter(|(rank, _)| rank.finite && rank.late) {
+        for (rank, id, _) in order.iter_mut().filter(|(rank, ..)| rank.finite && rank.late) {
             let Some(job) = self.jobs.get(id) else { continue };
             if self.is_wide(job) && promoted.insert(Rc::clone(&job.service)) {
                 rank.late = false;
@@ -92,65 +94,94 @@
         room.max().is_some_and(|room| widest.unwrap_or_default() > room / 2)
     }
 
-    fn place_job(&mut self, now: Instant, id: spec::Id, pool: &mut Pool) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let spec = Rc::clone(&job.spec);
+    /// Plans starts of an occurrence's tasks; tells whether none waits any more.
+    fn place_occurrence(
+        &mut self,
+        now: Instant,
+        job: spec::Id,
+        occurrence: u32,
+        pool: &mut Pool,
+    ) -> bool {
+        let Some(spec) = self.jobs.get(&job).map(|job| Rc::clone(&job.spec)) else { return true };
         let mut all_placed = true;
-        for (number, step) in spec.steps.iter().enumerate() {
-            let Some(job) = self.jobs.get(&id) else { return };
-            if !job.ready(step) {
-                all_placed &= job.left.get(number) == Some(&0);
+        for (number, step) in (0..).zip(&spec.steps) {
+            let first = Task { job, occurrence, step: number, index: 0 };
+            let Some(state) = self.occurrence(&first) else { return true };
+            if !state.ready(step) {
+                all_placed &= state.left.get(usize::from(number)) == Some(&0);
                 continue;
             }
-            let mut planned = Vec::new();
-            let mut zone = self.zone_of(id, number);
-            for index in self.waiting_tasks(id, number) {
-                let task = Task { job: id, occurrence: 0, step: number as u16, index };
-                match self.choose(&task, step, zone.as_deref(), pool) {
-                    Choice::Runner(runner) => {
-                        self.plan(now, task, step, runner);
-                        planned.push(task);
-                        zone = zone.or_else(|| self.zone_of(id, number));
-                    }
-                    Choice::Nowhere(roomiest) => {
-                        all_placed = false;
-                        pool.misses += 1;
-                        pool.runners.retain(|runner| Some(*runner) != roomiest);
-                        break;
-                    }
+            let waiting = self.waiting_tasks(&first);
+            let planned = if step.gang {
+                self.place_gang(now, &waiting, step, pool)
+            } else {
+                self.place_tasks(now, &waiting, step, pool)
+            };
+            self.log_planned(&first, &planned);
+            all_placed &= planned.len() == waiting.len();
+        }
+        all_placed
+    }
+
+    /// Plans starts of a step's tasks, as many as there is room for.
+    fn place_tasks(
+        &mut self,
+        now: Instant,
+        waiting: &[Task],
+        step: &Step,
+        pool: &mut Pool,
+    ) -> Vec<Task> {
+        let mut planned = Vec::new();
+        let mut zone = waiting.first().and_then(|task| self.zone_of(task));
+        for &task in waiting {
+            match self.choose(&task, step, zone.as_deref(), pool) {
+                Choice::Runner(runner) => {
+                    self.plan(now, task, step, runner);
+                    planned.push(task);
+                    zone = zone.or_else(|| self.zone_of(&task));
+                }
+                Choice::Nowhere(roomiest) => {
+                    pool.misses += 1;
+                    pool.runners.retain(|runner| Some(*runner) != roomiest);
+                    break;
                 }
             }
-            self.log_planned(id, number, &planned);
-        }
-        if all_placed {
-            self.waiting.swap_remove(&id);
         }
+        planned
+    }
+
+    fn occurrence(&self, task: &Task) -> Option<&Occurrence> {
+        self.jobs.get(&task.job)?.occurrences.get(task.occurrence as usize)
     }
 
     /// Logs the tasks of a step that were placed, as `index.run@runner`.
-    fn log_planned(&self, id: spec::Id, step: usize, planned: &[Task]) {
+    fn log_planned(&self, step: &Task, planned: &[Task]) {
         let run = |task: &Task| {
-            let state = self.jobs.get(&id)?.task(task)?;
+            let state = self.task(task)?;
             let Status::Placed(placement) = &state.status else { return None };
             Some(format!("{}.{}@{}", task.index, state.run, placement.runner))
         };
         let runs: Vec<String> = planned.iter().filter_map(run).collect();
         if !runs.is_empty() {
-            info!("place: job={id:016x} step={step} fence={} runs={}", self.fence, runs.join(","));
+            let Task { job, occurrence, step, .. } = step;
+            info!(
+                "place: job={job:016x} occurrence={occurrence} step={step} fence={} runs={}",
+                self.fence,
+                runs.join(",")
+            );
         }
     }
 
-    fn waiting_tasks(&self, id: spec::Id, step: usize) -> Vec<u16> {
-        let Some(tasks) = self.jobs.get(&id).and_then(|job| job.steps.get(step)) else {
-            return Vec::new();
-        };
-        let waits = |(index, state): (usize, &super::job::State)| {
-            (state.status == Status::Waiting).then_some(index as u16)
+    /// Tasks of a step that wait for a runner; `first` is its first task.
+    fn waiting_tasks(&self, first: &Task) -> Vec<Task> {
+        let tasks = self.jobs.get(&first.job).and_then(|job| job.siblings(first));
+        let waits = |(index, state): (u16, &State)| {
+            (state.status == Status::Waiting).then_some(Task { index, ..*first })
         };
-        tasks.iter().enumerate().filter_map(waits).collect()
+        (0..).zip(tasks.into_iter().flatten()).filter_map(waits).collect()
     }
 
-    fn plan(&mut self, now: Instant, task: Task, step: &Step, runner: usize) {
+    pub(super) fn plan(&mut self, now: Instant, task: Task, step: &Step, runner: usize) {
         let Some((id, worker)) = self.workers.get_index_mut(runner) else { return };
         let runner = Rc::clone(id);
         worker.add(task, step);
@@ -165,9 +196,9 @@
         self.effects.push(Effect::Start(runner, task, run));
     }
 
-    /// Availability zone of a step's first task that is placed.
-    fn zone_of(&self, id: spec::Id, step: usize) -> Option<String> {
-        let tasks = self.jobs.get(&id)?.steps.get(step)?;
+    /// Availability zone of the first task of a task's step that is placed.
+    fn zone_of(&self, task: &Task) -> Option<String> {
+        let tasks = self.jobs.get(&task.job)?.siblings(task)?;
         let placed = tasks.iter().find_map(|state| match &state.status {
             Status::Placed(placement) => Some(&placement.runner),
             _ => None,
@@ -242,15 +273,15 @@
 
 /// Runners of a service that take tasks now.
 #[derive(Default)]
-struct Pool {
+pub(super) struct Pool {
     /// Positions of those with room that is not kept for a task that fits nowhere.
-    runners: Vec<usize>,
+    pub(super) runners: Vec<usize>,
     /// Positions of those with room in a failure domain that is silent.
     doubted: Vec<usize>,
     /// Room of the largest, in thousandths of a core.
     widest: u32,
-    /// Tasks that fitted nowhere.
-    misses: usize,
+    /// Tasks and gangs that fitted nowhere.
+    pub(super) misses: usize,
 }
 
 /// Tasks that fit nowhere after which the rest of a service's jobs wait for the next time.
@@ -263,15 +294,14 @@
     Nowhere(Option<usize>),
 }
 
-fn allows(worker: &Worker, step: &Step, task: &Task) -> bool {
+pub(super) fn allows(worker: &Worker, step: &Step, task: &Task) -> bool {
     if !step.label.is_empty() && !worker.labels().contains(&step.label) {
         return false;
     }
     if step.per_runner == 0 {
         return true;
     }
-    let same = |other: &&Task| other.job == task.job && other.step == task.step;
-    worker.tasks.keys().filter(same).count() < step.per_runner as usize
+    worker.siblings(task) < step.per_runner as usize
 }
 
 /// Place of a job in the order of starts; the lowest starts first.
@@ -285,13 +315,13 @@
 }
 
 impl Rank {
-    fn of(job: &Job, now: Instant) -> Self {
+    fn of(job: &Job, occurrence: &Occurrence, now: Instant) -> Self {
         let endless = job.spec.endless();
         Self {
             finite: !endless,
-            late: job.is_late(now),
+            late: !endless && occurrence.is_late(now),
             priority: job.priority,
-            due: job.due,
+            due: occurrence.due,
             started: Reverse(job.started),
         }
     }
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -352,7 +352,7 @@
     fn may_stop(&self, now: Instant, task: &Task) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return false };
         let Some(step) = job.step(task).filter(|step| step.endless) else { return false };
-        let Some(tasks) = job.steps.get(usize::from(task.step)) else { return false };
+        let Some(tasks) = job.siblings(task) else { return false };
         let at_work = |status: &Status| {
             let Status::Placed(placement) = status else { return false };
             let worker = self.workers.get(&placement.runner);
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -48,6 +48,9 @@
         });
         queue.service.clone_from(&accepted.service);
         let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
+        if accepted.spec.schedule.is_some() {
+            self.scheduled.insert(id);
+        }
         let job = Job::new(Rc::new(accepted.spec), &queue, accepted.at_ms, now, age);
         self.jobs.insert(id, job);
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -70,17 +73,20 @@
         job.outcome = progress.outcome;
         job.shown = progress.outcome;
         let mut placed = Vec::new();
-        for (step, tasks) in progress.steps.into_iter().enumerate() {
+        let width = job.spec.steps.len().max(1);
+        for (number, tasks) in progress.steps.into_iter().enumerate() {
             for (index, stored) in tasks.into_iter().enumerate() {
-                let task = Task { job: id, occurrence: 0, step: step as u16, index: index as u16 };
+                let (occurrence, step) = ((number / width) as u32, (number % width) as u16);
+                let task = Task { job: id, occurrence, step, index: index as u16 };
                 let Some(state) = job.task_mut(&task) else { continue };
                 state.run = stored.run;
                 state.failures = stored.failures;
+                state.failed_run = stored.failed_run;
                 state.checkpoint = stored.checkpoint;
                 let runner = usize::from(stored.runner).checked_sub(1);
                 if stored.done {
                     state.status = Status::Done;
-                    job.count_done(step);
+                    job.count_done(&task);
                 } else if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
                     placed.push((task, name.clone()));
                 }
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Tasks of a task's step that are on it.
+    pub fn siblings(&self, task: &Task) -> usize {
+        let same = |other: &&Task| Task { index: task.index, ..**other } == *task;
+        self.tasks.keys().filter(same).count()
+    }
+
     /// Whether a task may be sent to it.
     pub fn can_start(&self) -> bool {
         let ready = self.entry.as_ref().is_some_and(|entry| !entry.draining);
@@ -183,6 +189,11 @@
         self.entry.as_ref().map_or("", |entry| &entry.zone)
     }
 
+    /// Rack of its VM, or empty.
+    pub fn rack(&self) -> &str {
+        self.entry.as_ref().map_or("", |entry| &entry.rack)
+    }
+
     /// Labels.
     pub fn labels(&self) -> &[String] {
         self.entry.as_ref().map_or(&[], |entry| &entry.labels)
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -126,6 +126,7 @@
             if let Some(sent) = self.shared.confirmed.get() {
                 self.cell.confirm(sent);
             }
+            self.cell.set_wall(now, wall_ms());
             if now.saturating_duration_since(ticked) >= TICK {
                 ticked = now;
                 self.cell.tick(now);
@@ -360,7 +361,7 @@
 /// Answer to a job that is not accepted: one that is sound but not supported never runs.
 fn refusal(error: &spec::Error) -> Answer {
     match error {
-        spec::Error::Unsupported(..) => {
+        spec::Error::Large(_) => {
             Answer::Refused { why: error.to_string(), retry_after: UNSUPPORTED_AGAIN }
         }
         _ => Answer::Malformed(error.to_string()),
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -85,7 +85,7 @@
     pub outcome: Outcome,
     /// Runners named by the tasks.
     pub runners: Vec<String>,
-    /// Tasks of each step.
+    /// Tasks of each step of each occurrence, one occurrence after the other.
     pub steps: Vec<Vec<Task>>,
 }
 
@@ -97,6 +97,8 @@
     pub run: u32,
     /// Runs that failed.
     pub failures: u32,
+    /// Number of the last run that failed; 0 if none did.
+    pub failed_run: u32,
     /// Whether it is done.
     pub done: bool,
     /// Position in the runners' list, from 1, of the runner that has its last run; 0 if none.
--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -35,6 +35,8 @@
     pub room: Need,
     /// Its labels; the kind of the VM and its rack are among them.
     pub labels: Vec<String>,
+    /// Rack of its VM, or empty.
+    pub rack: String,
     /// Position in the runner's own sequence of registrations.
     pub sequence: u64,
 }
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -13,6 +13,8 @@
 const MAX_STEPS: usize = 256;
 /// Most tasks of a step.
 const MAX_TASKS: u32 = 10_000;
+/// Most tasks of all steps and occurrences: their progress is stored in one record.
+const MAX_ALL_TASKS: u64 = 6_000;
 /// Most bytes of the text that describes the work.
 const MAX_TEXT_BYTES: usize = 4_000;
 
@@ -30,8 +32,8 @@
     Order(usize, u16),
     /// the text has {0} bytes, at most 4000 are allowed
     Text(usize),
-    /// step {0} uses {1}, which this release does not run
-    Unsupported(usize, &'static str),
+    /// the job has {0} tasks in all, at most 6000 are run
+    Large(u64),
     /// {0}
     Malformed(String),
 }
@@ -62,6 +64,13 @@
     pub times: u32,
 }
 
+impl Schedule {
+    /// Time of an occurrence, in milliseconds since the Unix epoch.
+    pub fn at_ms(&self, occurrence: u64) -> u64 {
+        self.first_ms.saturating_add(self.interval_ms.saturating_mul(occurrence))
+    }
+}
+
 /// A number of like tasks.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -156,10 +165,10 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::Steps(self.steps.len()));
         }
-        if self.schedule.is_some() {
-            return Err(Error::Unsupported(0, "times at which it runs"));
-        }
-        self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))
+        self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))?;
+        let times = self.schedule.map_or(1, |schedule| u64::from(schedule.times));
+        let tasks = self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() * times;
+        if tasks > MAX_ALL_TASKS { Err(Error::Large(tasks)) } else { Ok(()) }
     }
 
     /// Whether the tasks run until the job is cancelled.
@@ -191,9 +200,6 @@
         if let Some(&late) = self.after.iter().find(|&&before| usize::from(before) >= number) {
             return Err(Error::Order(number, late));
         }
-        if self.gang {
-            return Err(Error::Unsupported(number, "a gang"));
-        }
         Ok(())
     }
 
