Start tasks of advised queues with the advisor's tickets, and split large batches

And a batch for the ledger was one append whatever its size; one above the store's limit for a call would have been refused for good and cost the owner the cell.

--- a/src/job/cell/accept.rs
+++ b/src/job/cell/accept.rs
@@ -80,6 +80,7 @@
             info!("cancel: job={id:016x} started={}", job.started);
             job.outcome = Outcome::Cancelled;
             self.waiting.swap_remove(&id);
+            self.forget_advice(id);
             self.unplan(now, id);
             self.mark(id);
             self.effects.push(Effect::Show(id));
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -116,6 +116,10 @@
     fn put_into_force(&mut self) {
         let Some(manifest) = self.next_manifest.take() else { return };
         info!("manifest: version={} before={}", manifest.version, self.manifest.version);
+        for job in self.jobs.values_mut() {
+            let queue = manifest.queue(&job.queue);
+            job.tickets_valid = queue.and_then(|queue| queue.advice).map(|advice| advice.valid);
+        }
         self.manifest = Rc::new(manifest);
         self.place_due = true;
     }
@@ -143,6 +147,12 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let (text, open) = (job.spec.text.clone(), job.outcome == Outcome::Open);
         let checkpoint = String::from(job.checkpoint(&task));
+        let ticket = self.ticket(now, &task, &runner).map(String::from);
+        if ticket.is_none() && self.needs_ticket(task.job) {
+            return self.unstart(now, &task, "its ticket has run out");
+        }
+        let ticket = ticket.unwrap_or_default();
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(state) = job.task_mut(&task) else { return };
         let Status::Placed(placement) = &mut state.status else { return };
         if state.run != run || placement.phase != Phase::Planned || placement.runner != runner {
@@ -155,7 +165,7 @@
         };
         placement.phase = Phase::Sent;
         placement.since = now;
-        let start = Start { task, run, text, until_ms, fence, checkpoint };
+        let start = Start { task, run, text, until_ms, fence, checkpoint, ticket };
         self.await_answer(now, &runner);
         self.actions.push(Action::Start(runner, start));
     }
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -43,6 +43,8 @@
     pub started: bool,
     /// Whether its caller's answer still waits for the ledger.
     pub stored: bool,
+    /// How long tickets of its queue's advisor are valid, if it has one.
+    pub tickets_valid: Option<Duration>,
     /// Time allowed for an occurrence from its beginning on.
     allowed: Duration,
 }
@@ -187,6 +189,7 @@
             shown: Outcome::Open,
             started: false,
             stored: false,
+            tickets_valid: queue.advice.map(|advice| advice.valid),
             allowed,
             spec,
         }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -8,6 +8,7 @@
 //! later end that a runner may forget) wait until the ledger has stored the record.
 
 mod accept;
+mod advice;
 mod balance;
 mod commit;
 mod forecast;
@@ -26,6 +27,7 @@
 mod workers;
 
 pub use {
+    advice::Tickets,
     forecast::{Coming, Forecast},
     job::{Job, Phase, Placement, Status},
     load::Load,
@@ -34,7 +36,7 @@
 };
 
 use {
-    self::{job::State, silence::Silence},
+    self::{advice::Advices, job::State, silence::Silence},
     super::{
         answer::Answer,
         ledger::{Outcome, Record},
@@ -79,6 +81,8 @@
     Pace(RunnerId, Task, u32, u32),
     /// Renews a lease and looks.
     Look(RunnerId, Hold),
+    /// Asks the advisor which runners may run a step, which is named by its first task.
+    Advise(Task, Vec<RunnerId>),
     /// Acts on a VM.
     Vm(upkeep::Action),
     /// Reports a wave: whether it is complete.
@@ -94,6 +98,7 @@
             Self::Stop(..) => "stop",
             Self::Pace(..) => "pace",
             Self::Look(..) => "look",
+            Self::Advise(..) => "advise",
             Self::Vm(_) => "vm",
             Self::Report(..) => "report",
         }
@@ -146,6 +151,7 @@
     load: Load,
     forecast: Forecast,
     silence: Silence,
+    advices: Advices,
     place_due: bool,
 }
 
@@ -177,6 +183,7 @@
             load: Load::new(now),
             forecast: Forecast::default(),
             silence: Silence::default(),
+            advices: Advices::default(),
             place_due: false,
         }
     }
--- a/src/job/cell/order.rs
+++ b/src/job/cell/order.rs
@@ -68,7 +68,8 @@
         match reason {
             Reason::Fence => self.deposed = true,
             Reason::Instance => self.replaced(now, runner),
-            Reason::Room | Reason::Unhealthy | Reason::Ticket | Reason::Malformed => {
+            Reason::Ticket => self.drop_ticket(&task, runner),
+            Reason::Room | Reason::Unhealthy | Reason::Malformed => {
                 if let Some(worker) = self.workers.get_mut(runner) {
                     worker.shunned = Some(now + SHUN);
                 }
@@ -280,6 +281,7 @@
         );
         info!("job: job={id:016x} outcome={outcome:?} ms={ms} due_ms={due_ms}");
         self.waiting.swap_remove(&id);
+        self.forget_advice(id);
         self.unplan(now, id);
         self.mark(id);
         self.effects.push(Effect::Show(id));
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -112,10 +112,10 @@
                 continue;
             }
             let waiting = self.waiting_tasks(&first);
-            let planned = if step.gang {
-                self.place_gang(now, &waiting, step, pool)
+            let planned = if self.needs_ticket(job) {
+                self.place_advised(now, &waiting, step, pool)
             } else {
-                self.place_tasks(now, &waiting, step, pool)
+                self.place_step(now, &waiting, step, pool)
             };
             self.log_planned(&first, &planned);
             all_placed &= planned.len() == waiting.len();
@@ -123,6 +123,43 @@
         all_placed
     }
 
+    /// Plans starts of a step's tasks on those runners for which there are tickets, and asks for more
+    /// tickets if they don't suffice.
+    fn place_advised(
+        &mut self,
+        now: Instant,
+        waiting: &[Task],
+        step: &Step,
+        pool: &mut Pool,
+    ) -> Vec<Task> {
+        let Some(first) = waiting.first() else { return Vec::new() };
+        let has_ticket = |&at: &usize| {
+            let worker = self.workers.get_index(at);
+            worker.is_some_and(|(id, _)| self.ticket(now, first, id).is_some())
+        };
+        let runners = pool.runners.iter().copied().filter(has_ticket).collect();
+        let mut advised = Pool { runners, ..Pool::default() };
+        let planned = self.place_step(now, waiting, step, &mut advised);
+        if planned.len() < waiting.len() {
+            self.ask_advisor(now, first, step, pool);
+        }
+        planned
+    }
+
+    fn place_step(
+        &mut self,
+        now: Instant,
+        waiting: &[Task],
+        step: &Step,
+        pool: &mut Pool,
+    ) -> Vec<Task> {
+        if step.gang {
+            self.place_gang(now, waiting, step, pool)
+        } else {
+            self.place_tasks(now, waiting, step, pool)
+        }
+    }
+
     /// Plans starts of a step's tasks, as many as there is room for.
     fn place_tasks(
         &mut self,
--- a/src/job/daemon/event.rs
+++ b/src/job/daemon/event.rs
@@ -6,7 +6,7 @@
         adapter::store::Error,
         job::{
             answer::Answer,
-            cell::RunnerId,
+            cell::{RunnerId, Tickets},
             manifest::Manifest,
             runner::{self, Entry, Report},
             spec::Task,
@@ -26,6 +26,8 @@
     Stopped(RunnerId, Task, u32, runner::Answer<u64>),
     /// A runner's answer to a look, with the last end it was told to forget.
     Looked(RunnerId, u64, runner::Answer<Report>),
+    /// The advisor's answer about a step and the runners that it was asked about.
+    Advised(Task, Vec<RunnerId>, Result<Tickets, String>),
     /// The batch on its way is stored, or a newer owner has written.
     Appended(Result<(), Error>),
     /// Runners that the store lists, or no longer.
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -12,10 +12,11 @@
         },
         job::{
             answer::Answer,
-            cell::{Action, Cell, RequestId},
+            cell::{Action, Cell, RequestId, RunnerId, Tickets},
             claim::Epoch,
-            ledger::Record,
-            spec, upkeep,
+            ledger::{self, Record},
+            spec::{self, Task},
+            upkeep,
         },
     },
     indexmap::IndexMap,
@@ -42,8 +43,14 @@
 const LEDGER_AWAY: Duration = Duration::from_millis(700);
 /// Why submissions are refused then.
 const LEDGER_SILENT: &str = "the ledger does not answer";
+/// Most bytes of one append; the store's limit for a call is larger.
+const APPEND_BYTES: usize = 512 << 10;
 /// Pause before an append is tried again.
 const APPEND_AGAIN: Duration = Duration::from_millis(60);
+/// Most calls to the advisor at once; it answers one after the other.
+const ADVISOR_CALLS: usize = 2;
+/// Time for an answer of the advisor, which decides about each runner in turn.
+const ADVISOR_ANSWER: Duration = Duration::from_secs(4);
 /// Most calls to the platform's list of VMs at once.
 const FLEET_CALLS: usize = 4;
 
@@ -72,6 +79,7 @@
     let mut desk = Desk {
         runners: Runners::new(epoch, Rc::clone(&shared.meter)),
         fleet: shared.settings.fleet.map(|at| Rc::new(Channel::new(at, FLEET_CALLS))),
+        advisor: shared.settings.advisor.map(|at| Rc::new(Channel::new(at, ADVISOR_CALLS))),
         shared: Rc::clone(&shared),
         store,
         cell,
@@ -106,6 +114,7 @@
     next_request: RequestId,
     runners: Runners,
     fleet: Option<Rc<Channel>>,
+    advisor: Option<Rc<Channel>>,
     events: UnboundedSender<Event>,
     tasks: JoinSet<()>,
 }
@@ -165,6 +174,9 @@
             Event::Looked(runner, seen, answer) => {
                 self.cell.look_answered(now, &runner, seen, answer);
             }
+            Event::Advised(step, asked, tickets) => {
+                self.cell.advised(now, &step, &asked, tickets);
+            }
             Event::Appended(outcome) => self.appended(now, outcome),
             Event::Listed(entries) => {
                 for (id, entry) in entries {
@@ -230,9 +242,10 @@
             info!("refuse: job={id:016x} why={LEDGER_SILENT:?} missing_ms={}", missing.as_millis());
             return send(reply, Answer::refused(LEDGER_SILENT, missing));
         }
-        if self.cell.manifest().queue(queue).is_some_and(|queue| queue.advice.is_some()) {
-            info!("refuse: job={id:016x} queue={queue} why=\"its queue needs an advisor\"");
-            let why = String::from("queues with an advisor are not supported");
+        let advised = self.cell.manifest().queue(queue).is_some_and(|queue| queue.advice.is_some());
+        if advised && self.advisor.is_none() {
+            info!("refuse: job={id:016x} queue={queue} why=\"the settings name no advisor\"");
+            let why = String::from("its queue needs an advisor, and the settings name none");
             return send(reply, Answer::Refused { why, retry_after: UNSUPPORTED_AGAIN });
         }
         match adapter::front::job(&ask.body) {
@@ -274,10 +287,11 @@
         }
         let Some(batch) = self.cell.next_batch(now) else { return };
         self.appending = Some(now);
-        self.sequence += 1;
-        let sequence = Sequence { epoch: self.epoch, number: self.sequence };
+        let calls = ledger::split(batch.records, APPEND_BYTES);
+        let first = Sequence { epoch: self.epoch, number: self.sequence + 1 };
+        self.sequence += calls.len() as u64;
         let (store, events) = (Rc::clone(&self.store), self.events.clone());
-        self.tasks.spawn_local(append(store, events, batch.records, sequence));
+        self.tasks.spawn_local(append(store, events, calls, first));
     }
 
     fn appended(&mut self, now: Instant, outcome: Result<(), Error>) {
@@ -300,6 +314,7 @@
                         send(reply, answer);
                     }
                 }
+                Action::Advise(step, runners) => self.advise(step, runners),
                 Action::Vm(action) => self.act(action),
                 Action::Report(number, complete) => self.report(number, complete),
                 other => self.call_runner(other),
@@ -322,6 +337,17 @@
         self.runners.carry_out(&mut self.tasks, &self.events, entry.address, action);
     }
 
+    fn advise(&mut self, step: Task, runners: Vec<RunnerId>) {
+        let Some(advisor) = self.advisor.clone() else { return };
+        let events = self.events.clone();
+        self.tasks.spawn_local(async move {
+            let advice = ask_advisor(&advisor, &step, &runners).await;
+            if events.send(Event::Advised(step, runners, advice)).is_err() {
+                log::debug!("advice: an answer came after the cell was lost");
+            }
+        });
+    }
+
     fn act(&mut self, action: upkeep::Action) {
         let Some(fleet) = self.fleet.clone() else { return };
         let early = self.epoch > 1 && self.began.elapsed() < FORMER_ACTIONS;
@@ -358,6 +384,16 @@
     }
 }
 
+async fn ask_advisor(
+    advisor: &Channel,
+    step: &Task,
+    runners: &[RunnerId],
+) -> Result<Tickets, String> {
+    let call = adapter::advisor::ask(step, runners).map_err(|e| e.to_string())?;
+    let reply = advisor.call(call, ADVISOR_ANSWER).await.map_err(|e| e.to_string())?;
+    adapter::advisor::tickets(&reply)
+}
+
 /// Answer to a job that is not accepted: one that is sound but not supported never runs.
 fn refusal(error: &spec::Error) -> Answer {
     match error {
@@ -374,19 +410,31 @@
     }
 }
 
-/// Appends a batch until the store has answered it.
+/// Appends the parts of a batch, each until the store has answered it.
 async fn append(
     store: Rc<Store>,
     events: UnboundedSender<Event>,
-    records: Vec<Record>,
-    at: Sequence,
+    calls: Vec<Vec<Record>>,
+    first: Sequence,
 ) {
-    let outcome = loop {
-        match store.append(JOBS, &records, at).await {
-            Ok(_) => break Ok(()),
+    let mut outcome = Ok(());
+    for (records, number) in calls.iter().zip(first.number..) {
+        outcome = append_part(&store, records, Sequence { number, ..first }).await;
+        if outcome.is_err() {
+            break;
+        }
+    }
+    if events.send(Event::Appended(outcome)).is_err() {
+        log::debug!("owner: an append was answered after the cell was lost");
+    }
+}
+
+async fn append_part(store: &Store, records: &[Record], at: Sequence) -> Result<(), Error> {
+    loop {
+        match store.append(JOBS, records, at).await {
+            Ok(_) => return Ok(()),
             Err(Error::Refused(_) | Error::Silent(_)) => sleep(APPEND_AGAIN).await,
-            Err(e) => break Err(e),
+            Err(e) => return Err(e),
         }
-    };
-    let _ = events.send(Event::Appended(outcome));
+    }
 }
--- a/src/job/daemon/runners.rs
+++ b/src/job/daemon/runners.rs
@@ -98,7 +98,7 @@
             log::debug!("pace: task={task} percent={percent} answer={answer:?}");
             None
         }
-        Action::Answer(..) | Action::Vm(_) | Action::Report(..) => None,
+        Action::Answer(..) | Action::Advise(..) | Action::Vm(_) | Action::Report(..) => None,
     }
 }
 
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -194,6 +194,24 @@
     decode(record).map(|content| Content::Accepted(id, content))
 }
 
+/// Splits records into appends of at most `most_bytes` each, unless one record alone is larger.
+pub fn split(records: Vec<Record>, most_bytes: usize) -> Vec<Vec<Record>> {
+    let mut calls = vec![Vec::new()];
+    let mut bytes = 0;
+    for record in records {
+        let size = record.key.len() + record.value.len();
+        if bytes > 0 && bytes + size > most_bytes {
+            calls.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(call) = calls.last_mut() {
+            call.push(record);
+        }
+    }
+    calls
+}
+
 fn encode(key: String, content: &impl Serialize) -> Result<Record> {
     match serde::encode_to_vec(content, config::standard()) {
         Ok(value) => Ok(Record { key, value }),
--- a/src/job/runner.rs
+++ b/src/job/runner.rs
@@ -56,6 +56,8 @@
     pub fence: Fence,
     /// Checkpoint to resume from, or empty.
     pub checkpoint: String,
+    /// Ticket of the advisor, or empty.
+    pub ticket: String,
 }
 
 /// A renewal of the lease, and a look at what runs and what has ended.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 
 use {
     carobhitch::{
-        adapter::{fleet, frame, front, manifest, runner, settings, store},
+        adapter::{advisor, fleet, frame, front, manifest, runner, settings, store},
         job::{
             answer::Answer,
             call::Reply,
@@ -104,6 +104,7 @@
         until_ms: 486_000,
         fence: 7,
         checkpoint: String::new(),
+        ticket: String::new(),
     };
     let call = runner::start("i-7", &start);
     let body =
@@ -243,3 +244,17 @@
         let _ = runner::report(&Reply { status: 200, body: bytes });
     }
 }
+
+#[test]
+fn the_advisor_is_asked_by_step_and_its_tickets_are_read() {
+    let step = Task { job: 0x5c0e_7a21_d94b_36f8, occurrence: 0, step: 1, index: 0 };
+    let call = advisor::ask(&step, &["i-7f3a91c2".into()]).unwrap();
+    assert_eq!(call.path, "/v1/advise");
+    let expected = r#"{"step":"5c0e7a21d94b36f8.0.1","workers":["i-7f3a91c2"]}"#;
+    assert_eq!(String::from_utf8(call.body).unwrap(), expected);
+    let body = br#"{"good":[["i-7f3a91c2","c81e-7a21d94b"]],"validMs":3000}"#.to_vec();
+    let tickets = advisor::tickets(&Reply { status: 200, body }).unwrap();
+    assert_eq!(tickets.given, [("i-7f3a91c2".to_owned(), "c81e-7a21d94b".to_owned())]);
+    assert_eq!(tickets.valid, Some(Duration::from_secs(3)));
+    assert!(advisor::tickets(&Reply { status: 429, body: Vec::new() }).is_err());
+}
--- /dev/null
+++ b/tests/job_ledger.rs
@@ -0,0 +1,36 @@
+//! Records of the ledger, and how they are appended.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    carobhitch::job::ledger::{self, Content, Progress, Record, Task},
+    proptest::prelude::*,
+};
+
+#[test]
+fn progress_comes_back_as_it_was_stored() {
+    let task = Task { run: 3, failures: 1, failed_run: 2, runner: 1, ..Task::default() };
+    let progress =
+        Progress { runners: vec!["r0".into()], steps: vec![vec![task]], ..Progress::default() };
+    let record = ledger::progress(7, &progress).unwrap();
+    assert_eq!(ledger::read(&record).unwrap(), Content::Progress(7, progress));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_batch_is_split_in_order_into_appends_that_are_small_enough(
+        sizes in prop::collection::vec(0_usize..300, 1..40),
+        most in 100_usize..600,
+    ) {
+        let record = |size: &usize| Record { key: "k".into(), value: vec![0; *size] };
+        let records: Vec<Record> = sizes.iter().map(record).collect();
+        let calls = ledger::split(records.clone(), most);
+        prop_assert_eq!(calls.concat(), records);
+        for call in &calls {
+            let bytes: usize = call.iter().map(|r| r.key.len() + r.value.len()).sum();
+            prop_assert!(!call.is_empty() && (bytes <= most || call.len() == 1));
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use {
     carobhitch::job::{
         answer::Answer,
-        cell::{Action, Cell},
+        cell::{Action, Cell, RunnerId, Tickets},
         ledger::{self, Content, Record},
         manifest::{Manifest, Queue, Service},
         runner::{self, End, Entry, Hold, How, Reason, Report, Running, Start},
@@ -82,6 +82,9 @@
     pub mute_vms: bool,
     /// Time after which a VM that was acted on has its new runner; it gets none if this is not set.
     pub move_time: Option<Duration>,
+    /// Runners that the advisor names, and how long its tickets are valid; queues have none if this is
+    /// not set.
+    pub allowed: Vec<String>,
     /// Milliseconds by which the time of day is ahead.
     pub jump_ms: i64,
     /// VMs that will have a new runner, and when.
@@ -142,6 +145,7 @@
             tail_ms: 0,
             mute_vms: false,
             move_time: None,
+            allowed: Vec::new(),
             jump_ms: 0,
             moving: Vec::new(),
             next_life: 1,
@@ -370,6 +374,14 @@
                     let answer = self.look(&id, &hold);
                     self.cell.look_answered(now, &id, hold.seen, answer);
                 }
+                Action::Advise(step, asked) => {
+                    let may =
+                        |id: &&RunnerId| self.allowed.iter().any(|allowed| **allowed == ***id);
+                    let good = asked.iter().filter(may);
+                    let ticket = |id: &RunnerId| (id.to_string(), format!("ticket of {step}"));
+                    let answer = Ok(Tickets { given: good.map(ticket).collect(), valid: None });
+                    self.cell.advised(now, &step, &asked, answer);
+                }
                 Action::Vm(action) => self.act(&action),
                 Action::Pace(..) | Action::Report(..) => {}
             }
