End only the runner that a VM action was sent for

Cause: the answer to a move or to maintenance ended the runner that the VM had when the answer came. An answer that came late, or a retry answered as already done, then took the tasks of the VM's next runner for lost and started them again while they ran (two runs of one task at a time, seen with a slow list of VMs whose actions are carried out late).

Ruled out: dropping the answers to retries, as then a VM whose first call was lost would never count as maintained.

Change: a plan keeps the incarnation of the runner that it was sent for; only that one ends. A move counts as carried out once the VM's next runner registers in the target pool. A VM that has got another runner while an action is unconfirmed is drained before the action is sent again, and the runner is kept if the list still shows it afterwards. The record of a VM moves to a module of its own. The simulation confirms the owner while its store answers, as the heartbeats do.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -7,7 +7,7 @@
 //! reserve return to the spare pool, where they cost nothing.
 
 use {
-    super::{Cell, need::Need, pools::Record},
+    super::{Cell, need::Need, vm::Record},
     crate::{
         id::VmId,
         job::upkeep::{Action, State},
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -26,6 +26,7 @@
 mod restore;
 mod run;
 mod submit;
+mod vm;
 mod wave;
 mod workers;
 
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -6,14 +6,17 @@
 //! empty, the action is stored in the ledger, and then sent until the platform has answered it.
 
 use {
-    super::{Cell, Effect, Phase, RunnerId, Status},
+    super::{
+        Cell, Effect, Phase, RunnerId, Status,
+        vm::{Plan, Record, Stage, Target},
+    },
     crate::{
         id::VmId,
         job::{
             ledger,
             runner::Registration,
             spec::Task,
-            upkeep::{self, Action, Refusal, State, Vm},
+            upkeep::{self, Action, Refusal, Vm},
         },
     },
     indexmap::{IndexMap, IndexSet},
@@ -24,8 +27,6 @@
     },
 };
 
-/// Time after an action for which the platform's list may still show the state before it.
-const LIST_LAG: Duration = Duration::from_millis(1_500);
 /// Pause before an action that was not carried out is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a plan is given up if the platform still refuses the action because the VM is
@@ -34,8 +35,6 @@
 /// Time beyond the longest stop for which a task must have run before it counts as at work: a
 /// previous owner may have sent a stop to it just before the takeover.
 const STEADY_MARGIN: Duration = Duration::from_millis(600);
-/// Time after an action for which a VM counts as down if no new runner registers.
-const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// VMs of a cell with their pools, and maintenance waves.
 #[derive(Clone, Debug)]
@@ -54,46 +53,6 @@
     changed: bool,
 }
 
-/// The owner's record of one VM.
-#[derive(Clone, Debug)]
-pub(super) struct Record {
-    /// State that the platform listed last, updated by actions that were carried out since.
-    pub(super) listed: Vm,
-    /// Planned action.
-    pub(super) plan: Option<Plan>,
-    /// Last action that was carried out, until the VM's new runner is known.
-    pub(super) last_action: Option<Completion>,
-}
-
-/// An action that was carried out.
-#[derive(Clone, Debug)]
-pub(super) struct Completion {
-    at: Instant,
-    /// Runner that the VM had before the action.
-    former_runner: Option<String>,
-    /// Whether the action took the VM down for its maintenance.
-    is_upkeep: bool,
-}
-
-/// Planned action on a VM.
-#[derive(Clone, Debug)]
-pub(super) struct Plan {
-    pub(super) action: Action,
-    pub(super) since: Instant,
-    pub(super) stage: Stage,
-}
-
-/// Progress of a plan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
-    /// The VM is being drained.
-    Draining,
-    /// The action waits for the ledger, or has been sent and its answer is outstanding.
-    Sent,
-    /// The action was not carried out, and is retried at this time.
-    RetryAt(Instant),
-}
-
 /// Progress of a maintenance wave that the operators have ordered.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
@@ -182,61 +141,6 @@
     }
 }
 
-impl Record {
-    /// Sets the state that the platform lists, unless it is from before the last action.
-    fn update(&mut self, now: Instant, vm: Vm) {
-        let is_older = |action: &Completion| {
-            let recent = now.saturating_duration_since(action.at) < LIST_LAG;
-            recent && vm.state == State::Up && vm.runner == action.former_runner
-        };
-        if !self.last_action.as_ref().is_some_and(is_older) {
-            self.listed = vm;
-        }
-    }
-
-    /// Updates the state after an action was carried out.
-    fn complete_action(&mut self, now: Instant, action: &Action) {
-        let former_runner = self.listed.runner.take();
-        let is_upkeep = matches!(action, Action::Upkeep { .. });
-        self.plan = None;
-        self.last_action = Some(Completion { at: now, former_runner, is_upkeep });
-        match action {
-            Action::Move { pool, .. } => {
-                self.listed.pool.clone_from(pool);
-                self.listed.state = State::Moving;
-            }
-            Action::Upkeep { .. } => self.listed.state = State::Upkeep,
-        }
-    }
-
-    /// Handles the registration of a new runner of this VM, which completes the last action.
-    fn runner_registered(&mut self, runner: &str, service: &str) {
-        let Some(action) = &self.last_action else { return };
-        if service == self.listed.pool && action.former_runner.as_deref() != Some(runner) {
-            self.listed.state = State::Up;
-            self.listed.runner = Some(String::from(runner));
-            self.last_action = None;
-        }
-    }
-
-    /// Whether the VM is in one of these failure domains.
-    pub(super) fn is_in(&self, domains: &IndexSet<Rc<str>>) -> bool {
-        let own = || std::iter::once(&self.listed.zone).chain(&self.listed.labels);
-        !domains.is_empty() && own().any(|domain| domains.contains(domain.as_str()))
-    }
-
-    /// Whether the VM is down, or an action on it is not complete yet.
-    pub(super) fn is_down(&self) -> bool {
-        self.listed.state != State::Up || self.last_action.is_some()
-    }
-
-    /// Whether the VM may be in maintenance.
-    pub(super) fn may_be_in_upkeep(&self) -> bool {
-        self.listed.state == State::Upkeep
-            || self.last_action.as_ref().is_some_and(|action| action.is_upkeep)
-    }
-}
-
 impl Cell {
     /// Updates the VMs from the platform's list.
     pub fn update_vms(&mut self, now: Instant, vms: Vec<Vm>) {
@@ -245,39 +149,37 @@
             match self.pools.vms.get_mut(&vm.id) {
                 Some(record) => record.update(now, vm),
                 None => {
-                    let id = vm.id.clone();
-                    let record = Record { listed: vm, plan: None, last_action: None };
-                    self.pools.vms.insert(id, record);
+                    self.pools.vms.insert(vm.id.clone(), Record::new(vm));
                 }
             }
         }
         self.pools.vms.retain(|id, record| listed.contains(id) || record.plan.is_some());
         self.mark_replaced_runners();
         self.pools.record_initial_sizes();
-        // An action is complete once the VM is listed with another runner. A VM of the spare pool
-        // has none before and after, so its action counts as complete after a pause.
+        self.finish_actions(now);
+    }
+
+    /// Forgets actions whose VMs are up again, and lets their runners take tasks.
+    fn finish_actions(&mut self, now: Instant) {
         for record in self.pools.vms.values_mut() {
-            let Some(Completion { at, former_runner, .. }) = &record.last_action else { continue };
-            let has_new_runner =
-                record.listed.state == State::Up && record.listed.runner != *former_runner;
-            let is_off = record.listed.state == State::Up
-                && record.listed.runner.is_none()
-                && former_runner.is_none();
-            let timed_out = now.saturating_duration_since(*at) > ARRIVAL_TIMEOUT;
-            if has_new_runner
-                || timed_out
-                || is_off && now.saturating_duration_since(*at) > RETRY_DELAY * 8
-            {
-                record.last_action = None;
+            if !record.finish_last_action(now) {
+                continue;
+            }
+            let runner = record.listed.runner.as_deref();
+            if let Some(worker) = runner.and_then(|id| self.workers.get_mut(id)) {
+                worker.vm_draining = false;
+                self.place_due = true;
             }
         }
     }
 
-    /// Handles the first registration of a runner.
-    pub(super) fn runner_registered(&mut self, runner: &str, registration: &Registration) {
-        if let Some(record) = self.pools.vms.get_mut(registration.vm.as_str()) {
-            record.runner_registered(runner, &registration.service);
-        }
+    /// Handles the first registration of an incarnation of a runner; returns whether its VM is being
+    /// drained.
+    pub(super) fn runner_registered(&mut self, runner: &str, registration: &Registration) -> bool {
+        let Some(record) = self.pools.vms.get_mut(registration.vm.as_str()) else { return false };
+        let target = Target { runner: Rc::from(runner), incarnation: registration.incarnation };
+        record.runner_registered(&target, registration);
+        record.plan.is_some()
     }
 
     /// Marks runners whose VMs have another runner by now, or none.
@@ -309,7 +211,7 @@
         }
         let Some(record) = self.pools.vms.get_mut(action.vm()) else { return };
         info!("vm: id={} plan={action:?} runner={runner:?}", record.listed.id);
-        record.plan = Some(Plan { action, since: now, stage: Stage::Draining });
+        record.plan = Some(Plan::new(action, now));
     }
 
     /// Drains the VMs that have plans, and sends the actions on those that are empty or due for a
@@ -336,25 +238,52 @@
                         self.stop_endless_tasks(now, &runner);
                     }
                 }
-                Stage::RetryAt(at) if at <= now => self.send_action(&vm, &plan.action),
+                Stage::RetryAt(at) if at <= now => self.retry_action(&vm, &plan),
                 Stage::RetryAt(_) | Stage::Sent => {}
             }
         }
     }
 
+    /// Sends an action again. If the VM has got another runner meanwhile, that one is drained first:
+    /// the action may be carried out only now, or may have ended the runner before it.
+    fn retry_action(&mut self, vm: &str, plan: &Plan) {
+        if plan.target == self.target_of(vm) {
+            return self.send_action(vm, &plan.action);
+        }
+        if let Some(worker) = self.runner_of(vm).and_then(|id| self.workers.get_mut(&id)) {
+            worker.vm_draining = true;
+        }
+        if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
+            plan.stage = Stage::Draining;
+            plan.may_be_done = true;
+        }
+    }
+
+    /// Incarnation of the runner that a VM has now.
+    fn target_of(&self, vm: &str) -> Option<Target> {
+        let runner = self.runner_of(vm)?;
+        let incarnation = self.workers.get(&runner)?.incarnation;
+        Some(Target { runner, incarnation })
+    }
+
     /// Sends an action once the ledger has stored it. Maintenance waits if its wave has as many VMs
     /// down as it may, unless a call for this VM may have been carried out already.
     fn send_action(&mut self, vm: &str, action: &Action) {
+        let mut resumes = false;
         if let Action::Upkeep { wave, .. } = action {
             let (wave, max_down) = (*wave, self.max_down(*wave));
-            let resumes = self.pools.upkeep_may_have_begun(wave, vm);
+            resumes = self.pools.upkeep_may_have_begun(wave, vm);
             if !resumes && self.count_down(wave) >= max_down {
                 return;
             }
             self.pools.mark_upkeep_begun(wave, vm);
         }
+        let target = self.target_of(vm);
         if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
+            let is_retry = plan.stage != Stage::Draining;
+            plan.may_be_done |= resumes && !is_retry;
             plan.stage = Stage::Sent;
+            plan.target = target;
         }
         self.effects.push(Effect::ChangeVm(action.clone()));
     }
@@ -401,7 +330,6 @@
         outcome: Result<(), Refusal>,
     ) {
         let vm = action.vm();
-        let runner = self.runner_of(vm);
         let Some(record) = self.pools.vms.get_mut(vm) else { return };
         let Some(plan) = record.plan.as_mut().filter(|plan| plan.action == *action) else {
             return;
@@ -409,11 +337,14 @@
         let is_final = match outcome {
             Ok(()) => {
                 info!("vm: id={vm} done={action:?}");
-                record.complete_action(now, action);
+                let (target, may_be_done) = (plan.target.take(), plan.may_be_done);
+                record.complete_action(now, action, target.clone());
                 if let Action::Upkeep { wave, .. } = action {
                     self.pools.mark_upkeep_done(*wave, vm);
                 }
-                self.runner_ended(now, runner);
+                if let Some(target) = target.filter(|_| !may_be_done) {
+                    self.runner_ended(now, &target);
+                }
                 return;
             }
             Err(Refusal::Later | Refusal::Unknown(_)) => false,
@@ -435,21 +366,25 @@
 
     /// Drops the plan for a VM, so that it gets tasks again.
     fn abandon_plan(&mut self, vm: &str) {
-        let runner = self.runner_of(vm);
         if let Some(record) = self.pools.vms.get_mut(vm) {
             record.plan = None;
         }
-        if let Some(worker) = runner.and_then(|id| self.workers.get_mut(&id)) {
-            worker.vm_draining = false;
+        for worker in self.workers.values_mut() {
+            let is_on_vm = worker.registration.as_ref().is_some_and(|found| found.vm == vm);
+            worker.vm_draining &= !is_on_vm;
         }
         self.place_due = true;
     }
 
-    /// Handles the end of the runner of a VM on which an action was carried out.
-    fn runner_ended(&mut self, now: Instant, runner: Option<RunnerId>) {
-        let Some(runner) = runner else { return };
-        self.lose_runs(now, &runner, "an action on its VM was carried out");
-        if let Some(worker) = self.workers.get_mut(&runner) {
+    /// Handles the end of the runner of a VM on which an action was carried out. Another incarnation
+    /// that has registered since then is not affected.
+    fn runner_ended(&mut self, now: Instant, target: &Target) {
+        let Some(worker) = self.workers.get(&target.runner) else { return };
+        if worker.incarnation != target.incarnation {
+            return;
+        }
+        self.lose_runs(now, &target.runner, "an action on its VM was carried out");
+        if let Some(worker) = self.workers.get_mut(&target.runner) {
             worker.mark_ended(now);
         }
     }
--- /dev/null
+++ b/src/job/cell/vm.rs
@@ -0,0 +1,212 @@
+//! The owner's record of one VM: what the platform lists, the planned action and the last one that
+//! was carried out.
+//!
+//! A call to the platform may be carried out without an answer, and its answer may come after the
+//! VM's next runner has registered. A record therefore keeps the runner that an action is meant to
+//! end: only that incarnation counts as ended when the platform confirms the action.
+
+use {
+    super::RunnerId,
+    crate::job::{
+        runner::{Incarnation, Registration},
+        upkeep::{Action, State, Vm},
+    },
+    indexmap::IndexSet,
+    log::info,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after an action for which the platform's list may still show the state before it.
+pub(super) const LIST_LAG: Duration = Duration::from_millis(1_500);
+/// Time after an action for which a VM counts as down if no new runner registers.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time after an action for which a VM without a runner counts as down.
+const SWITCH_TIME: Duration = Duration::from_millis(2_400);
+
+/// The owner's record of one VM.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    /// State that the platform listed last, updated by actions that were carried out since.
+    pub(super) listed: Vm,
+    /// Planned action.
+    pub(super) plan: Option<Plan>,
+    /// Last action that was carried out, until the VM's new runner is known.
+    pub(super) last_action: Option<Completion>,
+}
+
+/// An action that was carried out.
+#[derive(Clone, Debug)]
+pub(super) struct Completion {
+    at: Instant,
+    /// Runner that the VM had before the action.
+    former: Option<Target>,
+    /// Whether the action took the VM down for its maintenance.
+    is_upkeep: bool,
+}
+
+/// Planned action on a VM.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    pub(super) action: Action,
+    pub(super) since: Instant,
+    pub(super) stage: Stage,
+    /// Runner that the VM had when the action was last sent; it ends if the action is carried out.
+    pub(super) target: Option<Target>,
+    /// Whether the action may have been carried out before the target registered, so that its
+    /// confirmation does not show that the target has ended.
+    pub(super) may_be_done: bool,
+}
+
+/// One incarnation of a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Target {
+    pub(super) runner: RunnerId,
+    pub(super) incarnation: Option<Incarnation>,
+}
+
+/// Progress of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The VM is being drained.
+    Draining,
+    /// The action waits for the ledger, or has been sent and its answer is outstanding.
+    Sent,
+    /// The action was not carried out, and is retried at this time.
+    RetryAt(Instant),
+}
+
+impl Plan {
+    /// Plan whose VM is to be drained from `now` on.
+    pub(super) fn new(action: Action, now: Instant) -> Self {
+        let stage = Stage::Draining;
+        Self { action, since: now, stage, target: None, may_be_done: false }
+    }
+
+    /// Whether the action was sent, so that it may have been carried out.
+    fn was_sent(&self) -> bool {
+        self.stage != Stage::Draining || self.may_be_done
+    }
+
+    /// Whether the registration of a new runner shows that the action, a move, was carried out.
+    fn is_shown_done_by(&self, runner: &Target, service: &str) -> bool {
+        let joins = matches!(&self.action, Action::Move { pool, .. } if pool == service);
+        joins && self.was_sent() && self.target.as_ref() != Some(runner)
+    }
+}
+
+impl Completion {
+    fn former_id(&self) -> Option<&str> {
+        self.former.as_ref().map(|former| &*former.runner)
+    }
+
+    /// Whether the platform lists the VM as up again, with `listed` as its state.
+    fn is_over(&self, now: Instant, listed: &Vm) -> bool {
+        let elapsed = now.saturating_duration_since(self.at);
+        if elapsed > ARRIVAL_TIMEOUT {
+            return true;
+        }
+        if listed.state != State::Up {
+            return false;
+        }
+        match (&listed.runner, self.former_id()) {
+            // A VM of the spare pool has no runner before and after.
+            (None, None) => elapsed > SWITCH_TIME,
+            // The list shows the former runner for a while; after that it is still there, or a new
+            // one of the same name is.
+            (Some(runner), Some(former)) if runner == former => elapsed > LIST_LAG,
+            _ => true,
+        }
+    }
+}
+
+impl Record {
+    /// Record of a VM that the platform lists.
+    pub(super) fn new(listed: Vm) -> Self {
+        Self { listed, plan: None, last_action: None }
+    }
+
+    /// Sets the state that the platform lists, unless it is from before the last action.
+    pub(super) fn update(&mut self, now: Instant, vm: Vm) {
+        let is_older = |action: &Completion| {
+            let recent = now.saturating_duration_since(action.at) < LIST_LAG;
+            recent && vm.state == State::Up && vm.runner.as_deref() == action.former_id()
+        };
+        if !self.last_action.as_ref().is_some_and(is_older) {
+            self.listed = vm;
+        }
+    }
+
+    /// Updates the state after an action was carried out that was to end `former`.
+    pub(super) fn complete_action(
+        &mut self,
+        now: Instant,
+        action: &Action,
+        former: Option<Target>,
+    ) {
+        let is_upkeep = matches!(action, Action::Upkeep { .. });
+        self.plan = None;
+        self.listed.runner = None;
+        self.last_action = Some(Completion { at: now, former, is_upkeep });
+        match action {
+            Action::Move { pool, .. } => {
+                self.listed.pool.clone_from(pool);
+                self.listed.state = State::Moving;
+            }
+            Action::Upkeep { .. } => self.listed.state = State::Upkeep,
+        }
+    }
+
+    /// Forgets the last action once the VM is up again; returns whether it did.
+    pub(super) fn finish_last_action(&mut self, now: Instant) -> bool {
+        let is_over = self.last_action.as_ref().is_some_and(|last| last.is_over(now, &self.listed));
+        if is_over {
+            self.last_action = None;
+        }
+        is_over
+    }
+
+    /// Handles the registration of a new incarnation of the VM's runner, which completes the last
+    /// action, or shows that a move whose answer is outstanding was carried out.
+    pub(super) fn runner_registered(&mut self, runner: &Target, registration: &Registration) {
+        let service = registration.service.as_str();
+        if let Some(action) = &self.last_action {
+            if service == self.listed.pool && action.former.as_ref() != Some(runner) {
+                self.set_up(runner);
+                self.last_action = None;
+            }
+            return;
+        }
+        let Some(plan) = &self.plan else { return };
+        if plan.is_shown_done_by(runner, service) {
+            info!("vm: id={} done={:?} by={}", self.listed.id, plan.action, runner.runner);
+            self.listed.pool = String::from(service);
+            self.plan = None;
+        }
+        self.set_up(runner);
+    }
+
+    fn set_up(&mut self, runner: &Target) {
+        self.listed.state = State::Up;
+        self.listed.runner = Some(String::from(&*runner.runner));
+    }
+
+    /// Whether the VM is in one of these failure domains.
+    pub(super) fn is_in(&self, domains: &IndexSet<Rc<str>>) -> bool {
+        let own = || std::iter::once(&self.listed.zone).chain(&self.listed.labels);
+        !domains.is_empty() && own().any(|domain| domains.contains(domain.as_str()))
+    }
+
+    /// Whether the VM is down, or an action on it is not complete yet.
+    pub(super) fn is_down(&self) -> bool {
+        self.listed.state != State::Up || self.last_action.is_some()
+    }
+
+    /// Whether the VM may be in maintenance.
+    pub(super) fn may_be_in_upkeep(&self) -> bool {
+        self.listed.state == State::Upkeep
+            || self.last_action.as_ref().is_some_and(|action| action.is_upkeep)
+    }
+}
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -5,10 +5,7 @@
 //! once than it needs to be complete early enough, so that more of each pool is left for bursts.
 
 use {
-    super::{
-        Cell, Effect,
-        pools::{Progress, Record},
-    },
+    super::{Cell, Effect, pools::Progress, vm::Record},
     crate::{
         id::VmId,
         job::upkeep::{Action, Number, Request},
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -274,7 +274,7 @@
                         .incarnation
                         .is_some_and(|known| registration.incarnation > Some(known));
                 let starts_draining = registration.draining && !worker.is_draining();
-                let is_back = !worker.listed;
+                let (is_back, unknown) = (!worker.listed, worker.registration.is_none());
                 worker.listed = true;
                 if starts_draining || is_back || restarted {
                     let state = if registration.draining { "draining" } else { "ready" };
@@ -290,19 +290,35 @@
                 if restarted {
                     self.handle_restart(now, id, incarnation);
                 }
+                if restarted || unknown {
+                    self.note_incarnation(id);
+                }
             }
             None => {
                 info!(
                     "runner: id={id} new service={} sequence={}",
                     registration.service, registration.sequence
                 );
-                self.runner_registered(id, &registration);
                 self.workers.insert(Rc::from(id), Worker::new(Some(registration), now, now));
+                self.note_incarnation(id);
             }
         }
         self.remove_former_runners(now, id, &vm);
     }
 
+    /// Notes an incarnation that has registered for the first time. It takes no tasks if its VM is
+    /// being drained.
+    fn note_incarnation(&mut self, id: &str) {
+        let worker = self.workers.get(id);
+        let Some(registration) = worker.and_then(|worker| worker.registration.clone()) else {
+            return;
+        };
+        let vm_draining = self.runner_registered(id, &registration);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.vm_draining = vm_draining;
+        }
+    }
+
     /// Removes runners of a VM that are older than its runner `id`: they have ended, since a VM has
     /// one runner at a time.
     fn remove_former_runners(&mut self, now: Instant, id: &str, vm: &str) {
--- a/tests/job_vms.rs
+++ b/tests/job_vms.rs
@@ -208,3 +208,105 @@
     sim.run(seconds(6.0));
     assert_eq!(upkeeps(&sim).len(), 2, "the second VM went down once the first was back");
 }
+
+/// Carries out the maintenance of `m0` without an answer; its next runner is `next`.
+fn upkeep_without_answer(sim: &mut Simulation) -> upkeep::Action {
+    sim.update_vms();
+    sim.vm_answers_lost = true;
+    let now = sim.instant();
+    sim.cell.add_wave(now, wave(&["m0"], 1));
+    sim.run(seconds(0.5));
+    assert_eq!(upkeeps(sim), ["m0"]);
+    sim.add_runner("next", "desk", "m0", 9);
+    sim.update_vms();
+    upkeep::Action::Upkeep { vm: "m0".into(), wave: 1 }
+}
+
+fn starts(sim: &Simulation) -> usize {
+    sim.actions.iter().filter(|action| matches!(action, Action::Start(..))).count()
+}
+
+/// The platform carries an action out and answers late. By then the VM's next runner has tasks.
+#[test]
+fn a_late_answer_does_not_end_the_runner_that_has_registered_since() {
+    let mut sim = Simulation::new(1);
+    sim.run_time = seconds(20.0);
+    let action = upkeep_without_answer(&mut sim);
+    sim.add_runner("r1", "desk", "m1", 1);
+    sim.submit(7, spec(vec![step(16, 1_600)]));
+    sim.run(seconds(1.0));
+    sim.cell.vm_action_answered(sim.instant(), &action, Ok(()));
+    for _ in 0..10 {
+        sim.update_vms();
+        sim.run(seconds(1.0));
+    }
+    assert_eq!(sim.runners["next"].starts, 6, "the runner of the VM takes tasks");
+    assert_eq!(starts(&sim), 16, "a task that runs was started again");
+}
+
+/// A move that got no answer is asked for again, and the platform answers that it is done.
+#[test]
+fn a_move_shown_done_by_the_next_runner_is_not_sent_again() {
+    let mut sim = Simulation::new(1);
+    for number in 0..2 {
+        sim.add_spare(&format!("s{number}"));
+    }
+    sim.update_vms();
+    sim.run(seconds(0.5));
+    sim.run_time = seconds(20.0);
+    sim.vm_answers_lost = true;
+    for id in 0..3 {
+        sim.submit(id, spec(vec![step(8, 2_000)]));
+    }
+    sim.run(seconds(0.5));
+    let sent = moves(&sim);
+    assert!(!sent.is_empty());
+    for (number, (vm, pool)) in sent.iter().enumerate() {
+        sim.add_runner(&format!("n{number}"), pool, vm, 9);
+        sim.vms[vm].pool.clone_from(pool);
+    }
+    sim.run(seconds(1.5));
+    let started = starts(&sim);
+    assert!(started > 8, "{started}: the new runners take tasks before the answer");
+    let now = sim.instant();
+    for (vm, pool) in &sent {
+        let action = upkeep::Action::Move { vm: vm.clone(), pool: pool.clone() };
+        let lost = Err(upkeep::Refusal::Unknown(String::from("no answer")));
+        sim.cell.vm_action_answered(now, &action, lost);
+    }
+    sim.update_vms();
+    sim.run(seconds(3.0));
+    let again = moves(&sim).iter().filter(|found| sent.contains(found)).count();
+    assert_eq!(again, sent.len(), "a move that was carried out is sent again");
+    for (vm, pool) in &sent {
+        let action = upkeep::Action::Move { vm: vm.clone(), pool: pool.clone() };
+        sim.cell.vm_action_answered(sim.instant(), &action, Ok(()));
+    }
+    sim.run(seconds(5.0));
+    assert_eq!(sim.runners.values().map(|runner| runner.starts).sum::<usize>(), 24);
+}
+
+/// A new owner repeats the maintenance that the previous one began, and the platform answers that it
+/// was carried out already.
+#[test]
+fn maintenance_that_was_done_before_ends_no_runner() {
+    let mut sim = Simulation::new(1);
+    sim.run_time = seconds(5.0);
+    upkeep_without_answer(&mut sim);
+    sim.runners.swap_remove("r0");
+    sim.take_over();
+    sim.update_vms();
+    let now = sim.instant();
+    sim.cell.add_wave(now, wave(&["m0"], 1));
+    sim.run(seconds(1.0));
+    assert_eq!(upkeeps(&sim).len(), 2, "the new owner repeats the action");
+    let action = upkeep::Action::Upkeep { vm: "m0".into(), wave: 1 };
+    sim.runners["next"].unresponsive = false;
+    sim.cell.vm_action_answered(sim.instant(), &action, Ok(()));
+    sim.update_vms();
+    sim.run(seconds(2.0));
+    sim.update_vms();
+    sim.submit(7, spec(vec![step(1, 1_000)]));
+    sim.run(seconds(1.0));
+    assert_eq!(sim.runners["next"].starts, 1, "the runner of the VM is still there");
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -75,7 +75,7 @@
     pub origin: Instant,
     pub now: Duration,
     pub ledger: IndexMap<String, Vec<u8>>,
-    /// Whether the ledger stores nothing.
+    /// Whether the ledger stores nothing, and the log accepts no heartbeats.
     pub store_down: bool,
     pub runners: IndexMap<String, Runner>,
     pub vms: IndexMap<String, Vm>,
@@ -334,6 +334,9 @@
             self.time_out_calls();
             let now = self.instant();
             self.cell.set_wall_clock(now, self.wall_ms());
+            if !self.store_down {
+                self.cell.confirm_ownership(now);
+            }
             self.cell.tick(now);
             for _ in 0..4 {
                 self.commit();
