Refuse only submissions that are not on their way to the ledger

Cause: when the ledger stopped answering, every waiting 'accepted' was turned into a refusal. A repeat of a job whose first batch was in flight was told that the job had not run, although the batch could still be stored. A query of a refused job was later answered with a state that no job has.

The success of a run that was taken for lost only stopped the later run; at the end of that stop the task waited again and ran a third time.

Change: an answer that waits for the ledger names its job, and only those of refused jobs are refused; queries of them say that there is no such job. A task counts as done as soon as one of its runs has succeeded; a later run is stopped and keeps its room until it has ended. The ledger stores both, in the same format.

Ruled out: to count failures of lost runs as attempts, as the end of a run whose lease has expired is not one that the platform counts.

The simulation no longer counts a success whose runner's lease expired before it was acknowledged.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -3,7 +3,7 @@
 //! One batch is in flight at a time; changes made meanwhile wait for the next one.
 
 use {
-    super::{Action, Batch, Cell, Effect, Phase, RunnerId, Status, job::State},
+    super::{Action, Batch, Cell, Effect, Phase, RequestId, RunnerId, Status, job::State},
     crate::job::{
         answer::Answer,
         ledger::{self, Outcome, Record},
@@ -84,18 +84,34 @@
             self.dirty.swap_remove(id);
             info!("refuse: job={id:016x} why={why:?}");
         }
-        let effects = std::mem::take(&mut self.effects);
-        for effect in effects {
+        let is_refused = |id: &spec::Id| refused.contains(id);
+        for effect in std::mem::take(&mut self.effects) {
             match effect {
-                Effect::Answer(request, Answer::Accepted) => {
-                    self.actions.push(Action::Answer(request, Answer::refused(why, missing)));
+                Effect::Answer(request, Some(id), answer) if is_refused(&id) => {
+                    self.answer_refused(request, &answer, why, missing);
                 }
-                Effect::PublishOutcome(id) if refused.contains(&id) => {}
+                Effect::PublishOutcome(id) | Effect::StopAll(id) if is_refused(&id) => {}
                 other => self.effects.push(other),
             }
         }
     }
 
+    /// Answers a request about a job that is refused; `answer` is what it would have got if the job
+    /// had been stored.
+    fn answer_refused(
+        &mut self,
+        request: RequestId,
+        answer: &Answer,
+        why: &str,
+        missing: Duration,
+    ) {
+        if *answer == Answer::Accepted {
+            self.actions.push(Action::Answer(request, Answer::refused(why, missing)));
+        } else {
+            self.effects.push(Effect::Answer(request, None, Answer::NoJob));
+        }
+    }
+
     /// Accepts a newer manifest, which takes effect once the ledger has stored it.
     pub fn update_manifest(&mut self, manifest: Manifest) {
         let newest = self.next_manifest.as_ref().map_or(self.manifest.version, |m| m.version);
@@ -109,7 +125,9 @@
     /// Applies an effect of a change that the ledger has stored.
     fn apply(&mut self, now: Instant, effect: Effect) {
         match effect {
-            Effect::Answer(request, answer) => self.actions.push(Action::Answer(request, answer)),
+            Effect::Answer(request, _, answer) => {
+                self.actions.push(Action::Answer(request, answer));
+            }
             Effect::Start(runner, task, run) => self.send_start(now, runner, task, run),
             Effect::DiscardEnds(runner, incarnation, number) => {
                 self.allow_discarding(&runner, incarnation, number)
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -77,6 +77,9 @@
     pub checkpoint: String,
     /// Runner on which its last run failed.
     pub failed_on: Option<RunnerId>,
+    /// Whether a run has succeeded that was taken for lost, so that the later run that is placed
+    /// is no longer needed.
+    pub succeeded: bool,
 }
 
 /// Whether a task waits, is on a runner or is done.
@@ -92,6 +95,17 @@
 }
 
 impl State {
+    /// Whether a run of the task has succeeded.
+    pub fn is_done(&self) -> bool {
+        self.succeeded || self.status == Status::Done
+    }
+
+    /// Ends the placement of its last run. The task is done if an earlier run has succeeded, and
+    /// waits otherwise.
+    pub fn end_placement(&mut self) {
+        self.status = if self.succeeded { Status::Done } else { Status::Waiting };
+    }
+
     /// When the placement of its run last changed phase, if it is on a runner.
     pub fn phase_since(&self) -> Option<Instant> {
         match &self.status {
@@ -363,7 +377,7 @@
             run: state.run,
             failures: state.failures,
             failed_run: state.failed_run,
-            done: state.status == Status::Done,
+            done: state.is_done(),
             runner: match &state.status {
                 Status::Placed(placement) => position(&placement.runner),
                 _ => 0,
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -114,8 +114,8 @@
 /// Consequence of a change, applied once the ledger has stored the change.
 #[derive(Clone, Debug, PartialEq)]
 enum Effect {
-    /// Answers a caller.
-    Answer(RequestId, Answer),
+    /// Answers a caller; the answer may be about a job.
+    Answer(RequestId, Option<spec::Id>, Answer),
     /// Sends the start of a run.
     Start(RunnerId, Task, u32),
     /// Lets a runner discard its ends up to a number.
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         Action, Cell, Effect, RunnerId,
-        job::{Phase, Status},
+        job::{Phase, State, Status},
     },
     crate::job::{
         ledger::Outcome,
@@ -182,7 +182,10 @@
     fn handle_running(&mut self, now: Instant, runner: &RunnerId, report: &Report) {
         for row in &report.running {
             let job = self.jobs.get_mut(&row.task.job);
-            let open = job.as_ref().is_some_and(|job| job.outcome == Outcome::Open);
+            let needed = job.as_ref().is_some_and(|job| {
+                let done = job.task(&row.task).is_some_and(State::is_done);
+                job.outcome == Outcome::Open && !done
+            });
             let wanted = job.is_some_and(|job| {
                 job.started = true;
                 let Some(state) = job.task_mut(&row.task) else { return false };
@@ -201,7 +204,7 @@
             });
             if !wanted {
                 self.actions.push(Action::Stop(Rc::clone(runner), row.task, row.run));
-            } else if !open {
+            } else if !needed {
                 self.stop_run(now, &row.task, runner, row.run);
             }
         }
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -92,11 +92,13 @@
                 state.failures = stored.failures;
                 state.failed_run = stored.failed_run;
                 state.checkpoint = stored.checkpoint;
-                let runner = usize::from(stored.runner).checked_sub(1);
+                state.succeeded = stored.done;
+                state.end_placement();
                 if stored.done {
-                    state.status = Status::Done;
                     job.count_done(&task);
-                } else if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
+                }
+                let runner = usize::from(stored.runner).checked_sub(1);
+                if let Some(name) = runner.and_then(|at| progress.runners.get(at)) {
                     placed.push((task, name.clone()));
                 }
                 job.started |= stored.done || stored.failures > 0;
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -180,10 +180,13 @@
             && state.run == end.run;
         if !is_last {
             if end.exit == Exit::Done && !endless && end.run <= state.run {
-                self.lost_run_done(now, &end.task);
+                self.lost_run_done(now, end.task);
             }
             return;
         }
+        if state.succeeded {
+            return self.lose_run(now, &end.task);
+        }
         if end.exit != Exit::Done || endless {
             info!("end: task={} run={} runner={runner} how={:?}", end.task, end.run, end.exit);
         }
@@ -242,13 +245,20 @@
         }
     }
 
-    /// Marks a task as done, and its job as complete if it was the last one.
+    /// Marks a task as done whose run has succeeded and is no longer placed.
     pub(super) fn task_done(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if let Some(state) = job.task_mut(&task) {
-            state.status = Status::Done;
+            state.succeeded = true;
+            state.end_placement();
             state.checkpoint = String::new();
         }
+        self.count_done(now, task);
+    }
+
+    /// Counts a task whose run has succeeded, and marks its job as complete if it was the last one.
+    fn count_done(&mut self, now: Instant, task: Task) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if job.count_done(&task) {
             let ms = now.saturating_duration_since(job.accepted_at).as_millis();
             let Task { job, occurrence, step, .. } = task;
@@ -260,23 +270,32 @@
         self.place_due = true;
     }
 
-    /// Handles the success of a run that was taken for lost. If its task waits, it becomes done;
-    /// if a later run of it is placed, that run is stopped, as it is no longer needed.
-    fn lost_run_done(&mut self, now: Instant, task: &Task) {
-        let Some(state) = self.task_mut(task) else {
-            return;
-        };
+    /// Handles the success of a run that was taken for lost: its task is done, or all members of its
+    /// gang are.
+    fn lost_run_done(&mut self, now: Instant, task: Task) {
+        if !self.is_gang(&task) {
+            return self.lost_task_done(now, task);
+        }
+        let members =
+            self.jobs.get(&task.job).and_then(|job| job.siblings(&task)).map_or(0, Vec::len);
+        for index in 0..members as u16 {
+            self.lost_task_done(now, Task { index, ..task });
+        }
+    }
+
+    /// Marks a task as done whose run was taken for lost. If a later run of it is placed, that run is
+    /// stopped, and keeps its room until it has ended.
+    fn lost_task_done(&mut self, now: Instant, task: Task) {
+        let Some(state) = self.task_mut(&task).filter(|state| !state.is_done()) else { return };
         let run = state.run;
+        info!("end: task={task} lost_run_done=true last_run={run}");
+        state.succeeded = true;
         match state.status.clone() {
-            Status::Done => return,
-            Status::Waiting => {}
-            Status::Placed(placement) => {
-                self.stop_run(now, task, &placement.runner, run);
-                return;
-            }
+            Status::Placed(placement) => self.stop_run(now, &task, &placement.runner, run),
+            Status::Waiting | Status::Done => state.end_placement(),
         }
         self.mark_dirty(task.job);
-        self.task_done(now, *task);
+        self.count_done(now, task);
     }
 
     /// Retries a task after a failed run, or fails its job if all attempts are used up.
@@ -350,9 +369,14 @@
         };
         let Status::Placed(placement) = &state.status else { return };
         let runner = Rc::clone(&placement.runner);
-        state.status = Status::Waiting;
+        state.end_placement();
+        let done = state.succeeded;
         self.release_room(now, &runner, task);
         self.mark_dirty(task.job);
+        if done {
+            self.place_due = true;
+            return;
+        }
         self.requeue(task.job);
         self.stop_gang(now, task);
     }
--- a/src/job/cell/submit.rs
+++ b/src/job/cell/submit.rs
@@ -35,7 +35,7 @@
     ) {
         if let Some(job) = self.jobs.get(&id) {
             let stored = job.stored;
-            self.answer_when_stored(request, stored, Answer::Accepted);
+            self.answer_when_stored(request, stored, Some(id), Answer::Accepted);
             return;
         }
         let manifest = Rc::clone(&self.manifest);
@@ -54,7 +54,7 @@
         self.open.insert(id);
         self.waiting.insert(id);
         self.effects.push(Effect::PublishOutcome(id));
-        self.effects.push(Effect::Answer(request, Answer::Accepted));
+        self.effects.push(Effect::Answer(request, Some(id), Answer::Accepted));
         self.place_due = true;
         info!("accept: job={id:016x} queue={} version={}", queue.name, manifest.version);
     }
@@ -68,7 +68,7 @@
             }
             Some(job) => {
                 let answer = Answer::State { outcome: job.stored_outcome, started: false };
-                self.effects.push(Effect::Answer(request, answer));
+                self.effects.push(Effect::Answer(request, Some(id), answer));
             }
             None => self.answer_unknown_job(request),
         }
@@ -88,7 +88,7 @@
             self.effects.push(Effect::StopAll(id));
         }
         let stored = self.jobs.get(&id).is_some_and(|job| job.stored_outcome != Outcome::Open);
-        self.answer_when_stored(request, stored, Answer::Cancelled);
+        self.answer_when_stored(request, stored, Some(id), Answer::Cancelled);
     }
 
     /// Counts a queue's open jobs of which no task has started. If this owner was not confirmed
@@ -101,21 +101,28 @@
         let confirmed = self
             .confirmed_at
             .is_some_and(|at| now.saturating_duration_since(at) < CONFIRMATION_VALIDITY);
-        self.answer_when_stored(request, confirmed, Answer::Pending(pending));
+        self.answer_when_stored(request, confirmed, None, Answer::Pending(pending));
     }
 
     /// Answers that there is no such job, once the ledger has confirmed that there is no newer
     /// owner that may know it.
     fn answer_unknown_job(&mut self, request: RequestId) {
-        self.effects.push(Effect::Answer(request, Answer::NoJob));
+        self.effects.push(Effect::Answer(request, None, Answer::NoJob));
     }
 
-    /// Answers at once if `stored`, else once the ledger has stored the next batch.
-    fn answer_when_stored(&mut self, request: RequestId, stored: bool, answer: Answer) {
+    /// Answers at once if `stored`, else once the ledger has stored the next batch. `job` is the job
+    /// that the answer is about.
+    fn answer_when_stored(
+        &mut self,
+        request: RequestId,
+        stored: bool,
+        job: Option<spec::Id>,
+        answer: Answer,
+    ) {
         if stored {
             self.actions.push(Action::Answer(request, answer));
         } else {
-            self.effects.push(Effect::Answer(request, answer));
+            self.effects.push(Effect::Answer(request, job, answer));
         }
     }
 
@@ -131,7 +138,7 @@
         let freed: Vec<_> = job.tasks(id).filter_map(planned).collect();
         for (task, _) in &freed {
             if let Some(state) = job.task_mut(task) {
-                state.status = Status::Waiting;
+                state.end_placement();
             }
         }
         for (task, runner) in freed {
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -381,3 +381,80 @@
     sim.run(seconds(1.0));
     assert!(renewals(&sim) > before);
 }
+
+#[test]
+fn a_repeat_of_a_job_whose_batch_is_in_flight_is_never_refused() {
+    let mut sim = Simulation::new(1);
+    sim.store_down = true;
+    let first = sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    sim.run(seconds(0.1));
+    let repeat = sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    let now = sim.instant();
+    sim.cell.refuse_unstored(now, "the ledger does not answer", seconds(2.0));
+    sim.carry_out();
+    assert!(!sim.answers.contains_key(&repeat), "the batch in flight may still be stored");
+    sim.store_down = false;
+    sim.run(seconds(2.0));
+    assert_eq!(sim.answers[&first], Answer::Accepted);
+    assert_eq!(sim.answers[&repeat], Answer::Accepted);
+    assert_eq!(sim.done.len(), 1);
+}
+
+#[test]
+fn a_query_of_a_job_that_is_then_refused_says_that_there_is_no_such_job() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, spec(vec![step(1, 1_000)]));
+    sim.store_down = true;
+    sim.run(seconds(0.1));
+    sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    let (queried, cancelled) = (sim.query(JOB), sim.cancel(JOB));
+    let now = sim.instant();
+    sim.cell.refuse_unstored(now, "the ledger does not answer", seconds(2.0));
+    sim.store_down = false;
+    sim.run(seconds(0.2));
+    assert_eq!(sim.answers[&queried], Answer::NoJob);
+    assert_eq!(sim.answers[&cancelled], Answer::NoJob);
+}
+
+/// Has a task succeed on `r0` while that runner is unresponsive, until its run is taken for lost and
+/// the next run starts on `r1`.
+fn lose_successful_run(sim: &mut Simulation) {
+    sim.runners["r1"].unresponsive = true;
+    sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    sim.run(seconds(0.3));
+    assert_eq!(sim.runs(task(0, 0)), ["r0"]);
+    sim.runners["r0"].unresponsive = true;
+    sim.runners["r1"].unresponsive = false;
+    sim.run(seconds(1.0));
+    sim.run_time = seconds(20.0);
+    sim.run(LEASE);
+    assert_eq!(sim.runs(task(0, 0)), ["r1"]);
+    sim.runners["r0"].unresponsive = false;
+}
+
+#[test]
+fn the_late_success_of_a_lost_run_ends_its_task() {
+    let mut sim = Simulation::new(2);
+    lose_successful_run(&mut sim);
+    sim.run(seconds(3.0));
+    assert!(sim.runs(task(0, 0)).is_empty(), "the second run is no longer needed");
+    assert_eq!(starts(&sim), 2, "no run follows one that has succeeded");
+    let asked = sim.query(JOB);
+    sim.run(seconds(0.1));
+    assert_eq!(sim.answers[&asked], Answer::State { outcome: Outcome::Complete, started: true });
+}
+
+#[test]
+fn the_late_success_of_a_lost_run_outlives_a_takeover() {
+    let mut sim = Simulation::new(2);
+    lose_successful_run(&mut sim);
+    sim.run(seconds(0.04));
+    sim.runners["r1"].unresponsive = true;
+    sim.run(seconds(0.3));
+    sim.take_over();
+    sim.run(seconds(0.5));
+    sim.runners["r1"].unresponsive = false;
+    sim.run(seconds(12.0));
+    assert!(sim.runs(task(0, 0)).is_empty());
+    assert_eq!(starts(&sim), 2, "no run follows one that has succeeded");
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -373,6 +373,10 @@
                 .filter(|(_, run)| expired || run_time + run.begun <= now && !run.endless)
                 .map(|(task, _)| *task)
                 .collect();
+            if expired {
+                // The end of a run counts only if it is acknowledged within the lease.
+                self.done.retain(|task| !runner.has_ended(task));
+            }
             for task in ends {
                 let exit = match (expired, runs_fail) {
                     (true, _) => Exit::Stopped,
@@ -597,6 +601,10 @@
 }
 
 impl Runner {
+    fn has_ended(&self, task: &Task) -> bool {
+        self.ended.iter().any(|end| end.task == *task && end.exit == Exit::Done)
+    }
+
     fn end(&mut self, task: Task, exit: Exit) {
         let Some(run) = self.running.swap_remove(&task) else { return };
         self.used -= run.millicores;
