Measure the owner's rights on a clock that counts suspensions

Cause: the answer to a heartbeat that arrived after a suspension renewed the confirmation from the time of sending on the monotonic clock, which does not count the suspension. The owner could then act on VMs although another entry had claimed the cell. An action on a VM was also checked before it waited for a connection, not when it was written.

Other faults of the daemon: the count of open requests was not lowered when a caller disconnected, so that a planned stop waited for the end of its grace period; a log line of which the pipe took only a part ran into the next one.

Change: job::clock maps the boot-time clock to instants; the owner's event loop, its claims and the cell use it. claim::Confirmation counts from the sending and decides what it allows. Calls to the platform for VMs ask again whether they are permitted right before they are written. A guard counts open requests. The log output completes a cut line and drops whole lines only.

--- a/src/job/claim.rs
+++ b/src/job/claim.rs
@@ -10,7 +10,10 @@
 use {
     ::serde::{Deserialize, Serialize},
     bincode::{config, error::DecodeError, error::EncodeError, serde},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two heartbeats of the owner.
@@ -18,6 +21,13 @@
 /// Time without a record in the log after which an entry claims the cell.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time after a heartbeat for which the owner counts as healthy; longer than [`CLAIM_TIMEOUT`], after
+/// which other entries claim the cell.
+pub const HEALTHY_TIME: Duration = Duration::from_millis(1_200);
+/// Time after a heartbeat in which no other entry can have claimed the cell; shorter than
+/// [`CLAIM_TIMEOUT`].
+pub const EXCLUSIVE_TIME: Duration = Duration::from_millis(650);
+
 /// Number that an entry's process draws at its start.
 pub type Incarnation = u64;
 /// Number of an ownership; later ones have higher numbers.
@@ -88,3 +98,42 @@
         serde::decode_from_slice(value, config::standard()).map(|(claim, _)| claim)
     }
 }
+
+/// Confirmation of an entry's ownership: when it sent the newest claim or heartbeat that the log has
+/// accepted. It counts from the sending, on a clock that counts suspensions (see [`super::clock`]),
+/// so that an answer that arrives late confirms no more than one that arrived at once.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Confirmation {
+    sent: Option<Instant>,
+}
+
+impl Confirmation {
+    /// Records that the log has accepted a claim or heartbeat that was sent at `sent`.
+    pub fn record(&mut self, sent: Instant) {
+        self.sent = self.sent.max(Some(sent));
+    }
+
+    /// Forgets the confirmation, because the cell was released or may have been claimed since.
+    pub fn clear(&mut self) {
+        self.sent = None;
+    }
+
+    /// When the newest accepted claim or heartbeat was sent.
+    pub fn sent(&self) -> Option<Instant> {
+        self.sent
+    }
+
+    /// Whether the entry owns the cell at `now` and no other entry can have claimed it yet.
+    pub fn is_exclusive(&self, now: Instant) -> bool {
+        self.is_younger(now, EXCLUSIVE_TIME)
+    }
+
+    /// Whether the log has accepted a claim or heartbeat recently.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        self.is_younger(now, HEALTHY_TIME)
+    }
+
+    fn is_younger(&self, now: Instant, limit: Duration) -> bool {
+        self.sent.is_some_and(|sent| now.saturating_duration_since(sent) < limit)
+    }
+}
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -37,6 +37,8 @@
     Receive(SocketAddr, String),
     /// no answer from {0} after {1:?}
     Timeout(SocketAddr, Duration),
+    /// not sent to {0}: the permission for the call ended before
+    Forbidden(SocketAddr),
 }
 
 impl std::error::Error for Error {}
@@ -44,7 +46,7 @@
 impl Error {
     /// Returns whether the call certainly did not reach the server.
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::Connect(..))
+        matches!(self, Self::Connect(..) | Self::Forbidden(_))
     }
 }
 
@@ -65,10 +67,21 @@
 
     /// Sends a call and waits up to `limit` for its complete reply.
     pub async fn call(&self, call: Call, limit: Duration) -> Result<Reply> {
+        self.call_if(call, limit, || true).await
+    }
+
+    /// Like [`Self::call`], for a call that must not be sent once `permitted` returns false. It is
+    /// asked immediately before the call is written, since waiting for a connection takes time.
+    pub async fn call_if(
+        &self,
+        call: Call,
+        limit: Duration,
+        permitted: impl Fn() -> bool,
+    ) -> Result<Reply> {
         let Ok(_permit) = self.permits.acquire().await else {
             return Err(Error::Connect(self.address, String::from("the channel is closed")));
         };
-        let outcome = timeout(limit, self.exchange(call)).await;
+        let outcome = timeout(limit, self.exchange(call, permitted)).await;
         let outcome = outcome.unwrap_or(Err(Error::Timeout(self.address, limit)));
         if outcome.is_err() {
             self.idle.borrow_mut().clear();
@@ -78,7 +91,7 @@
 
     /// Sends a call over an idle or a new connection. A call that an idle connection returns unsent is
     /// sent over another one.
-    async fn exchange(&self, call: Call) -> Result<Reply> {
+    async fn exchange(&self, call: Call, permitted: impl Fn() -> bool) -> Result<Reply> {
         let mut request = self.request(call)?;
         loop {
             let pooled = self.idle.borrow_mut().pop();
@@ -94,6 +107,9 @@
                 }
                 return Err(Error::Connect(self.address, e.to_string()));
             }
+            if !permitted() {
+                return Err(Error::Forbidden(self.address));
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return self.receive(sender, response).await,
                 Err(mut e) => match e.take_message() {
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -10,15 +10,13 @@
         adapter::store::{CLAIMS, Error},
         job::{
             claim::{CLAIM_TIMEOUT, Claim, Epoch, HEARTBEAT_INTERVAL, Kind, Owner},
+            clock,
             ledger::Record,
         },
     },
     log::{info, warn},
     rand::Rng,
-    std::{
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{rc::Rc, time::Duration},
     tokio::{
         task::{JoinHandle, spawn_local},
         time::sleep,
@@ -84,7 +82,7 @@
     /// Handles a record that was appended while this entry follows the log, and notes when it was
     /// read: unlike the newest record at the start, it shows that its writer ran just now.
     fn handle_record(&mut self, offset: u64, record: &Record) {
-        self.shared.owner_seen_at.set(Some(Instant::now()));
+        self.shared.owner_seen_at.set(Some(clock::now()));
         self.update_owner(offset, record);
     }
 
@@ -203,11 +201,11 @@
     /// Appends a claim on the condition that no other record was appended since the last read.
     async fn claim(&mut self) {
         let Some(record) = self.record(Kind::Claim) else { return };
-        let sent = Instant::now();
+        let sent = clock::now();
         match self.store.append_at(CLAIMS, &record, self.end).await {
             Ok(offset) => {
                 self.end = offset + 1;
-                self.shared.confirmed_at.set(Some(sent));
+                self.shared.record_confirmation(sent);
                 self.update_owner(offset, &record);
                 self.start_owner(offset + 1);
             }
@@ -234,14 +232,15 @@
             Kind::Heartbeat(epoch)
         };
         let Some(record) = self.record(kind) else { return };
-        let sent = Instant::now();
+        let sent = clock::now();
         match self.store.append_at(CLAIMS, &record, self.end).await {
             Ok(offset) => {
                 self.end = offset + 1;
-                self.shared.confirmed_at.set(Some(sent));
                 if matches!(kind, Kind::Release(_)) {
-                    self.shared.confirmed_at.set(None);
+                    self.shared.clear_confirmation();
                     self.update_owner(offset, &record);
+                } else {
+                    self.shared.record_confirmation(sent);
                 }
             }
             Err(Error::Moved) => {
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -83,7 +83,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let begun = Instant::now();
-    shared.open_requests.set(shared.open_requests.get() + 1);
+    let open = shared.open_request();
     let path = String::from(request.uri().path());
     let method = match request.method().as_str() {
         "POST" => Method::Post,
@@ -92,7 +92,7 @@
         _ => Method::Other,
     };
     let answer = answer(&shared, request, method).await;
-    shared.open_requests.set(shared.open_requests.get() - 1);
+    drop(open);
     let status = answer.status();
     let took = begun.elapsed();
     shared.meter.count_answer(method, status, took);
--- a/src/job/daemon/log_output.rs
+++ b/src/job/daemon/log_output.rs
@@ -2,7 +2,8 @@
 //!
 //! Lines are buffered and written in blocks. Standard output is set to non-blocking mode, so that a
 //! slow reader does not delay the daemon: lines that it does not accept are dropped, as are lines
-//! above the rate [`LINES_PER_S`]. A later `log: dropped=N` line reports how many.
+//! above the rate [`LINES_PER_S`]. A later `log: dropped=N` line reports how many. A line of which a
+//! part was accepted is completed first, so that no two lines run into one.
 
 use {
     crate::logging::{self, Error, Result},
@@ -29,7 +30,10 @@
 
 /// Logs lines of `level` and above to standard output. May be called once in a process.
 pub fn init(level: LevelFilter) -> Result<()> {
-    WriteLogger::init(level, logging::layout(), Output::new()).map_err(Error::Set)
+    if let Err(e) = set_nonblocking() {
+        eprintln!("carobhitch-entry: set standard output to non-blocking mode: {e}");
+    }
+    WriteLogger::init(level, logging::layout(), Output::new(io::stdout())).map_err(Error::Set)
 }
 
 /// Writes buffered lines at regular intervals.
@@ -45,8 +49,9 @@
     fcntl_setfl(stdio::stdout(), flags | OFlags::NONBLOCK)
 }
 
-/// Buffered and rate-limited writer of standard output.
-struct Output {
+/// Buffered and rate-limited writer of log lines to `target`.
+pub struct Output<W> {
+    target: W,
     buffer: Vec<u8>,
     /// Lines that the rate limit allows now.
     tokens: f64,
@@ -55,19 +60,21 @@
     dropped: u64,
     /// Whether the rest of the current line is dropped.
     skipping: bool,
+    /// Whether the buffer begins with the rest of a line of which a part was written.
+    starts_cut: bool,
 }
 
-impl Output {
-    fn new() -> Self {
-        if let Err(e) = set_nonblocking() {
-            eprintln!("carobhitch-entry: set standard output to non-blocking mode: {e}");
-        }
+impl<W: Write> Output<W> {
+    /// Output to `target`, which may accept a part of what it gets.
+    pub fn new(target: W) -> Self {
         Self {
+            target,
             buffer: Vec::with_capacity(BLOCK_BYTES + 512),
             tokens: BURST_LINES,
             refilled_at: Instant::now(),
             dropped: 0,
             skipping: false,
+            starts_cut: false,
         }
     }
 
@@ -85,27 +92,43 @@
         true
     }
 
+    /// Writes the buffered lines, and last how many were dropped before.
     fn write_buffer(&mut self) {
-        if self.dropped > 0 && self.tokens >= 1.0 {
-            let line = format!("log: dropped={}\n", std::mem::take(&mut self.dropped));
-            self.buffer.extend(line.as_bytes());
+        let reported = if self.tokens >= 1.0 { std::mem::take(&mut self.dropped) } else { 0 };
+        if reported > 0 {
+            self.buffer.extend(format!("log: dropped={reported}\n").as_bytes());
         }
         let mut written = 0;
         while written < self.buffer.len() {
-            match io::stdout().write(&self.buffer[written..]) {
+            match self.target.write(&self.buffer[written..]) {
                 Ok(count) if count > 0 => written += count,
-                _ => {
-                    let rest = &self.buffer[written..];
-                    self.dropped += rest.iter().filter(|&&byte| byte == b'\n').count() as u64;
-                    break;
-                }
+                _ => break,
             }
         }
-        self.buffer.clear();
+        let lines = self.drop_lines_after(written);
+        // The report is the last line, so it is among the dropped ones if there are any.
+        self.dropped += if lines > 0 && reported > 0 { lines - 1 + reported } else { lines };
+    }
+
+    /// Removes the buffered lines after `written` bytes, but for the rest of a line of which a part was
+    /// written; returns how many lines it removed.
+    fn drop_lines_after(&mut self, written: usize) -> u64 {
+        let is_cut = match written.checked_sub(1) {
+            Some(last) => self.buffer.get(last) != Some(&b'\n'),
+            None => self.starts_cut,
+        };
+        let rest = &self.buffer[written..];
+        let line_end = rest.iter().position(|&byte| byte == b'\n').map_or(rest.len(), |at| at + 1);
+        let kept = if is_cut { line_end } else { 0 };
+        let lines = rest[kept..].iter().filter(|&&byte| byte == b'\n').count() as u64;
+        self.starts_cut = kept > 0;
+        self.buffer.truncate(written + kept);
+        self.buffer.drain(..written);
+        lines
     }
 }
 
-impl Write for Output {
+impl<W: Write> Write for Output<W> {
     fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
         let starts = self.buffer.last().is_none_or(|&byte| byte == b'\n');
         if starts && !self.skipping {
@@ -125,6 +148,6 @@
 
     fn flush(&mut self) -> io::Result<()> {
         self.write_buffer();
-        io::stdout().flush()
+        self.target.flush()
     }
 }
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -10,7 +10,7 @@
 mod follow;
 mod front;
 mod listener;
-mod log_output;
+pub mod log_output;
 mod meter;
 mod monitor;
 mod owner;
@@ -27,7 +27,7 @@
 
 use {
     self::{listener::Listener, meter::Meter, peer::Link, shared::Shared, store::Store},
-    crate::job::settings::Settings,
+    crate::job::{clock, settings::Settings},
     displaydoc::Display,
     log::info,
     std::{
@@ -35,7 +35,6 @@
         io,
         net::SocketAddr,
         rc::Rc,
-        time::Instant,
     },
     tokio::{
         runtime::Builder,
@@ -84,8 +83,8 @@
         owner_events: RefCell::default(),
         link: Link::default(),
         linked: watch::Sender::new(false),
-        last_ready: Cell::new(Instant::now()),
-        confirmed_at: Cell::new(None),
+        last_ready: Cell::new(clock::now()),
+        confirmation: Cell::default(),
         owner_seen_at: Cell::new(None),
         ended_epoch: Cell::new(None),
         owner_ended: Notify::new(),
--- a/src/job/daemon/monitor.rs
+++ b/src/job/daemon/monitor.rs
@@ -7,12 +7,9 @@
 
 use {
     super::{peer::Connection, shared::Shared},
-    crate::job::claim::Owner,
+    crate::job::{claim::Owner, clock},
     log::{info, warn},
-    std::{
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -36,7 +33,7 @@
             info!("peer: linked={linked}");
         }
         if shared.ready() {
-            shared.last_ready.set(Instant::now());
+            shared.last_ready.set(clock::now());
         }
         tokio::select! {
             _ = owners.changed() => {}
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -18,6 +18,7 @@
             answer::Answer,
             cell::{Action, Cell, RequestId, RunnerId, Tickets},
             claim::Epoch,
+            clock,
             ledger::{self, Record},
             spec::{self, Task},
             upkeep,
@@ -63,7 +64,7 @@
 
 /// Takes the cell over and runs the event loop until ownership is lost or the task is aborted.
 pub async fn run(shared: Rc<Shared>, store: Rc<Store>, epoch: Epoch) {
-    let begun = Instant::now();
+    let begun = clock::now();
     info!("owner: epoch={epoch} taking_over=true");
     let mut cell = Cell::new(epoch, shared.settings.bounds, begun);
     if let Err(e) = takeover::run(&mut cell, &store, epoch, wall_ms()).await {
@@ -74,7 +75,7 @@
     let mut tasks = JoinSet::new();
     follow::spawn(&mut tasks, &shared, &store, &sender);
     *shared.owner_events.borrow_mut() = Some(sender.clone());
-    let ms = begun.elapsed().as_millis();
+    let ms = clock::elapsed(begun).as_millis();
     let (jobs, runners) = (cell.jobs().len(), cell.workers().len());
     info!(
         "owner: epoch={epoch} serving=true ms={ms} jobs={jobs} runners={runners} version={}",
@@ -130,7 +131,7 @@
 
 impl Driver {
     async fn run(&mut self, mut receiver: UnboundedReceiver<Event>) {
-        let mut ticked = Instant::now();
+        let mut ticked = clock::now();
         loop {
             let first = timeout(TICK_INTERVAL, receiver.recv()).await;
             self.notice_suspension();
@@ -140,8 +141,8 @@
                     self.handle(event);
                 }
             }
-            let now = Instant::now();
-            if let Some(sent) = self.shared.confirmed_at.get() {
+            let now = clock::now();
+            if let Some(sent) = self.shared.confirmation.get().sent() {
                 self.cell.confirm_ownership(sent);
             }
             self.cell.set_wall_clock(now, wall_ms());
@@ -166,13 +167,13 @@
     fn notice_suspension(&mut self) {
         if let Some(suspended) = self.suspension.take() {
             warn!("owner: epoch={} slept_ms={} confirmed=false", self.epoch, suspended.as_millis());
-            self.shared.confirmed_at.set(None);
+            self.shared.clear_confirmation();
             self.cell.clear_confirmation();
         }
     }
 
     fn handle(&mut self, event: Event) {
-        let now = Instant::now();
+        let now = clock::now();
         match event {
             Event::Request(relay, reply) => self.handle_request(now, relay, reply),
             Event::Started(runner, task, run, answer) => {
@@ -294,7 +295,7 @@
     }
 
     fn append_batch(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         let missing = self.append_age(now);
         if missing > LEDGER_TIMEOUT {
             self.cell.refuse_unstored(now, LEDGER_UNRESPONSIVE, missing);
@@ -366,7 +367,7 @@
 
     fn change_vm(&mut self, action: upkeep::Action) {
         let Some(fleet) = self.fleet.clone() else { return };
-        let early = self.epoch > 1 && self.started.elapsed() < LATE_ACTIONS_TIME;
+        let early = self.epoch > 1 && clock::elapsed(self.started) < LATE_ACTIONS_TIME;
         if early || !self.shared.owns_exclusively() {
             let why =
                 String::from("not sent: another entry may own the cell or have owned it just now");
@@ -381,9 +382,11 @@
         }
         let (events, epoch) = (self.events.clone(), self.epoch);
         let holder = self.shared.settings.node.clone();
+        let shared = Rc::clone(&self.shared);
         self.tasks.spawn_local(async move {
             let call = adapter::fleet::change_vm(&action, &holder, epoch);
-            let outcome = match fleet.call(call, follow::FLEET_TIMEOUT).await {
+            let permitted = || shared.owns_exclusively();
+            let outcome = match fleet.call_if(call, follow::FLEET_TIMEOUT, permitted).await {
                 Ok(reply) => adapter::fleet::outcome(&reply),
                 Err(e) => Err(upkeep::Refusal::Unknown(e.to_string())),
             };
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -8,7 +8,8 @@
     },
     crate::job::{
         answer::Answer,
-        claim::{Epoch, Incarnation, Owner},
+        claim::{Confirmation, Epoch, HEALTHY_TIME, Incarnation, Owner},
+        clock,
         settings::Settings,
     },
     log::info,
@@ -28,12 +29,6 @@
 /// Time in which a takeover usually ends: the timeout of the previous owner's heartbeats, the
 /// claim and the reading of the ledger.
 const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
-/// Time after a heartbeat for which the owner counts as healthy; longer than `claim::CLAIM_TIMEOUT`,
-/// after which other entries claim the cell.
-const HEALTHY_TIME: Duration = Duration::from_millis(1_200);
-/// Time after a heartbeat in which no other entry can have claimed the cell; shorter than
-/// `claim::CLAIM_TIMEOUT`.
-const EXCLUSIVE_TIME: Duration = Duration::from_millis(650);
 
 /// State that the parts of an entry share.
 pub struct Shared {
@@ -53,8 +48,8 @@
     pub linked: watch::Sender<bool>,
     /// When this entry was last ready, that is, when the cell last had a healthy owner.
     pub last_ready: Cell<Instant>,
-    /// When this entry sent the newest claim or heartbeat that the log has accepted.
-    pub confirmed_at: Cell<Option<Instant>>,
+    /// Confirmation that this entry owns the cell.
+    pub confirmation: Cell<Confirmation>,
     /// When a claim or heartbeat of another entry was last read.
     pub owner_seen_at: Cell<Option<Instant>>,
     /// Epoch of the newest owner whose process is known to have ended.
@@ -67,6 +62,17 @@
     pub meter: Rc<Meter>,
 }
 
+/// A caller's request in progress.
+pub struct OpenRequest {
+    shared: Rc<Shared>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.shared.open_requests.set(self.shared.open_requests.get() - 1);
+    }
+}
+
 impl Shared {
     /// Returns whether this entry can serve a caller: no stop was requested, and the cell's owner,
     /// which may be this entry, is healthy.
@@ -83,12 +89,12 @@
 
     /// Returns whether the log has recently accepted a claim or heartbeat of this entry.
     fn is_confirmed(&self) -> bool {
-        self.confirmed_at.get().is_some_and(|at| at.elapsed() < HEALTHY_TIME)
+        self.confirmation.get().is_recent(clock::now())
     }
 
     /// Returns whether a claim or heartbeat of another entry was read recently.
     pub fn has_seen_owner(&self) -> bool {
-        self.owner_seen_at.get().is_some_and(|at| at.elapsed() < HEALTHY_TIME)
+        self.owner_seen_at.get().is_some_and(|at| clock::elapsed(at) < HEALTHY_TIME)
     }
 
     /// Returns this entry's view of who owns the cell.
@@ -102,7 +108,26 @@
 
     /// Returns whether this entry owns the cell and no other entry can have claimed it yet.
     pub fn owns_exclusively(&self) -> bool {
-        self.confirmed_at.get().is_some_and(|at| at.elapsed() < EXCLUSIVE_TIME)
+        self.confirmation.get().is_exclusive(clock::now())
+    }
+
+    /// Records that the log has accepted a claim or heartbeat that this entry sent at `sent`.
+    pub fn record_confirmation(&self, sent: Instant) {
+        let mut confirmation = self.confirmation.get();
+        confirmation.record(sent);
+        self.confirmation.set(confirmation);
+    }
+
+    /// Forgets the confirmation of this entry's ownership.
+    pub fn clear_confirmation(&self) {
+        self.confirmation.set(Confirmation::default());
+    }
+
+    /// Counts a caller's request as in progress until the returned value is dropped, also if the
+    /// caller disconnects before its answer.
+    pub fn open_request(self: &Rc<Self>) -> OpenRequest {
+        self.open_requests.set(self.open_requests.get() + 1);
+        OpenRequest { shared: Rc::clone(self) }
     }
 
     /// Answers a caller's request, in this process or at the owner.
@@ -139,7 +164,7 @@
 
     /// Returns whether a takeover is likely to end soon.
     fn expects_takeover(&self) -> bool {
-        self.last_ready.get().elapsed() < TAKEOVER_TIME
+        clock::elapsed(self.last_ready.get()) < TAKEOVER_TIME
     }
 
     /// Waits until another entry that owns the cell is connected, or for [`RETRY_DELAY`] at most.
--- a/src/job/daemon/suspension.rs
+++ b/src/job/daemon/suspension.rs
@@ -4,10 +4,7 @@
 //! leases and act on VMs. After a suspension it would therefore still count as the owner although
 //! another entry may long have taken the cell over, so it must be confirmed again first.
 
-use {
-    rustix::time::{ClockId, clock_gettime},
-    std::time::Duration,
-};
+use {crate::job::clock, std::time::Duration};
 
 /// Difference between the clocks up to which no suspension is reported.
 const TOLERANCE: Duration = Duration::from_millis(100);
@@ -34,10 +31,5 @@
 
 /// Returns for how long the VM was suspended since it booted.
 fn total() -> Duration {
-    read_clock(ClockId::Boottime).saturating_sub(read_clock(ClockId::Monotonic))
-}
-
-fn read_clock(clock: ClockId) -> Duration {
-    let time = clock_gettime(clock);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+    clock::time_since_boot().saturating_sub(clock::running_time())
 }
--- a/src/job/daemon/takeover.rs
+++ b/src/job/daemon/takeover.rs
@@ -8,11 +8,12 @@
         job::{
             cell::Cell,
             claim::Epoch,
+            clock,
             ledger::{self, Content},
         },
     },
     log::error,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tokio::time::sleep,
 };
 
@@ -28,7 +29,7 @@
 ) -> Result<(), Error> {
     retry(|| store.fence(JOBS, epoch)).await?;
     let records = retry(|| store.all(JOBS)).await?.records;
-    let now = Instant::now();
+    let now = clock::now();
     let mut contents = Vec::with_capacity(records.len());
     for record in &records {
         match ledger::read(record) {
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod cell;
 pub mod claim;
+pub mod clock;
 pub mod daemon;
 pub mod diagnose;
 pub mod learn;
