Stop an endless task only if its step can miss it, whatever the stop is for

Cause: a start without an answer was followed by a stop. Where orders are carried out late, the task was at work by the time the stop took effect, and ended while more tasks of its step were away than may be.

Change: the check of what a step can miss is a module of its own and also decides about the stop after an unanswered start; without room for it, the owner waits until the start can no longer be carried out.

Ruled out: to keep such a start for the whole outage of a runner, as its task would wait for longer than the lease in the start lasts.

--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -11,6 +11,7 @@
 //! the batch with the change is stored.
 
 mod advice;
+mod availability;
 mod balance;
 mod commit;
 mod detector;
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -113,6 +113,7 @@
             warn!("runner: id={runner} answers=false tasks={} why={why:?}", worker.tasks.len());
         }
         worker.unresponsive_since.get_or_insert(now);
+        worker.last_call_lost = Some(now);
         worker.next_poll = now + UNRESPONSIVE_PAUSE;
         self.detector.record_timeout(now);
     }
@@ -232,7 +233,7 @@
                 Phase::Running | Phase::Stopped if !runs && since < sent => {
                     self.lose_run(now, &task)
                 }
-                Phase::Unconfirmed if !runs => self.stop_run(now, &task, runner, run),
+                Phase::Unconfirmed if !runs => self.resolve_unconfirmed(now, &task, runner, sent),
                 Phase::Stopping if now.saturating_duration_since(since) > STOP_RETRY_DELAY => {
                     self.actions.push(Action::Stop(Rc::clone(runner), task, run));
                 }
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        Cell, Effect, Phase, RunnerId, Status,
+        Cell, Effect, RunnerId,
         vm::{Plan, Record, Stage, Target},
     },
     crate::{
@@ -15,7 +15,6 @@
         job::{
             ledger,
             runner::Registration,
-            spec::Task,
             upkeep::{self, Action, Refusal, Vm},
         },
     },
@@ -32,10 +31,6 @@
 /// Time after which a plan is given up if the platform still refuses the action because the VM is
 /// busy.
 const BUSY_LIMIT: Duration = Duration::from_secs(4);
-/// Time beyond the longest stop for which a task must have run before it counts as at work: a
-/// previous owner may have sent a stop to it just before the takeover.
-const STEADY_MARGIN: Duration = Duration::from_millis(600);
-
 /// VMs of a cell with their pools, and maintenance waves.
 #[derive(Clone, Debug)]
 pub struct Pools {
@@ -288,40 +283,6 @@
         self.effects.push(Effect::ChangeVm(action.clone()));
     }
 
-    /// Stops the endless tasks on a runner that their steps may miss now; see `may_stop`.
-    pub(super) fn stop_endless_tasks(&mut self, now: Instant, runner: &RunnerId) {
-        let Some(worker) = self.workers.get(runner) else { return };
-        let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
-        for task in tasks {
-            if self.may_stop(now, &task) {
-                let run = self.task(&task).map(|s| s.run);
-                self.stop_run(now, &task, runner, run.unwrap_or_default());
-            }
-        }
-    }
-
-    /// Whether an endless task may be stopped now: its step must not miss more tasks than it
-    /// allows. Every task of the step that is not certainly at work counts as missed.
-    fn may_stop(&self, now: Instant, task: &Task) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else { return false };
-        let Some(step) = job.step(task).filter(|step| step.endless) else { return false };
-        let Some(tasks) = job.siblings(task) else { return false };
-        let at_work = |status: &Status| {
-            let Status::Placed(placement) = status else { return false };
-            let worker = self.workers.get(&placement.runner);
-            let answers = worker.is_some_and(|w| w.unresponsive_since.is_none() && w.listed);
-            let steady =
-                now.saturating_duration_since(placement.since) > self.bounds.stop + STEADY_MARGIN;
-            answers && steady && placement.phase == Phase::Running && placement.percent >= 100
-        };
-        let missed = tasks
-            .iter()
-            .enumerate()
-            .filter(|(index, state)| *index != usize::from(task.index) && !at_work(&state.status))
-            .count();
-        missed < (step.max_unavailable as usize).max(1)
-    }
-
     /// Handles the platform's answer to an action on a VM.
     pub fn vm_action_answered(
         &mut self,
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -103,6 +103,7 @@
         self.detector.record_timeout(now);
         if let Some(worker) = self.workers.get_mut(runner) {
             worker.unresponsive_since.get_or_insert(now);
+            worker.last_call_lost = Some(now);
             worker.next_poll = now;
         }
         let Some(state) = self.task_mut(&task) else {
@@ -147,7 +148,13 @@
             Answer::Done(_) | Answer::Rejected(Rejection::Old) => {}
             Answer::Rejected(Rejection::Fence) => self.superseded = true,
             Answer::Rejected(Rejection::Instance) => return self.runner_replaced(now, runner),
-            Answer::Rejected(_) | Answer::Unknown(_) => return,
+            Answer::Rejected(_) => return,
+            Answer::Unknown(_) => {
+                if let Some(worker) = self.workers.get_mut(runner) {
+                    worker.last_call_lost = Some(now);
+                }
+                return;
+            }
         }
         let Some(state) = self.task_mut(&task) else {
             return;
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -70,6 +70,8 @@
     pub unstored_reports: u32,
     /// Since when calls to it have failed.
     pub unresponsive_since: Option<Instant>,
+    /// When a call to it last remained without an answer.
+    pub last_call_lost: Option<Instant>,
     /// Whether the platform lists another runner for its VM, or none.
     pub replaced: bool,
     /// When the starts were sent that it has not answered yet, oldest first.
@@ -143,6 +145,7 @@
             acknowledged_end: 0,
             unstored_reports: 0,
             unresponsive_since: None,
+            last_call_lost: None,
             replaced: false,
             unanswered_starts: VecDeque::new(),
             quarantined_until: None,
@@ -173,6 +176,11 @@
         self.can_start() && self.quarantined_until.is_none_or(|until| until <= now)
     }
 
+    /// Whether a call to it has remained without an answer in the last `period` before `now`.
+    pub fn has_lost_call_since(&self, now: Instant, period: Duration) -> bool {
+        self.last_call_lost.is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
     /// Whether a registration is of an incarnation that has ended.
     fn is_stale(&self, registration: &Registration) -> bool {
         self.ended_incarnation.is_some_and(|ended_incarnation| {
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -458,3 +458,61 @@
     assert!(sim.runs(task(0, 0)).is_empty());
     assert_eq!(starts(&sim), 2, "no run follows one that has succeeded");
 }
+
+/// Stops that are carried out while more tasks of the step than allowed are not running.
+#[test]
+fn the_stop_after_an_unanswered_start_ends_no_task_that_its_step_can_not_miss() {
+    let mut sim = Simulation::new(4);
+    for runner in ["r0", "r1"] {
+        sim.runners[runner].order_delay = Some(seconds(1.5));
+    }
+    sim.submit(JOB, spec(vec![endless(4, 1, 1)]));
+    sim.run(seconds(8.0));
+    let stops = sim.actions.iter().filter(|action| matches!(action, Action::Stop(..))).count();
+    assert_eq!(stops, 0, "both tasks were started late, and one may be unavailable");
+    assert_eq!(starts(&sim), 4);
+}
+
+#[test]
+fn an_endless_task_whose_start_was_lost_is_started_again_once_the_start_has_expired() {
+    let mut sim = Simulation::new(3);
+    for runner in ["r0", "r1"] {
+        sim.runners[runner].loses_starts = true;
+    }
+    sim.submit(JOB, spec(vec![endless(3, 1, 1)]));
+    sim.run(seconds(1.0));
+    for runner in ["r0", "r1"] {
+        sim.runners[runner].loses_starts = false;
+    }
+    sim.run(LEASE + seconds(1.5));
+    let running: usize = sim.runners.values().map(|runner| runner.running.len()).sum();
+    assert_eq!(running, 3);
+}
+
+#[test]
+fn no_endless_task_is_moved_off_a_runner_that_leaves_orders_unanswered() {
+    let mut sim = Simulation::new(3);
+    sim.submit(JOB, spec(vec![endless(2, 1, 1)]));
+    sim.run(seconds(3.0));
+    sim.update_vms();
+    let runner = sim.runs(task(0, 0)).remove(0);
+    sim.runners[&runner].order_delay = Some(seconds(1.5));
+    sim.submit(2, spec(vec![step(1, 1_000)]));
+    sim.run(seconds(0.3));
+    for id in 3..20 {
+        sim.submit(id, spec(vec![step(4, 3_000)]));
+    }
+    sim.run(seconds(1.2));
+    let vm = sim.runners[&runner].vm.clone();
+    let wave = carobhitch::job::upkeep::Request {
+        number: 1,
+        vms: vec![vm],
+        within: seconds(20.0),
+        max_at_once: 1,
+    };
+    let now = sim.instant();
+    sim.cell.add_wave(now, wave);
+    sim.run(seconds(0.5));
+    let stopped = |action: &Action| matches!(action, Action::Stop(_, task, _) if task.job == JOB);
+    assert!(!sim.actions.iter().any(stopped), "a stop may be carried out seconds later");
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -55,6 +55,10 @@
     pub partitioned: bool,
     /// Whether its answers to starts are lost.
     pub loses_answers: bool,
+    /// Time after which it carries out starts and stops, which it then leaves without an answer.
+    pub order_delay: Option<Duration>,
+    /// Whether starts to it are lost.
+    pub loses_starts: bool,
     pub starts: usize,
     pub end_count: u64,
 }
@@ -85,6 +89,8 @@
     /// Tasks that are done, in the order of their ends.
     pub done: Vec<Task>,
     pub pending_batch: Option<Vec<Record>>,
+    /// Orders that are carried out late, and when.
+    pub late_orders: Vec<(Duration, Action)>,
     /// Calls that get no answer, and when they time out.
     pub unanswered: Vec<(Duration, Action)>,
     /// Run time of finite tasks.
@@ -158,6 +164,7 @@
             actions: Vec::new(),
             done: Vec::new(),
             pending_batch: None,
+            late_orders: Vec::new(),
             unanswered: Vec::new(),
             run_time: Duration::from_secs(1),
             runs_fail: false,
@@ -331,6 +338,7 @@
             self.now += STEP;
             self.advance_runners();
             self.finish_moves();
+            self.carry_out_late_orders();
             self.time_out_calls();
             let now = self.instant();
             self.cell.set_wall_clock(now, self.wall_ms());
@@ -396,7 +404,12 @@
     pub fn carry_out(&mut self) {
         for action in self.cell.take_actions() {
             self.actions.push(action.clone());
-            if self.is_partitioned(&action) {
+            if let Some(delay) = self.order_delay(&action) {
+                self.late_orders.push((self.now + delay, action.clone()));
+                self.unanswered.push((self.now + TIMEOUT, action));
+                continue;
+            }
+            if self.is_lost(&action) {
                 self.unanswered.push((self.now + TIMEOUT, action));
                 continue;
             }
@@ -432,11 +445,41 @@
         }
     }
 
-    fn is_partitioned(&self, action: &Action) -> bool {
+    /// Whether a call does not reach its runner.
+    fn is_lost(&self, action: &Action) -> bool {
         let (Action::Start(id, ..) | Action::Stop(id, ..) | Action::Poll(id, ..)) = action else {
             return false;
         };
-        self.runners.get(&**id).is_some_and(|runner| runner.partitioned)
+        let is_start = matches!(action, Action::Start(..));
+        self.runners
+            .get(&**id)
+            .is_some_and(|runner| runner.partitioned || is_start && runner.loses_starts)
+    }
+
+    /// Time after which an order is carried out, if its runner leaves it without an answer.
+    fn order_delay(&self, action: &Action) -> Option<Duration> {
+        let (Action::Start(id, ..) | Action::Stop(id, ..)) = action else { return None };
+        self.runners.get(&**id)?.order_delay
+    }
+
+    /// Carries out the orders that are due, whose answers are lost.
+    fn carry_out_late_orders(&mut self) {
+        let due: Vec<Action> = self
+            .late_orders
+            .extract_if(.., |(at, _)| *at <= self.now)
+            .map(|(_, action)| action)
+            .collect();
+        for action in due {
+            match action {
+                Action::Start(id, start) => {
+                    self.start(&id, &start);
+                }
+                Action::Stop(id, task, run) => {
+                    self.stop(&id, task, run);
+                }
+                _ => {}
+            }
+        }
     }
 
     /// Reports calls that have timed out to the cell.
@@ -531,6 +574,9 @@
         }
         runner.fence = start.fence;
         runner.lease = runner.lease.max(Duration::from_millis(start.until_ms));
+        if start.until_ms <= clock_ms {
+            return runner::Answer::Rejected(Rejection::Late);
+        }
         let last_run = runner.last_runs.get(&start.task).copied().unwrap_or_default();
         if last_run >= start.run {
             return runner::Answer::Rejected(Rejection::Old);
