Keep dead workers dead, full workers within their room, and histories current

Causes: set_worker gave a dead worker tasks again; a task that was found on another worker was moved there without making room; the classifier dropped expired jobs in the order of their first failures, so that one job that keeps failing kept all others; run times of kinds without usage reports never faded.

Change: a dead worker takes tasks only after it is added again; move_to makes the other tasks of a full worker leave; failures are dropped by their times; record_end decays first.

A test each in tests/place.rs, diagnose.rs and learn.rs; each failed on the former code.

--- a/src/job/diagnose.rs
+++ b/src/job/diagnose.rs
@@ -133,6 +133,8 @@
 pub struct Classifier {
     workers: IndexMap<Key, WorkerHistory>,
     jobs: IndexMap<JobId, JobHistory>,
+    /// Times of the failures within `RETENTION`, with the jobs that failed, oldest first.
+    failure_times: VecDeque<(Instant, JobId)>,
     /// Number of workers of each pool.
     pools: IndexMap<u32, usize>,
     /// Recent outcomes of each rack and zone, by the keys of `domains`.
@@ -192,6 +194,7 @@
         });
         history.last_failure = now;
         history.failures.push(Failure { worker, expected });
+        self.failure_times.push_back((now, job.clone()));
         let attempts = history.failures.len();
         self.probe_failed(now, worker);
         if self.distinct_workers(job) >= MIN_FAILURES
@@ -306,13 +309,16 @@
         }
     }
 
-    /// Drops jobs in the order of their first failures, up to one that failed within `RETENTION`.
+    /// Drops jobs whose last failure was not within `RETENTION`.
     fn drop_expired(&mut self, now: Instant) {
-        while let Some((_, history)) = self.jobs.first() {
-            if now.duration_since(history.last_failure) < RETENTION {
+        while let Some((at, _)) = self.failure_times.front() {
+            if now.duration_since(*at) < RETENTION {
                 return;
             }
-            self.jobs.shift_remove_index(0);
+            let Some((at, job)) = self.failure_times.pop_front() else { return };
+            if self.jobs.get(&job).is_some_and(|history| history.last_failure <= at) {
+                self.jobs.swap_remove(&job);
+            }
         }
     }
 
--- a/src/job/learn.rs
+++ b/src/job/learn.rs
@@ -161,6 +161,7 @@
             self.count(now, kind, &attempt.peak, attempt.counted_peak.as_ref());
         }
         let profile = self.profiles.entry(kind.clone()).or_default();
+        profile.decay(now);
         profile.seconds.add(time.as_secs(), 1.0);
     }
 
--- a/src/job/place/mod.rs
+++ b/src/job/place/mod.rs
@@ -88,9 +88,13 @@
         self.changed_pools.insert(location.pool);
     }
 
-    /// Opens or closes a worker for new tasks; a quarantined worker stays closed.
+    /// Opens or closes a worker for new tasks; a quarantined worker stays closed, and a dead one dead
+    /// until it is added again.
     pub fn set_worker(&mut self, id: &VmId, open: bool) {
         let Some(key) = self.workers.key(id) else { return };
+        if self.workers.worker(key).status == workers::Status::Dead {
+            return;
+        }
         let status = match open && !self.classifier.is_quarantined(key) {
             true => workers::Status::Healthy,
             false => workers::Status::Closed,
--- a/src/job/place/usage.rs
+++ b/src/job/place/usage.rs
@@ -68,7 +68,8 @@
             return;
         }
         if let Some(key) = self.workers.key(&report.worker).filter(|key| *key != task.worker) {
-            return self.move_to(slot, key);
+            self.move_to(slot, key);
+            return self.preempt_excess(now, key);
         }
         let limit = u64::from(task.held.millicores);
         let wants_more = report.millicores * 100 >= limit * AT_LIMIT_PERCENT;
--- a/src/job/place/workers.rs
+++ b/src/job/place/workers.rs
@@ -137,10 +137,14 @@
 const LEVELS: [Level; 3] = [Level::Free, Level::Borrowed, Level::Preemptible];
 
 impl Workers {
-    /// Adds a worker and returns its number; a known worker keeps its number.
+    /// Adds a worker and returns its number; a known worker keeps its number, and takes tasks again
+    /// if it was dead.
     pub fn add(&mut self, id: &VmId, vm: &Vm, total: Size) -> Key {
-        if let Some(key) = self.names.get(id) {
-            return *key;
+        if let Some(&key) = self.names.get(id) {
+            if self.worker(key).status == Status::Dead {
+                self.set_status(key, Status::Healthy);
+            }
+            return key;
         }
         let key = self.workers.len() as Key;
         let zone = self.locations.insert_full((vm.zone.clone(), String::new())).0 as u32;
--- a/tests/diagnose.rs
+++ b/tests/diagnose.rs
@@ -6,7 +6,7 @@
 
 use {
     carobhitch::{
-        diagnose::{Classifier, Key, Location, MAX_ATTEMPTS, Verdict},
+        diagnose::{Classifier, Key, Location, MAX_ATTEMPTS, RETENTION, Verdict},
         job::Priority,
         place::Outcome,
         platform::Progress,
@@ -330,3 +330,19 @@
         }
     }
 }
+
+#[test]
+fn a_job_is_forgotten_after_its_last_failure_though_one_that_failed_before_it_is_not() {
+    let mut classifier = Classifier::default();
+    for key in 0..3 {
+        classifier.add_worker(key, Location { pool: 0, rack: key, zone: 0 });
+    }
+    let begin = Instant::now();
+    let (lasting, once) = (String::from("lasting"), String::from("once"));
+    classifier.record_failure(begin, 0, &lasting);
+    classifier.record_failure(begin, 1, &once);
+    classifier.record_failure(begin + RETENTION / 2, 1, &lasting);
+    classifier.record_failure(begin + RETENTION, 2, &String::from("other"));
+    assert!(classifier.failed_on(&once).is_empty());
+    assert_eq!(classifier.failed_on(&lasting), [0, 1]);
+}
--- a/tests/learn.rs
+++ b/tests/learn.rs
@@ -290,3 +290,24 @@
         prop_assert!(learned.memory_bytes <= most * 125 / 100);
     }
 }
+
+#[test]
+fn run_times_of_a_kind_without_usage_reports_fade_as_well() {
+    let (mut estimator, mut now) = (Estimator::default(), Instant::now());
+    let kind = String::from("k");
+    let mut end = |now: Instant, id: usize, minutes: u32| {
+        let key = (format!("j{id}"), 0);
+        estimator.record_usage(now, &kind, &key, &Size::default());
+        estimator.record_end(now, &kind, &key, Some(minutes * MINUTE));
+        estimator.run_time(&kind, MINUTE)
+    };
+    (0..20).for_each(|id| {
+        end(now, id, 100);
+    });
+    now += Duration::from_secs(14 * 24 * 3600);
+    let mut time = Duration::ZERO;
+    for id in 20..25 {
+        time = end(now, id, 10);
+    }
+    assert!(time <= 13 * MINUTE, "{time:?}: two weeks ago it took 100 minutes");
+}
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -7,12 +7,12 @@
     carobhitch::{
         job::{Job, Priority, Size},
         place::{Action, LEASE, Outcome, Scheduler, Verb, index::Grid},
-        platform::Progress,
+        platform::{Progress, Usage},
     },
     proptest::prelude::*,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::HashSet, time::Duration},
-    support::{Delivery, Fake, add_workers, job, size, teams},
+    support::{Delivery, Fake, GIB, add_workers, job, size, teams},
 };
 
 mod support;
@@ -293,3 +293,39 @@
         prop_assert_eq!(fitting.is_empty(), !any);
     }
 }
+
+#[test]
+fn a_dead_worker_takes_no_tasks_before_it_is_added_again() {
+    let mut fake = Fake::new(prompt, runs(60));
+    add_workers(&mut fake.scheduler, "pool", 1);
+    fake.kill(&"w0".into());
+    fake.scheduler.set_worker(&"w0".into(), true);
+    fake.submit(&once("j"));
+    fake.advance(5 * SECOND);
+    assert!(!fake.starts.contains_key("j"), "its tasks would never be answered");
+    add_workers(&mut fake.scheduler, "pool", 1);
+    fake.advance(5 * SECOND);
+    assert_eq!(fake.starts["j"], 1);
+}
+
+/// A controller starts a task on a free worker, and learns that a previous one has started it on
+/// another, which has since been filled.
+#[test]
+fn a_task_reported_by_a_full_worker_makes_others_leave_it() {
+    let mut fake = Fake::new(prompt, runs(600));
+    add_workers(&mut fake.scheduler, "pool", 2);
+    let large = |id: &str| job(id, "a", size(10_000, 10), Priority::Low);
+    fake.submit(&large("j0"));
+    fake.submit(&large("j1"));
+    fake.advance(2 * SECOND);
+    let other = fake.scheduler.worker_of("j1").cloned().unwrap();
+    assert_ne!(fake.scheduler.worker_of("j0"), Some(&other));
+    let reports = fake.reports();
+    let moved = reports.iter().find(|report| report.task.starts_with("j0.")).unwrap();
+    let moved = Usage { worker: other.clone(), memory_bytes: GIB, ..moved.clone() };
+    fake.scheduler.usage(fake.now, &[moved]);
+    fake.advance(60 * SECOND);
+    let workers = fake.scheduler.workers().iter().filter(|worker| worker.vm == other);
+    let held: u32 = workers.map(|worker| worker.held.millicores).sum();
+    assert!(held <= 16_000, "{held} of 16000 thousandths of a core are held");
+}
