Accept no window that the budget ledger does not cover

The load tool ignored a caller that had panicked, and the row for the renewal of a lease in benches/capacity timed a rejected record.

Change: both take the limit of the ledger; the load tool passes the panic on; the bench acquires the lease first and checks that the renewal is accepted.

Tests: tests/rpc.rs and tests/declaration.rs, one each.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -194,8 +194,18 @@
             bench.finish_move(i)
         })
         .collect();
-    let renewal = Body::Renew { lease: "control".into(), epoch: 0, term: Duration::from_secs(10) };
-    let (_, renew_time) = bench.apply(renewal);
+    let term = Duration::from_secs(10);
+    let acquisition = Body::Acquire {
+        lease: "control".into(),
+        entry: "entry-0".into(),
+        incarnation: 1,
+        epoch: 0,
+        term,
+    };
+    bench.apply(acquisition);
+    let rejected_before = bench.rejected;
+    let (_, renew_time) = bench.apply(Body::Renew { lease: "control".into(), epoch: 1, term });
+    assert_eq!(bench.rejected, rejected_before, "the renewal was rejected");
     let resident = resident_bytes() - before;
     let json_bytes = json_bytes(&bench.state);
     let config = bincode::config::standard();
--- a/src/fleet/declaration.rs
+++ b/src/fleet/declaration.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        budget::MAX_WINDOW,
         fault::{self, Fault, Found, Reader},
         fleet::{
             Budget, DEFAULT_CONNECTIONS, DEFAULT_SLOTS, Declaration, Pool, Service, Team, Vm, Wave,
@@ -23,9 +24,6 @@
 
 /// One in parts per million.
 const MILLION: u32 = 1_000_000;
-/// Maximum window of a budget in a file: 400 days. The state machine allows less, see
-/// [`MAX_WINDOW`](crate::budget::MAX_WINDOW).
-const MAX_WINDOW_SECS: u64 = 400 * 24 * 3600;
 /// Maximum number of slots, and of connections, of an endpoint.
 const MAX_EXCHANGES: u32 = 65_536;
 /// Maximum weight of a team.
@@ -240,7 +238,7 @@
             default.max_unavailable_zone,
         ),
         target_ppm: reader.count("target_ppm", 1..=MILLION, default.target_ppm),
-        window_secs: reader.number("window_secs", 1..=MAX_WINDOW_SECS, default.window_secs),
+        window_secs: reader.number("window_secs", 1..=MAX_WINDOW.as_secs(), default.window_secs),
     };
     if budget.max_unavailable_zone > budget.max_unavailable {
         let wanted = format!("must be at most max_unavailable, {}", budget.max_unavailable);
--- a/src/fleet/rpc/body.rs
+++ b/src/fleet/rpc/body.rs
@@ -3,6 +3,7 @@
 use {
     super::proto,
     crate::{
+        budget::MAX_WINDOW,
         burn,
         change::{self, Change, Edit},
         fleet::{Declaration, Vm},
@@ -14,8 +15,6 @@
     tonic::Status,
 };
 
-/// Maximum window of a burn report.
-const MAX_WINDOW: Duration = Duration::from_secs(400 * 24 * 3_600);
 /// Maximum number of windows of a burn report.
 const MAX_WINDOWS: usize = 16;
 
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -88,8 +88,9 @@
     let (sender, receiver) = channel::bounded(BACKLOG);
     let until = Instant::now() + config.duration;
     let mut totals = Totals::new(config.killed.iter().copied());
-    // `scope` returns an error if a caller panicked; the other callers run to their end.
-    let _ = thread::scope(|scope| {
+    // A panic of a caller is passed on once the other callers have run to their end, since a report
+    // without its requests would show promises as kept that were not checked.
+    let callers = thread::scope(|scope| {
         for caller in callers(config) {
             let sender = sender.clone();
             scope.spawn(move |_| caller.run(until, &sender));
@@ -97,6 +98,9 @@
         drop(sender);
         receiver.iter().for_each(|(request, trace)| totals.add(&request, &trace));
     });
+    if let Err(panic) = callers {
+        std::panic::resume_unwind(panic);
+    }
     let ledgers: client::Result<Vec<Ledger>> =
         config.endpoints.iter().map(|e| client::get(*e, "/ledger")).collect();
     Ok(totals.report(&ledgers?))
--- a/tests/declaration.rs
+++ b/tests/declaration.rs
@@ -75,6 +75,20 @@
     assert_eq!(lines(&[("a.toml", VALID), ("b.toml", second)]), expected);
 }
 
+#[test]
+fn a_budget_has_no_longer_window_than_the_state_machine_allows() {
+    let window = |days: u64| {
+        format!(
+            "[services.late]\npool = \"desk\"\nslots = 8\nconnections = 64\n[services.late.budget]\nwindow_secs = {}\n",
+            days * 86_400
+        )
+    };
+    assert!(declaration::parse(&[("a.toml", VALID), ("b.toml", &window(92))]).is_ok());
+    let faults = lines(&[("a.toml", VALID), ("b.toml", &window(93))]);
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].contains("window_secs = 8035200"), "{faults:?}");
+}
+
 #[test]
 fn objects_may_be_split_over_files() {
     let (pools, rest) = VALID.split_at(VALID.find("[services").unwrap());
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -165,6 +165,21 @@
     assert_eq!((change.author.as_str(), change.action.as_str()), ("astrid", "change vm/vm-1"));
 }
 
+#[test]
+fn a_burn_window_longer_than_the_history_is_rejected() {
+    let entry = start(0);
+    let client = client(&[entry.address]);
+    let burn = |days: u64| {
+        let request = proto::BurnRequest { window_secs: vec![days * 86_400] };
+        client.call("burn", |mut s| {
+            let request = request.clone();
+            async move { s.burn(request).await }
+        })
+    };
+    assert!(burn(92).is_ok());
+    assert!(burn(93).is_err(), "the daily sums of the first day are gone");
+}
+
 #[test]
 fn a_drain_shows_in_the_burn_of_the_service() {
     let entry = start(0);
