Send no start once the owner's permission has run out

Cause: an owner that was paused between the ledger's answer and the sending of a start granted a fresh lease with it. A new owner that can't reach the runner has by then waited for the longest lease that the former one may have granted, and has started the task elsewhere: two runs at a time.

Ruled out: the fence alone, as a runner that the new owner has not reached does not know it.

Change: a start, like a renewal, is sent only within the renewal window after the last confirmation; otherwise its placement is undone.

Test: job_cell a_start_whose_owner_was_paused..., which failed before.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -181,9 +181,10 @@
     }
 
     /// Sends the start of a run whose placement the ledger has stored, unless the run or its runner
-    /// has changed meanwhile.
+    /// has changed meanwhile, or the ledger's answer has come so late that a new owner may count the
+    /// run as ended.
     fn send_start(&mut self, now: Instant, runner: RunnerId, task: Task, run: u32) {
-        let fence = self.fence;
+        let (fence, confirmed) = (self.fence, self.may_renew(now));
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let (text, open) = (job.spec.text.clone(), job.outcome == Outcome::Open);
         let checkpoint = String::from(job.checkpoint(&task));
@@ -198,6 +199,9 @@
         if state.run != run || placement.phase != Phase::Planned || placement.runner != runner {
             return;
         }
+        if !confirmed {
+            return self.cancel_start(now, &task, "this owner is not confirmed");
+        }
         let worker = self.workers.get_mut(&runner).filter(|worker| open && worker.can_start());
         let Some(until_ms) = worker.and_then(|worker| worker.grant_lease(now)) else {
             self.cancel_start(now, &task, "its runner can no longer take it");
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -247,7 +247,7 @@
         self.batch_sent = None;
     }
 
-    /// Whether this owner may still renew leases. A new owner counts leases of the previous one as
+    /// Whether this owner may still grant and renew leases. A new owner counts leases of the previous one as
     /// ended after [`RENEWAL_WINDOW`] and the length of a lease.
     fn may_renew(&self, now: Instant) -> bool {
         self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < RENEWAL_WINDOW)
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -516,3 +516,21 @@
     let stopped = |action: &Action| matches!(action, Action::Stop(_, task, _) if task.job == JOB);
     assert!(!sim.actions.iter().any(stopped), "a stop may be carried out seconds later");
 }
+
+/// The owner is paused between the answer of the ledger and the sending of the start. A new owner that
+/// can't reach the runner may have waited for the last possible lease and started the task elsewhere.
+#[test]
+fn a_start_whose_owner_was_paused_since_the_ledger_stored_it_is_not_sent() {
+    let mut sim = Simulation::new(1);
+    sim.store_down = true;
+    sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    sim.run(seconds(0.1));
+    assert!(sim.pending_batch.is_some(), "the batch with the start is in flight");
+    sim.now += RENEWAL_WINDOW + LEASE;
+    sim.store_down = false;
+    sim.commit();
+    let start = |action: &Action| matches!(action, Action::Start(..));
+    assert!(!sim.cell.take_actions().iter().any(start), "the owner's permission has run out");
+    sim.run(seconds(2.0));
+    assert_eq!(sim.done.len(), 1, "once it is confirmed again, the task runs");
+}
