Time out orders to runners sooner, as they can be sent again

Cause: the start of a step takes as long as the unluckiest of its tasks; with 150 ms an attempt, two steps of 8 tasks used up a job's slack, and four attempts often did not suffice.

--- a/src/job/daemon/runners.rs
+++ b/src/job/daemon/runners.rs
@@ -25,10 +25,12 @@
     tokio::{sync::mpsc::UnboundedSender, task::JoinSet},
 };
 
-/// Bounds of the timeout of a call to a runner, added to the time for which the runner is asked to
-/// wait.
-const ANSWER_TIMEOUT: (Duration, Duration) =
-    (Duration::from_millis(150), Duration::from_millis(700));
+/// Bounds of the timeout of an order. An order that was carried out without an answer is sent again,
+/// which is harmless, so the shortest timeout is little more than a round trip.
+const ORDER_TIMEOUT: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(700));
+/// Shortest timeout of a poll, added to the time for which the runner is asked to wait. A runner whose
+/// poll has failed gets no lease renewed, so this leaves room for a busy entry.
+const MIN_POLL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of concurrent calls to one runner.
 const MAX_CALLS: usize = 6;
 
@@ -48,10 +50,8 @@
 impl Runners {
     /// Begins without connections; calls carry `fence`.
     pub fn new(fence: Fence, meter: Rc<Meter>) -> Self {
-        let context = Rc::new(CallContext {
-            meter,
-            timeout: Timeout::new(ANSWER_TIMEOUT.0, ANSWER_TIMEOUT.1),
-        });
+        let context =
+            Rc::new(CallContext { meter, timeout: Timeout::new(ORDER_TIMEOUT.0, ORDER_TIMEOUT.1) });
         Self { fence, context, channels: IndexMap::new() }
     }
 
@@ -96,7 +96,8 @@
         }
         Action::Poll(id, poll) => {
             let call = adapter::runner::poll(&id, &poll);
-            let answer = match send(channel, context, "hold", call, poll.wait).await {
+            let limit = poll.wait + context.timeout.get().max(MIN_POLL_TIMEOUT);
+            let answer = match send(channel, context, "hold", call, limit).await {
                 Ok(reply) => adapter::runner::report(&reply),
                 Err(e) => Answer::Unknown(e.to_string()),
             };
@@ -118,27 +119,26 @@
 /// Sends an order: a start, a stop or a change of pace. One that certainly did not reach the runner
 /// counts as rejected.
 async fn order(channel: &Channel, context: &CallContext, name: &str, call: Call) -> Answer<u64> {
-    match send(channel, context, name, call, Duration::ZERO).await {
+    let begun = Instant::now();
+    let outcome = send(channel, context, name, call, context.timeout.get()).await;
+    context.timeout.record(begun, outcome.is_ok());
+    match outcome {
         Ok(reply) => adapter::runner::order(&reply),
         Err(e) if e.not_sent() => Answer::Rejected(Rejection::Unhealthy),
         Err(e) => Answer::Unknown(e.to_string()),
     }
 }
 
-/// Sends a call that the runner answers within `wait`, and counts it.
+/// Sends a call with the timeout `limit`, and counts it.
 async fn send(
     channel: &Channel,
     context: &CallContext,
     name: &str,
     call: Call,
-    wait: Duration,
+    limit: Duration,
 ) -> channel::Result<Reply> {
     let begun = Instant::now();
-    let timeout = context.timeout.get();
-    let outcome = channel.call(call, wait + timeout).await;
-    if wait.is_zero() {
-        context.timeout.record(begun, outcome.is_ok());
-    }
+    let outcome = channel.call(call, limit).await;
     let label = match &outcome {
         Ok(reply) => reply.status.to_string(),
         Err(e) => {
