Let the next report decide about the runs on a restarted runner

Cause: when a runner was found to have restarted under its name, every run on it was taken for lost. A start that was sent before the owner learned of it may have been accepted by the new incarnation; its task was started again elsewhere while it ran. A report of the earlier incarnation that arrived late counted as another restart.

Ruled out: to keep runs whose start was answered after the registration, as the registration comes seconds later.

Change: runs on a restarted runner wait for its next report, starts without an answer are sent again or stopped as usual, and reports of earlier incarnations are ignored.

--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -106,6 +106,14 @@
         self.status = if self.succeeded { Status::Done } else { Status::Waiting };
     }
 
+    /// Placement of its run, for changes, if it is on a runner.
+    pub fn placement_mut(&mut self) -> Option<&mut Placement> {
+        match &mut self.status {
+            Status::Placed(placement) => Some(placement),
+            Status::Waiting | Status::Done => None,
+        }
+    }
+
     /// When the placement of its run last changed phase, if it is on a runner.
     pub fn phase_since(&self) -> Option<Instant> {
         match &self.status {
@@ -149,6 +157,17 @@
     Stopped,
 }
 
+impl Placement {
+    /// Has the next report of the runner, which has restarted, show whether the run exists. A start
+    /// whose answer is outstanding or was lost is resolved as usual.
+    pub fn await_report(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Running | Phase::Stopping | Phase::Stopped) {
+            self.phase = Phase::Restored;
+            self.since = now;
+        }
+    }
+}
+
 impl Occurrence {
     fn new(spec: &Spec, due: Instant) -> Self {
         let steps = spec.steps.iter().map(|step| vec![State::default(); step.tasks as usize]);
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -129,6 +129,11 @@
         report: &Report,
     ) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
+        if report.incarnation.is_some() && report.incarnation < worker.incarnation {
+            info!("runner: id={runner} report=ignored why=\"of an earlier incarnation\"");
+            worker.next_poll = now;
+            return;
+        }
         let restarted = report.incarnation.is_some()
             && worker.incarnation.is_some()
             && report.incarnation != worker.incarnation;
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -4,7 +4,7 @@
 //! lease, which of its ends have been processed, and the room that tasks take on it.
 
 use {
-    super::{CLOCK_ERROR, Cell, LEASE, RunnerId, pace},
+    super::{CLOCK_ERROR, Cell, LEASE, RunnerId, job::State, pace},
     crate::job::{
         runner::{EndNumber, Incarnation, Registration},
         spec::{Resources, Step, Task},
@@ -349,16 +349,24 @@
         }
     }
 
-    /// Handles a runner that has restarted under the same name: everything on it has ended.
+    /// Handles a runner that has restarted under the same name. What ran on it has ended, but a start
+    /// that was sent before this owner learned of the restart may have begun on the new incarnation, so
+    /// the next report decides about every run.
     pub(super) fn handle_restart(
         &mut self,
         now: Instant,
         id: &str,
         incarnation: Option<Incarnation>,
     ) {
-        self.lose_runs(now, id, "it has restarted");
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.reset(incarnation, now);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let lease_expiry = worker.lease_expiry;
+        worker.reset(incarnation, now);
+        worker.lease_expiry = lease_expiry;
+        let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
+        for task in tasks {
+            if let Some(placement) = self.task_mut(&task).and_then(State::placement_mut) {
+                placement.await_report(now);
+            }
         }
     }
 
