Hold the random test to every refusal, and answer repeated starts as the platform does

The simulated runner answers a start of a run that it has as carried out. The check of refusals covers repeats as well: a job of which any submission was refused has not run.

--- a/tests/job_random.rs
+++ b/tests/job_random.rs
@@ -162,11 +162,12 @@
         }
     }
 
-    /// Whether any submission of a job was accepted, and whether all were refused.
+    /// Whether any submission of a job was accepted, and whether any was refused. A job that was refused
+    /// is not submitted again.
     fn outcome(&self, requests: &[u64]) -> (bool, bool) {
         let answers = || requests.iter().map(|request| self.sim.answers.get(request));
         let accepted = answers().any(|answer| answer == Some(&Answer::Accepted));
-        let refused = answers().all(|answer| matches!(answer, Some(Answer::Refused { .. })));
+        let refused = answers().any(|answer| matches!(answer, Some(Answer::Refused { .. })));
         (accepted, refused)
     }
 }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -659,6 +659,9 @@
         if start.until_ms <= clock_ms {
             return runner::Answer::Rejected(Rejection::Late);
         }
+        if runner.running.get(&start.task).is_some_and(|run| run.number == start.run) {
+            return runner::Answer::Done(clock_ms);
+        }
         let last_run = runner.last_runs.get(&start.task).copied().unwrap_or_default();
         if last_run >= start.run {
             return runner::Answer::Rejected(Rejection::Old);
