--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -14,11 +14,7 @@
     crate::job::spec::{self, Resources, Step, Task},
     indexmap::{IndexMap, IndexSet},
     log::info,
-    std::{
-        cmp::Reverse,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cmp::Reverse, rc::Rc, time::Instant},
 };
 
 impl Cell {
@@ -191,7 +187,7 @@
         let mut placed = Vec::new();
         let mut zone = waiting.first().and_then(|task| self.zone_of(task));
         for &task in waiting {
-            match self.choose_runner(now, &task, step, zone.as_deref(), candidates) {
+            match self.choose_runner(&task, step, zone.as_deref(), candidates) {
                 Choice::Runner(runner) => {
                     self.assign_run(now, task, step, runner);
                     placed.push(task);
@@ -268,7 +264,6 @@
     /// Chooses the runner that suits a task best; `zone` is where other tasks of its step are.
     fn choose_runner(
         &self,
-        now: Instant,
         task: &Task,
         step: &Step,
         zone: Option<&str>,
@@ -299,8 +294,7 @@
             }
             let other_zone = !step.endless && zone.is_some_and(|zone| worker.zone() != zone);
             let failed = failed_on == Some(id);
-            let lossy = worker.has_lost_call_since(now, LOSSY_PERIOD);
-            let fit = Fit { failed, lossy, other_zone, ..fit(worker, step, free, &need) };
+            let fit = Fit { failed, other_zone, ..fit(worker, step, free, &need) };
             if best.as_ref().is_none_or(|(other, _)| fit < *other) {
                 best = Some((fit, index));
             }
@@ -312,9 +306,6 @@
     }
 }
 
-/// Time after an unanswered call for which a runner is chosen only if no other has room.
-const LOSSY_PERIOD: Duration = Duration::from_secs(1);
-
 /// How well a runner with the room `free` suits a task of a step, apart from its zone and failures.
 fn fit(worker: &Worker, step: &Step, free: Resources, need: &Resources) -> Fit {
     let far_from_data = !step.data_rack.is_empty() && !worker.labels().contains(&step.data_rack);
@@ -328,7 +319,6 @@
     let first_endless = step.endless && worker.objective_tasks + worker.fillers == 0;
     Fit {
         failed: false,
-        lossy: false,
         far_from_data,
         conflicts,
         first_endless,
@@ -342,8 +332,6 @@
 struct Fit {
     /// Whether the task's last failed run was on it, as the runner may be the cause.
     failed: bool,
-    /// Whether it has left a call without an answer lately.
-    lossy: bool,
     /// Whether the task's data is on another rack.
     far_from_data: bool,
     /// Number of tasks on it that would slow the task, or that the task would slow: fillers beside
--- a/src/job/daemon/log_output.rs
+++ b/src/job/daemon/log_output.rs
@@ -2,7 +2,7 @@
 //!
 //! Lines are buffered and written in blocks. Standard output is set to non-blocking mode, so that a
 //! slow reader does not delay the daemon: lines that it does not accept are dropped, as are lines
-//! above the rate [`LINES_PER_S`]. A later `log: dropped=N` line reports how many. A line of which a
+//! above a limit of their rate. A later `log: dropped=N` line reports how many. A line of which a
 //! part was accepted is completed first, so that no two lines run into one.
 
 use {
