--- a/src/job/claim.rs
+++ b/src/job/claim.rs
@@ -113,11 +113,6 @@
         self.sent = self.sent.max(Some(sent));
     }
 
-    /// Forgets the confirmation, because the cell was released or may have been claimed since.
-    pub fn clear(&mut self) {
-        self.sent = None;
-    }
-
     /// When the newest accepted claim or heartbeat was sent.
     pub fn sent(&self) -> Option<Instant> {
         self.sent
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -6,7 +6,7 @@
 
 use {
     site::{Site, job, manifest, wait},
-    std::{thread::sleep, time::Duration},
+    std::{io::Write, net::TcpStream, thread::sleep, time::Duration},
 };
 
 #[test]
@@ -209,3 +209,25 @@
     site.submit(1, 2);
     site.wait_complete([1]);
 }
+
+/// The caller leaves while its request waits for the store.
+#[test]
+fn a_caller_that_disconnects_does_not_count_as_open_at_a_planned_stop() {
+    let mut site = Site::start("left", 1, 1);
+    site.store.start_outage(Duration::from_millis(1_000));
+    let mut stream = TcpStream::connect(site.entries[0].callers).unwrap();
+    let body = job(1).to_string();
+    let request = format!(
+        "POST /quotes/0000000000000007 HTTP/1.1\r\nHost: desk.example\r\nX-Deadline-Ms: 3000\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    sleep(Duration::from_millis(300));
+    drop(stream);
+    sleep(Duration::from_millis(1_500));
+    site.wait_ready();
+    site.signal(0, "-TERM");
+    site.wait_end(0);
+    assert!(site.log("front-0").contains("stop: done requests=0"), "{}", site.log("front-0"));
+}
