Split the choice of a runner and registrations into modules of their own

Code moved only: choose.rs takes how well a runner suits a task, registration.rs what follows when a runner appears, restarts or goes.

--- /dev/null
+++ b/src/job/cell/choose.rs
@@ -0,0 +1,115 @@
+//! Choice of the runner on which a waiting task starts.
+//!
+//! Of the runners with room, the task goes to the one that suits it best (see [`Fit`]).
+
+use {
+    super::{Cell, Worker, place::Candidates},
+    crate::job::spec::{Resources, Step, Task},
+};
+
+/// Result of the choice of a runner for a task.
+pub(super) enum Choice {
+    /// The task goes to this one.
+    Runner(usize),
+    /// The task fits nowhere now; the runner with the most free cores that could ever hold it, if
+    /// there is one, is reserved for it.
+    Nowhere(Option<usize>),
+}
+
+impl Cell {
+    /// Chooses the runner that suits a task best; `zone` is where other tasks of its step are.
+    pub(super) fn choose_runner(
+        &self,
+        task: &Task,
+        step: &Step,
+        zone: Option<&str>,
+        candidates: &Candidates,
+    ) -> Choice {
+        let need = step.reserved();
+        let state = self.task(task);
+        let failed_on = state.and_then(|state| state.failed_on.as_ref());
+        let mut best: Option<(Fit, usize)> = None;
+        let mut most_free: Option<(u32, usize)> = None;
+        for &index in &candidates.runners {
+            let Some((id, worker)) = self.workers.get_index(index) else { continue };
+            let free = worker.free();
+            if !free.holds(&need) {
+                let room = worker
+                    .registration
+                    .as_ref()
+                    .map(|registration| registration.room)
+                    .unwrap_or_default();
+                let more = most_free.is_none_or(|(max_free, _)| free.millicores > max_free);
+                if more && room.holds(&need) && may_run_on(worker, step, task) {
+                    most_free = Some((free.millicores, index));
+                }
+                continue;
+            }
+            if !may_run_on(worker, step, task) {
+                continue;
+            }
+            let other_zone = !step.endless && zone.is_some_and(|zone| worker.zone() != zone);
+            let failed = failed_on == Some(id);
+            let fit = Fit { failed, other_zone, ..fit(worker, step, free, &need) };
+            if best.as_ref().is_none_or(|(other, _)| fit < *other) {
+                best = Some((fit, index));
+            }
+        }
+        match best {
+            Some((_, index)) => Choice::Runner(index),
+            None => Choice::Nowhere(most_free.map(|(_, index)| index)),
+        }
+    }
+}
+
+/// How well a runner with the room `free` suits a task of a step, apart from its zone and failures.
+fn fit(worker: &Worker, step: &Step, free: Resources, need: &Resources) -> Fit {
+    let far_from_data = !step.data_rack.is_empty() && !worker.labels().contains(&step.data_rack);
+    let conflicts = if step.filler {
+        worker.objective_tasks
+    } else if step.latency_target.is_zero() {
+        0
+    } else {
+        worker.fillers
+    };
+    let first_endless = step.endless && worker.objective_tasks + worker.fillers == 0;
+    Fit {
+        failed: false,
+        far_from_data,
+        conflicts,
+        first_endless,
+        other_zone: false,
+        left_millicores: free.minus(need).millicores,
+    }
+}
+
+/// How well a runner suits a task: the lowest is chosen. The fields are compared in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Fit {
+    /// Whether the task's last failed run was on it, as the runner may be the cause.
+    failed: bool,
+    /// Whether the task's data is on another rack.
+    far_from_data: bool,
+    /// Number of tasks on it that would slow the task, or that the task would slow: fillers beside
+    /// tasks with a latency objective.
+    conflicts: u32,
+    /// Whether the task is endless and the runner has neither a task with a latency objective nor a
+    /// filler yet.
+    first_endless: bool,
+    /// Whether it is in another availability zone than the step's other tasks: a partition of one
+    /// zone should affect as few jobs as possible.
+    other_zone: bool,
+    /// Thousandths of a core that stay free.
+    left_millicores: u32,
+}
+
+/// Whether the label that a step demands and its limit of tasks on one runner allow a task there.
+pub(super) fn may_run_on(worker: &Worker, step: &Step, task: &Task) -> bool {
+    if !step.label.is_empty() && !worker.labels().contains(&step.label) {
+        return false;
+    }
+    if step.per_runner == 0 {
+        return true;
+    }
+    worker.count_siblings(task) < step.per_runner as usize
+}
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -9,8 +9,9 @@
 use {
     super::{
         Cell, Worker,
+        choose::may_run_on,
         job::{State, Status},
-        place::{Candidates, may_run_on},
+        place::Candidates,
     },
     crate::job::spec::{Resources, Step, Task},
     indexmap::IndexSet,
--- /dev/null
+++ b/src/job/cell/registration.rs
@@ -0,0 +1,152 @@
+//! Registrations of runners: what follows when a runner appears, restarts, is replaced or goes.
+
+use {
+    super::{Cell, RunnerId, Worker, job::State},
+    crate::job::{
+        runner::{Incarnation, Registration},
+        spec::Task,
+    },
+    log::info,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after which a runner that the store does not list and that has no tasks is removed.
+const REMOVAL_DELAY: Duration = Duration::from_secs(5);
+
+impl Cell {
+    /// Handles that the store lists a runner with this registration, or none if it no longer lists
+    /// it.
+    pub fn update_registration(
+        &mut self,
+        now: Instant,
+        id: &str,
+        registration: Option<Registration>,
+    ) {
+        let Some(registration) = registration else {
+            if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.listed) {
+                info!("runner: id={id} listed=false tasks={}", worker.tasks.len());
+                worker.listed = false;
+                worker.absent_since = now;
+            }
+            return;
+        };
+        let vm = registration.vm.clone();
+        match self.workers.get_mut(id) {
+            Some(worker) if worker.is_stale(&registration) => {}
+            Some(worker) => {
+                let restarted = registration.incarnation.is_some()
+                    && worker
+                        .incarnation
+                        .is_some_and(|known| registration.incarnation > Some(known));
+                let starts_draining = registration.draining && !worker.is_draining();
+                let (is_back, unknown) = (!worker.listed, worker.registration.is_none());
+                worker.listed = true;
+                if starts_draining || is_back || restarted {
+                    let state = if registration.draining { "draining" } else { "ready" };
+                    info!(
+                        "runner: id={id} listed=true state={state} reborn={restarted} sequence={}",
+                        registration.sequence
+                    );
+                    self.place_due = true;
+                }
+                let incarnation = registration.incarnation;
+                worker.incarnation = worker.incarnation.or(incarnation);
+                worker.registration = Some(registration);
+                if restarted {
+                    self.handle_restart(now, id, incarnation);
+                }
+                if restarted || unknown {
+                    self.note_incarnation(id);
+                }
+            }
+            None => {
+                info!(
+                    "runner: id={id} new service={} sequence={}",
+                    registration.service, registration.sequence
+                );
+                self.workers.insert(Rc::from(id), Worker::new(Some(registration), now, now));
+                self.note_incarnation(id);
+            }
+        }
+        self.remove_former_runners(now, id, &vm);
+    }
+
+    /// Notes an incarnation that has registered for the first time. It takes no tasks if its VM is
+    /// being drained.
+    fn note_incarnation(&mut self, id: &str) {
+        let worker = self.workers.get(id);
+        let Some(registration) = worker.and_then(|worker| worker.registration.clone()) else {
+            return;
+        };
+        let vm_draining = self.runner_registered(id, &registration);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.vm_draining = vm_draining;
+        }
+    }
+
+    /// Removes runners of a VM that are older than its runner `id`: they have ended, since a VM has
+    /// one runner at a time.
+    fn remove_former_runners(&mut self, now: Instant, id: &str, vm: &str) {
+        if vm.is_empty() {
+            return;
+        }
+        let Some(incarnation) = self.workers.get(id).and_then(|worker| worker.incarnation) else {
+            return;
+        };
+        let former = |(other, worker): (&RunnerId, &Worker)| {
+            let registration = worker.registration.as_ref()?;
+            let older =
+                worker.incarnation.is_some_and(|other_incarnation| other_incarnation < incarnation);
+            (registration.vm == vm && older).then(|| Rc::clone(other))
+        };
+        let former: Vec<_> = self.workers.iter().filter_map(former).collect();
+        for other in former {
+            self.lose_runs(now, &other, "its VM has a newer runner");
+            self.workers.swap_remove(&other);
+        }
+    }
+
+    /// Handles a runner that has restarted under the same name. What ran on it has ended, but a start
+    /// that was sent before this owner learned of the restart may have begun on the new incarnation, so
+    /// the next report decides about every run.
+    pub(super) fn handle_restart(
+        &mut self,
+        now: Instant,
+        id: &str,
+        incarnation: Option<Incarnation>,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let lease_expiry = worker.lease_expiry;
+        worker.reset(incarnation, now);
+        worker.lease_expiry = lease_expiry;
+        let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
+        for task in tasks {
+            if let Some(placement) = self.task_mut(&task).and_then(State::placement_mut) {
+                placement.await_report(now);
+            }
+        }
+    }
+
+    /// Takes the tasks of unresponsive runners whose leases have expired for lost, and removes
+    /// runners that are gone.
+    pub(super) fn expire_leases(&mut self, now: Instant) {
+        let expired = |worker: &Worker| {
+            let unresponsive = worker.unresponsive_since.is_some() || worker.registration.is_none();
+            unresponsive && worker.lease_expiry <= now && !worker.tasks.is_empty()
+        };
+        let ids: Vec<RunnerId> =
+            self.workers.iter().filter(|(_, w)| expired(w)).map(|(id, _)| Rc::clone(id)).collect();
+        for id in ids {
+            self.lose_runs(now, &id, "its lease has expired");
+        }
+        let gone = |worker: &Worker| {
+            !worker.listed
+                && worker.tasks.is_empty()
+                && now.saturating_duration_since(worker.absent_since) > REMOVAL_DELAY
+        };
+        self.workers.retain(|_, worker| !gone(worker));
+    }
+}
