Log and count what ran on runners that fell silent, and whether they had ended

The logs didn't tell a task that crashes runners from runners that crash by themselves or can only not be reached. The owner keeps the runs that were lost with a silent runner until a later runner on its VM, or an answer of the same incarnation, shows what had happened, and logs both. No decision changes.

--- /dev/null
+++ b/src/job/cell/crash.rs
@@ -0,0 +1,163 @@
+//! Evidence of crashed runners: which runs were on a runner that fell silent, and whether it has ended.
+//!
+//! A run whose runner ends is lost without a reported end. At first nothing tells a crash from a network
+//! partition. A later incarnation of the runner, or a later runner on its VM, shows that it has ended; an
+//! answer of the same incarnation shows that it has not. Until then the runs are kept with the runner.
+
+use {
+    super::{
+        Cell, Worker,
+        job::{Phase, Placement, Status},
+    },
+    crate::job::spec::Task,
+    log::{info, warn},
+    std::time::{Duration, Instant},
+};
+
+/// Time at work on a runner after which a task no longer counts as new there.
+const ESTABLISHED_AFTER: Duration = Duration::from_secs(5);
+/// Number of runs that a log line names.
+const MAX_LOGGED: usize = 8;
+
+/// What the owner has learned of a runner that fell silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Its runs were taken for lost, and it is not known whether it has ended.
+    Silent,
+    /// It has certainly ended, with runs on it.
+    Ended,
+    /// It has answered again: it had not ended.
+    Returned,
+}
+
+impl Event {
+    /// Label under which metrics count the event.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Silent => "runner_silent",
+            Self::Ended => "runner_ended",
+            Self::Returned => "runner_returned",
+        }
+    }
+}
+
+/// A run that was lost with its runner, before it was established there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// Task.
+    pub task: Task,
+    /// Number of the run.
+    pub run: u32,
+    /// Time from its start until the runner fell silent; zero if the start was not answered.
+    pub age: Duration,
+    /// Whether all other runs on the runner were of the same job, or established.
+    pub alone: bool,
+}
+
+impl Placement {
+    /// How long the run had been at work at `now`; zero if that is not known.
+    pub(super) fn time_at_work(&self, now: Instant) -> Duration {
+        match self.phase {
+            Phase::Running => now.saturating_duration_since(self.since),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Whether the run had been at work for long enough at `now` that a crash is not put down to it. A
+    /// run of an earlier owner that is still at work counts as well, if it is `endless`.
+    pub(super) fn is_established(&self, now: Instant, endless: bool) -> bool {
+        let inherited = endless && self.restored && self.phase == Phase::Running;
+        inherited || self.time_at_work(now) >= ESTABLISHED_AFTER
+    }
+}
+
+impl Cell {
+    /// Returns what was learned of silent runners since the last call.
+    pub fn take_crash_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.crash_events)
+    }
+
+    /// Whether a task is placed and established on its runner at `now`.
+    pub(super) fn is_established(&self, now: Instant, task: &Task) -> bool {
+        let endless = self.step(task).is_some_and(|step| step.endless);
+        match self.task(task).map(|state| &state.status) {
+            Some(Status::Placed(placement)) => placement.is_established(now, endless),
+            _ => false,
+        }
+    }
+
+    /// Records the runs on a runner that are lost because it is silent. They are kept until it is known
+    /// whether it has ended.
+    pub(super) fn record_losses(&mut self, now: Instant, runner: &str) {
+        let Some(worker) = self.workers.get(runner) else { return };
+        if worker.tasks.is_empty() || worker.is_draining() {
+            return;
+        }
+        let silent_since = worker.unresponsive_since.unwrap_or(now);
+        let losses = self.losses_on(silent_since, worker);
+        let names: Vec<String> = losses.iter().take(MAX_LOGGED).map(Loss::to_string).collect();
+        warn!(
+            "crash: runner={runner} vm={} silent_ms={} new={} established={} runs={}",
+            worker.vm(),
+            now.saturating_duration_since(silent_since).as_millis(),
+            losses.len(),
+            worker.tasks.len() - losses.len(),
+            names.join(",")
+        );
+        self.crash_events.push(Event::Silent);
+        if let Some(worker) = self.workers.get_mut(runner) {
+            worker.losses.extend(losses);
+        }
+    }
+
+    /// Runs on a runner that were not established when it fell silent. Runs whose start was not sent
+    /// are not among them.
+    fn losses_on(&self, silent_since: Instant, worker: &Worker) -> Vec<Loss> {
+        let new = |task: &&Task| !self.is_established(silent_since, task);
+        let sent = |task: &Task| {
+            let state = self.task(task)?;
+            let Status::Placed(placement) = &state.status else { return None };
+            let age = placement.time_at_work(silent_since);
+            (placement.phase != Phase::Planned).then_some(Loss {
+                task: *task,
+                run: state.run,
+                age,
+                alone: true,
+            })
+        };
+        let mut losses: Vec<Loss> = worker.tasks.keys().filter(new).filter_map(sent).collect();
+        let alone =
+            losses.iter().all(|loss| Some(loss.task.job) == losses.first().map(|l| l.task.job));
+        losses.iter_mut().for_each(|loss| loss.alone = alone);
+        losses
+    }
+
+    /// Handles the certain end of a runner that may have been silent before.
+    pub(super) fn runner_crashed(&mut self, now: Instant, runner: &str) {
+        self.record_losses(now, runner);
+        let Some(worker) = self.workers.get_mut(runner) else { return };
+        let losses = std::mem::take(&mut worker.losses);
+        if losses.is_empty() {
+            return;
+        }
+        info!("crash: runner={runner} vm={} ended=true losses={}", worker.vm(), losses.len());
+        self.crash_events.push(Event::Ended);
+    }
+
+    /// Handles an answer of a runner whose runs were taken for lost.
+    pub(super) fn runner_returned(&mut self, runner: &str) {
+        let Some(worker) = self.workers.get_mut(runner) else { return };
+        let losses = std::mem::take(&mut worker.losses);
+        if losses.is_empty() {
+            return;
+        }
+        info!("crash: runner={runner} vm={} ended=false losses={}", worker.vm(), losses.len());
+        self.crash_events.push(Event::Returned);
+    }
+}
+
+impl std::fmt::Display for Loss {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}:{}", self.task, self.run, self.age.as_millis())
+    }
+}
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -125,6 +125,8 @@
     pub percent: u32,
     /// Number of times its start was sent.
     pub attempts: u32,
+    /// Whether an earlier owner placed it.
+    pub restored: bool,
 }
 
 /// Phase of a run, from its placement to its stop.
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -17,6 +17,7 @@
 mod balance;
 mod choose;
 mod commit;
+mod crash;
 mod detector;
 mod forecast;
 mod gang;
@@ -43,6 +44,7 @@
     account::{Account, Accounts, Amount, Counts},
     admit::Submission,
     advice::Tickets,
+    crash::Event as CrashEvent,
     forecast::{Expected, Forecast},
     job::{Job, Phase, Placement, Status},
     load::Load,
@@ -207,6 +209,8 @@
     forecast: Forecast,
     detector: Detector,
     advisor: Advisor,
+    /// What was learned of silent runners and not taken yet.
+    crash_events: Vec<CrashEvent>,
     /// Whether something has changed that may let tasks be placed.
     place_due: bool,
 }
@@ -247,6 +251,7 @@
             forecast: Forecast::default(),
             detector: Detector::default(),
             advisor: Advisor::default(),
+            crash_events: Vec::new(),
             place_due: false,
         }
     }
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -254,8 +254,14 @@
         };
         state.run += 1;
         let (run, phase) = (state.run, Phase::Planned);
-        let placement =
-            Placement { runner: Rc::clone(&runner), phase, since: now, percent: 0, attempts: 0 };
+        let placement = Placement {
+            runner: Rc::clone(&runner),
+            phase,
+            since: now,
+            percent: 0,
+            attempts: 0,
+            restored: false,
+        };
         state.status = Status::Placed(placement);
         self.mark_dirty(task.job);
         self.effects.push(Effect::Start(runner, task, run));
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -141,6 +141,9 @@
             info!("runner: id={runner} reborn=true");
             self.handle_restart(now, runner, report.incarnation);
         }
+        if report.incarnation.is_some() {
+            self.runner_returned(runner);
+        }
         let Some(worker) = self.workers.get_mut(runner) else { return };
         if worker.unresponsive_since.take().is_some() {
             info!("runner: id={runner} answers=true");
--- a/src/job/cell/registration.rs
+++ b/src/job/cell/registration.rs
@@ -104,6 +104,7 @@
         };
         let former: Vec<_> = self.workers.iter().filter_map(former).collect();
         for other in former {
+            self.runner_crashed(now, &other);
             self.lose_runs(now, &other, "its VM has a newer runner");
             self.workers.swap_remove(&other);
         }
@@ -118,6 +119,7 @@
         id: &str,
         incarnation: Option<Incarnation>,
     ) {
+        self.runner_crashed(now, id);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let lease_expiry = worker.lease_expiry;
         worker.reset(incarnation, now);
@@ -140,6 +142,7 @@
         let ids: Vec<RunnerId> =
             self.workers.iter().filter(|(_, w)| expired(w)).map(|(id, _)| Rc::clone(id)).collect();
         for id in ids {
+            self.record_losses(now, &id);
             self.lose_runs(now, &id, "its lease has expired");
         }
         let gone = |worker: &Worker| {
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -141,8 +141,14 @@
         let Some(state) = job.task_mut(&task) else { return };
         let runner = Rc::clone(&id);
         let phase = Phase::Restored;
-        state.status =
-            Status::Placed(Placement { runner, phase, since: now, percent: 0, attempts: 1 });
+        state.status = Status::Placed(Placement {
+            runner,
+            phase,
+            since: now,
+            percent: 0,
+            attempts: 1,
+            restored: true,
+        });
         self.take_room(&id, task, &step.unwrap_or_default());
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.lease_expiry = worker.lease_expiry.max(lease_expiry);
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -83,6 +83,7 @@
 
     /// Handles an answer by another incarnation at a runner's address: the runner has ended.
     pub(super) fn runner_replaced(&mut self, now: Instant, runner: &RunnerId) {
+        self.runner_crashed(now, runner);
         self.lose_runs(now, runner, "another incarnation answers at its address");
         if let Some(worker) = self.workers.get_mut(runner) {
             worker.mark_ended(now);
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -4,7 +4,7 @@
 //! lease, which of its ends have been processed, and the room that tasks take on it.
 
 use {
-    super::{CLOCK_ERROR, LEASE, account::Amount, pace},
+    super::{CLOCK_ERROR, LEASE, account::Amount, crash::Loss, pace},
     crate::job::{
         access::Name,
         runner::{EndNumber, Incarnation, Registration},
@@ -72,6 +72,8 @@
     pub replaced: bool,
     /// When the starts were sent that it has not answered yet, oldest first.
     pub unanswered_starts: VecDeque<Instant>,
+    /// Runs that were lost while it was silent, until it is known whether it has ended.
+    pub losses: Vec<Loss>,
     /// Until when it is quarantined: nothing is started on it.
     pub quarantined_until: Option<Instant>,
     /// Number of runs that have failed on it since one was done there.
@@ -145,6 +147,7 @@
             last_call_lost: None,
             replaced: false,
             unanswered_starts: VecDeque::new(),
+            losses: Vec::new(),
             quarantined_until: None,
             consecutive_failures: 0,
             ended_incarnation: None,
@@ -211,6 +214,11 @@
         self.registration.as_ref().map_or("", |registration| &registration.zone)
     }
 
+    /// Its VM, or empty if unknown.
+    pub fn vm(&self) -> &str {
+        self.registration.as_ref().map_or("", |registration| &registration.vm)
+    }
+
     /// Rack of its VM, or empty if unknown.
     pub fn rack(&self) -> &str {
         self.registration.as_ref().map_or("", |registration| &registration.rack)
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -256,6 +256,9 @@
     }
 
     fn run_actions(&mut self) {
+        for event in self.cell.take_crash_events() {
+            self.shared.meter.count_event(event.name());
+        }
         for action in self.cell.take_actions() {
             self.shared.meter.count_event(action.name());
             match action {
