Show with tests that a task may crash runners without bound

The simulated runners can crash, by themselves or because of a task that they start, and come back under a new name or the old one.

--- /dev/null
+++ b/tests/job_crash.rs
@@ -0,0 +1,232 @@
+//! Tasks that crash the runners which start them, beside work that does not.
+//!
+//! A task that is started again after each crash takes runner after runner down, and all that runs
+//! beside it. The simulation asserts that it is started less than three times after three crashes.
+//! A job is given up only for crashes that it has caused, which no single crash can show.
+
+#![allow(clippy::unwrap_used)]
+
+mod simulation;
+
+use {
+    carobhitch::job::{
+        ledger::Outcome,
+        spec::{Step, Task},
+    },
+    simulation::{MILLICORES, Simulation, spec, step},
+    std::time::Duration,
+};
+
+const JOB: u64 = 0x7a1c_0b54_33e9_8d02;
+/// Number of the first of the other jobs.
+const OTHERS: u64 = 1_000;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn task(step: u16, index: u16) -> Task {
+    Task { job: JOB, occurrence: 0, step, index }
+}
+
+fn outcome(sim: &Simulation, job: u64) -> Option<Outcome> {
+    sim.cell.jobs().get(&job).map(|job| job.stored_outcome)
+}
+
+/// Simulation in which the first task of [`JOB`]'s step `number` crashes its runners.
+fn crashing(runners: usize, steps: Vec<Step>, number: u16) -> Simulation {
+    let mut sim = Simulation::new(runners);
+    sim.crashes.tasks.insert(task(number, 0));
+    sim.submit(JOB, spec(steps));
+    sim
+}
+
+/// Submits a job of four tasks each 0.5 s, for `rounds` rounds, and calls `each` in every round.
+/// Returns the number of jobs.
+fn play(sim: &mut Simulation, rounds: u64, mut each: impl FnMut(&mut Simulation, u64)) -> u64 {
+    for round in 0..rounds {
+        sim.submit(OTHERS + round, spec(vec![step(4, 2_000)]));
+        each(sim, round);
+        sim.run(seconds(0.5));
+    }
+    sim.run(seconds(30.0));
+    rounds
+}
+
+/// Asserts that all other jobs are complete.
+fn assert_others_complete(sim: &Simulation, jobs: u64) {
+    for job in OTHERS..OTHERS + jobs {
+        assert_eq!(outcome(sim, job), Some(Outcome::Complete), "job {job}");
+    }
+}
+
+#[test]
+fn a_task_that_crashes_every_runner_is_given_up_and_the_work_beside_it_is_done() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    let jobs = play(&mut sim, 40, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert!(sim.crashes_under(&task(0, 0)) >= 2, "one crash shows nothing");
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn a_second_crash_hits_no_work_of_others_while_there_is_an_empty_runner() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    play(&mut sim, 20, |_, _| {});
+    let of_others = |company: &Vec<Task>| company.iter().any(|other| other.job != JOB);
+    let hit = sim.crashes.company[&task(0, 0)].iter().skip(1).filter(|c| of_others(c)).count();
+    assert_eq!(hit, 0, "{:?}", sim.crashes.company);
+}
+
+#[test]
+fn a_task_of_a_later_step_that_crashes_every_runner_is_given_up() {
+    let second = Step { after: vec![0], ..step(3, 900) };
+    let mut sim = crashing(6, vec![step(4, 900), second], 1);
+    let jobs = play(&mut sim, 40, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn an_endless_task_that_crashes_every_runner_is_given_up() {
+    let endless = Step { endless: true, ..step(5, 700) };
+    let mut sim = crashing(6, vec![endless], 0);
+    let jobs = play(&mut sim, 40, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn a_gang_with_a_member_that_crashes_every_runner_is_given_up() {
+    let gang = Step { gang: true, ..step(5, 6_000) };
+    let mut sim = crashing(8, vec![gang], 0);
+    let jobs = play(&mut sim, 40, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn a_task_that_crashes_runners_which_restart_under_their_names_is_given_up() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    sim.crashes.keeps_name = true;
+    let jobs = play(&mut sim, 40, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn a_task_whose_start_is_never_answered_before_the_crash_is_given_up() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    sim.crashes.keeps_name = true;
+    let jobs = play(&mut sim, 40, |sim, _| {
+        sim.runners.values_mut().for_each(|runner| runner.loses_answers = true);
+    });
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn what_is_known_of_a_crashing_task_outlasts_takeovers() {
+    for period in [3, 5, 7, 9, 11] {
+        let mut sim = crashing(6, vec![step(6, 900)], 0);
+        play(&mut sim, 60, |sim, round| {
+            if round % period == period - 1 {
+                sim.take_over();
+            }
+        });
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed), "period {period}");
+    }
+}
+
+#[test]
+fn what_is_known_of_a_crashing_task_outlasts_a_restart_of_all_entries() {
+    for down in [1.0, 4.0, 9.0] {
+        let mut sim = crashing(6, vec![step(6, 900)], 0);
+        play(&mut sim, 60, |sim, round| {
+            if round % 15 == 14 {
+                sim.pause_owner(seconds(down));
+                sim.take_over();
+            }
+        });
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed), "down for {down} s");
+    }
+}
+
+#[test]
+fn what_is_known_of_a_crashing_task_outlasts_a_store_that_is_away() {
+    for round_down in 4..12 {
+        let mut sim = crashing(6, vec![step(6, 900)], 0);
+        play(&mut sim, 60, |sim, round| sim.store_down = round % 12 >= round_down);
+        sim.store_down = false;
+        sim.run(seconds(20.0));
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed), "away from round {round_down}");
+    }
+}
+
+#[test]
+fn work_on_runners_that_crash_by_themselves_is_not_given_up() {
+    let mut sim = Simulation::new(6);
+    sim.run_time = seconds(1.5);
+    sim.submit(JOB, spec(vec![Step { endless: true, ..step(5, 700) }]));
+    let jobs = play(&mut sim, 120, |sim, round| {
+        // Two VMs go down and up by turns, the others crash now and then.
+        let vm = if round % 4 == 0 { round / 4 % 2 } else { 2 + round / 8 % 4 };
+        if round % 4 == 0 || round % 8 == 5 {
+            let on_vm = |(id, runner): (&String, _)| {
+                let runner: &simulation::Runner = runner;
+                (runner.vm == format!("m{vm}")).then(|| id.clone())
+            };
+            let id = sim.runners.iter().find_map(on_vm).unwrap();
+            sim.crash(&id);
+        }
+    });
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Open));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn work_on_runners_that_are_cut_off_is_not_suspected() {
+    let mut sim = Simulation::new(3);
+    sim.submit(JOB, spec(vec![step(9, 1_500)]));
+    let jobs = play(&mut sim, 60, |sim, round| {
+        let cut = round % 10 >= 1;
+        sim.runners.values_mut().take(1).for_each(|runner| runner.partitioned = cut);
+    });
+    sim.runners.values_mut().for_each(|runner| runner.partitioned = false);
+    sim.run(seconds(20.0));
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Complete));
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn several_tasks_that_crash_runners_stop_neither_each_other_nor_the_rest() {
+    let mut sim = Simulation::new(10);
+    let bad = 5;
+    for number in 0..bad {
+        sim.crashes.tasks.insert(Task { job: JOB + number, ..task(0, 0) });
+    }
+    let jobs = play(&mut sim, 60, |sim, round| {
+        if round < bad {
+            sim.submit(JOB + round, spec(vec![step(6, 900)]));
+        }
+    });
+    for job in JOB..JOB + bad {
+        assert_eq!(outcome(&sim, job), Some(Outcome::Failed));
+    }
+    assert_others_complete(&sim, jobs);
+}
+
+#[test]
+fn a_crashing_task_is_given_up_on_a_pool_that_is_never_empty() {
+    let mut sim = crashing(4, vec![step(3, 900)], 0);
+    for job in 0..8 {
+        let endless = Step { endless: true, ..step(1, 1_000) };
+        sim.submit(OTHERS + 10_000 + job, spec(vec![endless]));
+    }
+    let jobs = play(&mut sim, 60, |sim, round| {
+        sim.submit(OTHERS + 20_000 + round, spec(vec![step(4, MILLICORES / 4)]));
+    });
+    sim.run(seconds(30.0));
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -7,6 +7,8 @@
 
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+mod crash;
+
 use {
     carobhitch::job::{
         answer::Answer,
@@ -52,6 +54,8 @@
     pub zone: String,
     /// Rack, which is one of its labels.
     pub rack: String,
+    /// Whether it has crashed and not restarted yet: calls to it time out.
+    pub crashed: bool,
     /// Whether calls to it fail at once.
     pub unresponsive: bool,
     /// Whether calls to it are not carried out and time out after [`TIMEOUT`].
@@ -123,6 +127,8 @@
     pub advised_runners: Vec<String>,
     /// Milliseconds by which the time of day has jumped ahead; negative if it has jumped back.
     pub clock_jump_ms: i64,
+    /// Runners that crash.
+    pub crashes: crash::Crashes,
     /// VMs that will get a new runner, and when.
     moving: Vec<(Duration, String)>,
     next_incarnation: u64,
@@ -199,6 +205,7 @@
             move_time: None,
             advised_runners: Vec::new(),
             clock_jump_ms: 0,
+            crashes: crash::Crashes::default(),
             moving: Vec::new(),
             next_incarnation: 1,
             next_request: 0,
@@ -453,6 +460,7 @@
 
     /// Ends runs whose time is over or whose runner's lease has expired.
     fn advance_runners(&mut self) {
+        self.advance_crashes();
         let (now, run_time, runs_fail) = (self.now, self.run_time, self.runs_fail);
         for runner in self.runners.values_mut() {
             let expired = runner.lease <= now;
@@ -534,7 +542,7 @@
         let is_start = matches!(action, Action::Start(..));
         self.runners
             .get(&**id)
-            .is_some_and(|runner| runner.partitioned || is_start && runner.loses_starts)
+            .is_some_and(|runner| runner.is_unreachable() || is_start && runner.loses_starts)
     }
 
     /// Time after which an order is carried out, if its runner leaves it without an answer.
@@ -712,7 +720,9 @@
         let run = Run { number, millicores, begun: now, endless: step.endless };
         runner.running.insert(start.task, run);
         runner.last_runs.insert(start.task, start.run);
-        if runner.loses_answers {
+        let loses_answers = runner.loses_answers;
+        self.note_start(id, &start.task);
+        if loses_answers {
             return runner::Answer::Unknown("lost".into());
         }
         runner::Answer::Done(clock_ms)
@@ -785,6 +795,10 @@
 }
 
 impl Runner {
+    fn is_unreachable(&self) -> bool {
+        self.partitioned || self.crashed
+    }
+
     fn has_ended(&self, task: &Task) -> bool {
         self.ended.iter().any(|end| end.task == *task && end.exit == Exit::Done)
     }
