Isolate and give up tasks that crash the runners that start them

Cause: a run that ends with its runner was only lost. Losses were counted nowhere, so the attempts of a queue, which count reported failures, never ran out; and what was lost together started together again, so the next crash hit the same innocent tasks and nothing could tell them apart. Class of fault: a retry without bound, whose failure is seen only as a failure of its host.

Change: each task has a history of the crashes on which it was new (src/job/suspicion.rs). A task that had just been started, or was new on two crashed runners, starts only where nothing else is new; up to a third of a service's runners are emptied for that, and the balance counts a VM for each. A job is given up after three crashes, two of them right after a start in isolation on runners that have certainly ended; three if runners crash by themselves lately; or five in any case. A run that lives longer than an earlier one until its crash refutes that crash, and an answer of the same incarnation withdraws it. A start to a runner that restarted meanwhile is no longer sent again.

--- a/src/job/cell/account.rs
+++ b/src/job/cell/account.rs
@@ -235,6 +235,7 @@
 impl Cell {
     /// Takes room on a runner for a task, and charges it to the organisation of its job.
     pub(super) fn take_room(&mut self, runner: &str, task: Task, step: &Step) {
+        let isolated = self.is_suspect(&task);
         let job = self.jobs.get(&task.job);
         let charge = job
             .and_then(|job| job.organisation.clone())
@@ -243,7 +244,7 @@
         if let Some((name, amount)) = &charge {
             self.accounts.charge(name, amount);
         }
-        worker.add(task, step, charge);
+        worker.add(task, step, isolated, charge);
     }
 
     /// Frees the room that a task takes on a runner.
--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -5,14 +5,19 @@
 use {
     super::{Cell, Worker, place::Candidates},
     crate::job::spec::{Resources, Step, Task},
+    std::time::Instant,
 };
 
+/// Number of recent crashes from which on a VM is not used for tasks in isolation while there are others:
+/// it may crash by itself again, and the task would be taken for the cause.
+const FLAPPING: usize = 2;
+
 /// Result of the choice of a runner for a task.
 pub(super) enum Choice {
     /// The task goes to this one.
     Runner(usize),
-    /// The task fits nowhere now; the runner with the most free cores that could ever hold it, if
-    /// there is one, is reserved for it.
+    /// The task fits nowhere now; the runner that will suit it soonest, if any could ever hold it, is
+    /// reserved for it.
     Nowhere(Option<usize>),
 }
 
@@ -20,6 +25,7 @@
     /// Chooses the runner that suits a task best; `zone` is where other tasks of its step are.
     pub(super) fn choose_runner(
         &self,
+        now: Instant,
         task: &Task,
         step: &Step,
         zone: Option<&str>,
@@ -30,15 +36,31 @@
         let failed_on = state.and_then(|state| state.failed_on.as_ref());
         let mut best: Option<(Fit, usize)> = None;
         let mut most_free: Option<(u32, usize)> = None;
+        let mut fewest_new: Option<(usize, usize)> = None;
+        let isolated = self.is_suspect(task);
         for &index in &candidates.runners {
             let Some((id, worker)) = self.workers.get_index(index) else { continue };
             let free = worker.free();
+            if worker.is_isolated_from(task) {
+                continue;
+            }
+            let mut crashes = 0;
+            if isolated {
+                crashes = self.recent_crashes(now, worker);
+                if crashes >= FLAPPING && candidates.fewest_crashes < FLAPPING {
+                    continue;
+                }
+                let new = self.new_tasks_of_others(now, worker, task.job);
+                if new > 0 {
+                    let fewer = fewest_new.is_none_or(|(fewest, _)| new < fewest);
+                    if fewer && worker.room().holds(&need) && may_run_on(worker, step, task) {
+                        fewest_new = Some((new, index));
+                    }
+                    continue;
+                }
+            }
             if !free.holds(&need) {
-                let room = worker
-                    .registration
-                    .as_ref()
-                    .map(|registration| registration.room)
-                    .unwrap_or_default();
+                let room = worker.room();
                 let more = most_free.is_none_or(|(max_free, _)| free.millicores > max_free);
                 if more && room.holds(&need) && may_run_on(worker, step, task) {
                     most_free = Some((free.millicores, index));
@@ -51,13 +73,17 @@
             let other_zone = !step.endless && zone.is_some_and(|zone| worker.zone() != zone);
             let failed = failed_on == Some(id);
             let fit = Fit { failed, other_zone, ..fit(worker, step, free, &need) };
+            let fit = if isolated { fit.in_isolation(worker, task, crashes) } else { fit };
             if best.as_ref().is_none_or(|(other, _)| fit < *other) {
                 best = Some((fit, index));
             }
         }
         match best {
             Some((_, index)) => Choice::Runner(index),
-            None => Choice::Nowhere(most_free.map(|(_, index)| index)),
+            None => {
+                let soonest = fewest_new.map(|(_, index)| index);
+                Choice::Nowhere(soonest.or(most_free.map(|(_, index)| index)))
+            }
         }
     }
 }
@@ -76,6 +102,8 @@
     Fit {
         failed: false,
         far_from_data,
+        recent_crashes: 0,
+        work_at_risk: 0,
         conflicts,
         first_endless,
         other_zone: false,
@@ -90,6 +118,11 @@
     failed: bool,
     /// Whether the task's data is on another rack.
     far_from_data: bool,
+    /// Number of times that its VM has crashed lately, if the task runs in isolation.
+    recent_crashes: usize,
+    /// Twice the number of tasks of other jobs that a crash would take down, if the task runs in
+    /// isolation, and 1 more if none of its own job is there.
+    work_at_risk: usize,
     /// Number of tasks on it that would slow the task, or that the task would slow: fillers beside
     /// tasks with a latency objective.
     conflicts: u32,
@@ -103,6 +136,19 @@
     left_millicores: u32,
 }
 
+impl Fit {
+    /// The same for a task that runs in isolation.
+    fn in_isolation(self, worker: &Worker, task: &Task, recent_crashes: usize) -> Self {
+        let of_others = worker.tasks.keys().filter(|other| other.job != task.job).count();
+        Self {
+            // Tasks of the same job share a runner, so that fewer runners crash if all are at fault.
+            recent_crashes,
+            work_at_risk: 2 * of_others + usize::from(worker.tasks.len() == of_others),
+            ..self
+        }
+    }
+}
+
 /// Whether the label that a step demands and its limit of tasks on one runner allow a task there.
 pub(super) fn may_run_on(worker: &Worker, step: &Step, task: &Task) -> bool {
     if !step.label.is_empty() && !worker.labels().contains(&step.label) {
--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -9,13 +9,17 @@
         Cell, Worker,
         job::{Phase, Placement, Status},
     },
-    crate::job::spec::Task,
+    crate::job::{spec::Task, suspicion},
     log::{info, warn},
     std::time::{Duration, Instant},
 };
 
 /// Time at work on a runner after which a task no longer counts as new there.
-const ESTABLISHED_AFTER: Duration = Duration::from_secs(5);
+const ESTABLISHED_AFTER: Duration = Duration::from_millis(2_500);
+/// Age of a run of which it is not known when it started.
+pub(super) const UNKNOWN_AGE_MS: u32 = ESTABLISHED_AFTER.as_millis() as u32;
+/// Time for which a crash of a VM is remembered.
+const CRASH_MEMORY: Duration = Duration::from_secs(20);
 /// Number of runs that a log line names.
 const MAX_LOGGED: usize = 8;
 
@@ -48,9 +52,11 @@
     pub task: Task,
     /// Number of the run.
     pub run: u32,
-    /// Time from its start until the runner fell silent; zero if the start was not answered.
-    pub age: Duration,
-    /// Whether all other runs on the runner were of the same job, or established.
+    /// Time from its start until the runner fell silent, in milliseconds; 0 if the start was not
+    /// answered.
+    pub age_ms: u32,
+    /// Whether it had certainly begun, and all other runs on the runner were of the same job or
+    /// established.
     pub alone: bool,
 }
 
@@ -105,6 +111,9 @@
             names.join(",")
         );
         self.crash_events.push(Event::Silent);
+        for loss in &losses {
+            self.suspect(now, loss);
+        }
         if let Some(worker) = self.workers.get_mut(runner) {
             worker.losses.extend(losses);
         }
@@ -117,31 +126,61 @@
         let sent = |task: &Task| {
             let state = self.task(task)?;
             let Status::Placed(placement) = &state.status else { return None };
-            let age = placement.time_at_work(silent_since);
-            (placement.phase != Phase::Planned).then_some(Loss {
-                task: *task,
-                run: state.run,
-                age,
-                alone: true,
-            })
+            let age_ms = match placement.phase {
+                Phase::Planned => return None,
+                Phase::Restored => UNKNOWN_AGE_MS,
+                _ => placement.time_at_work(silent_since).as_millis() as u32,
+            };
+            // An unanswered start may have been sent after the runner had ended.
+            let begun = placement.phase == Phase::Running;
+            Some(Loss { task: *task, run: state.run, age_ms, alone: begun })
         };
         let mut losses: Vec<Loss> = worker.tasks.keys().filter(new).filter_map(sent).collect();
         let alone =
             losses.iter().all(|loss| Some(loss.task.job) == losses.first().map(|l| l.task.job));
-        losses.iter_mut().for_each(|loss| loss.alone = alone);
+        losses.iter_mut().for_each(|loss| loss.alone &= alone);
         losses
     }
 
-    /// Handles the certain end of a runner that may have been silent before.
+    /// Handles the certain end of a runner, which may have been silent before.
     pub(super) fn runner_crashed(&mut self, now: Instant, runner: &str) {
         self.record_losses(now, runner);
         let Some(worker) = self.workers.get_mut(runner) else { return };
+        let planned = worker.is_draining() || worker.vm_draining;
+        if !planned {
+            self.crashed_vms.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_MEMORY);
+            self.crashed_vms.push((String::from(worker.vm()), now));
+        }
         let losses = std::mem::take(&mut worker.losses);
+        if !planned && losses.iter().all(|loss| !suspicion::is_prompt(loss.age_ms)) {
+            info!(
+                "crash: runner={runner} vm={} by_itself=true losses={}",
+                worker.vm(),
+                losses.len()
+            );
+            self.alone_crashed_at = Some(now);
+        }
         if losses.is_empty() {
             return;
         }
         info!("crash: runner={runner} vm={} ended=true losses={}", worker.vm(), losses.len());
         self.crash_events.push(Event::Ended);
+        for loss in &losses {
+            self.confirm_suspicion(now, loss);
+        }
+    }
+
+    /// Whether a runner has crashed lately under which nothing was new, and so by itself.
+    pub(super) fn runners_crash_alone(&self, now: Instant) -> bool {
+        let crashed_at = self.alone_crashed_at;
+        crashed_at.is_some_and(|at| now.saturating_duration_since(at) < CRASH_MEMORY)
+    }
+
+    /// Number of times that the VM of a runner has crashed lately.
+    pub(super) fn recent_crashes(&self, now: Instant, worker: &Worker) -> usize {
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_MEMORY;
+        let crashes = self.crashed_vms.iter();
+        crashes.filter(|(vm, at)| vm == worker.vm() && recent(at)).count()
     }
 
     /// Handles an answer of a runner whose runs were taken for lost.
@@ -153,11 +192,14 @@
         }
         info!("crash: runner={runner} vm={} ended=false losses={}", worker.vm(), losses.len());
         self.crash_events.push(Event::Returned);
+        for loss in &losses {
+            self.withdraw_suspicion(loss);
+        }
     }
 }
 
 impl std::fmt::Display for Loss {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}.{}:{}", self.task, self.run, self.age.as_millis())
+        write!(f, "{}.{}:{}", self.task, self.run, self.age_ms)
     }
 }
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -34,17 +34,19 @@
         step: &Step,
         candidates: &mut Candidates,
     ) -> Vec<Task> {
-        let limited =
-            waiting.first().is_some_and(|task| !self.limit_allows(task, step, waiting.len()));
+        let Some(first) = waiting.first() else { return Vec::new() };
+        let limited = !self.limit_allows(first, step, waiting.len());
         if limited || waiting.len() < step.tasks as usize {
             return Vec::new();
         }
-        let Some(runners) = self.assign_members(waiting, step, &candidates.runners) else {
+        let Some(runners) = self.assign_members(now, waiting, step, &candidates.runners) else {
+            if self.is_suspect(first) {
+                self.retry_suspects(now);
+            }
             candidates.unplaceable += 1;
             self.reserve_runners(step, waiting.len(), candidates);
             return Vec::new();
         };
-        let Some(first) = waiting.first() else { return Vec::new() };
         self.align_run_numbers(first);
         for (task, runner) in waiting.iter().zip(runners) {
             self.assign_run(now, *task, step, runner);
@@ -55,6 +57,7 @@
     /// Runner for each member; all on one rack if the step asks for that and a rack has room.
     fn assign_members(
         &self,
+        now: Instant,
         members: &[Task],
         step: &Step,
         runners: &[usize],
@@ -65,17 +68,18 @@
             for rack in racks {
                 let on_rack = |at: &usize| self.worker_at(*at).is_some_and(|w| w.rack() == rack);
                 let runners: Vec<usize> = runners.iter().copied().filter(on_rack).collect();
-                if let Some(found) = self.assign_members_to(members, step, &runners) {
+                if let Some(found) = self.assign_members_to(now, members, step, &runners) {
                     return Some(found);
                 }
             }
         }
-        self.assign_members_to(members, step, runners)
+        self.assign_members_to(now, members, step, runners)
     }
 
     /// Runner for each member among `runners`, filling each one as tightly as possible.
     fn assign_members_to(
         &self,
+        now: Instant,
         members: &[Task],
         step: &Step,
         runners: &[usize],
@@ -85,11 +89,9 @@
         let max_members = if step.per_runner == 0 { usize::MAX } else { step.per_runner as usize };
         let room = |&runner: &usize| {
             let worker = self.worker_at(runner)?;
-            may_run_on(worker, step, first).then(|| Room {
-                runner,
-                free: worker.free(),
-                members: 0,
-            })
+            let allowed =
+                may_run_on(worker, step, first) && self.isolation_allows(now, worker, first);
+            allowed.then(|| Room { runner, free: worker.free(), members: 0 })
         };
         let mut rooms: Vec<Room> = runners.iter().filter_map(room).collect();
         let mut found = Vec::with_capacity(members.len());
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -1,13 +1,15 @@
 //! State of a job, its occurrences and their tasks, as the cell's owner keeps it.
 
 use {
-    super::{RunnerId, occurrence::Occurrence},
+    super::{RunnerId, occurrence::Occurrence, start::MAX_ATTEMPTS},
     crate::job::{
         access,
         ledger::{self, Outcome},
         manifest::Queue,
         spec::{self, Spec, Step, Task},
+        suspicion::History,
     },
+    indexmap::IndexMap,
     std::{
         rc::Rc,
         time::{Duration, Instant},
@@ -64,6 +66,10 @@
     pub failed_run: u32,
     /// Newest checkpoint, or empty.
     pub checkpoint: String,
+    /// Crashes that are held against it.
+    pub history: History,
+    /// When the last of them was recorded, if it is not known whether the runner has ended.
+    pub unproven_since: Option<Instant>,
     /// Runner on which its last run failed.
     pub failed_on: Option<RunnerId>,
     /// Whether a run has succeeded that was taken for lost, so that the later run that is placed
@@ -150,11 +156,16 @@
 
 impl Placement {
     /// Has the next report of the runner, which has restarted, show whether the run exists. A start
-    /// whose answer is outstanding or was lost is resolved as usual.
+    /// whose answer is outstanding or was lost is not sent again, as it may be the cause of the restart.
     pub fn await_report(&mut self, now: Instant) {
-        if matches!(self.phase, Phase::Running | Phase::Stopping | Phase::Stopped) {
-            self.phase = Phase::Restored;
-            self.since = now;
+        self.restored = false;
+        match self.phase {
+            Phase::Running | Phase::Stopping | Phase::Stopped => {
+                self.phase = Phase::Restored;
+                self.since = now;
+            }
+            Phase::Sent | Phase::Unconfirmed => self.attempts = MAX_ATTEMPTS,
+            Phase::Planned | Phase::Restored => {}
         }
     }
 }
@@ -347,6 +358,14 @@
         self.occurrences.iter().all(Occurrence::is_finished)
     }
 
+    /// Crashes that are held against tasks, by the position of the task.
+    fn suspects(&self) -> IndexMap<u32, History> {
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let histories = (0..).zip(steps.flatten().map(|state| &state.history));
+        let suspects = histories.filter(|(_, history)| !history.is_empty());
+        suspects.map(|(position, history)| (position, history.clone())).collect()
+    }
+
     /// Progress as the ledger stores it.
     pub fn progress(&self) -> ledger::Progress {
         let mut runners: Vec<String> = Vec::new();
@@ -373,6 +392,7 @@
         for tasks in self.occurrences.iter().flat_map(|occurrence| &occurrence.steps) {
             steps.push(tasks.iter().map(&mut store).collect());
         }
-        ledger::Progress { outcome: self.outcome, runners, steps, organisation: None }
+        let suspects = self.suspects();
+        ledger::Progress { outcome: self.outcome, runners, steps, organisation: None, suspects }
     }
 }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -36,6 +36,7 @@
 mod run;
 mod start;
 mod submit;
+mod suspect;
 mod vm;
 mod wave;
 mod workers;
@@ -66,6 +67,7 @@
         spec::{self, Step, Task},
         upkeep,
     },
+    crate::id::VmId,
     indexmap::{IndexMap, IndexSet},
     std::{
         collections::VecDeque,
@@ -209,6 +211,14 @@
     forecast: Forecast,
     detector: Detector,
     advisor: Advisor,
+    /// Recent crashes of VMs, and when they were noticed.
+    crashed_vms: Vec<(VmId, Instant)>,
+    /// When a runner last crashed under which nothing was new.
+    alone_crashed_at: Option<Instant>,
+    /// Open jobs with tasks that are suspected of crashing runners.
+    suspects: IndexSet<spec::Id>,
+    /// When placement is due for suspects that wait.
+    suspects_due: Option<Instant>,
     /// What was learned of silent runners and not taken yet.
     crash_events: Vec<CrashEvent>,
     /// Whether something has changed that may let tasks be placed.
@@ -251,6 +261,10 @@
             forecast: Forecast::default(),
             detector: Detector::default(),
             advisor: Advisor::default(),
+            crashed_vms: Vec::new(),
+            alone_crashed_at: None,
+            suspects: IndexSet::new(),
+            suspects_due: None,
             crash_events: Vec::new(),
             place_due: false,
         }
@@ -346,6 +360,7 @@
         self.remove_ended_jobs(now);
         self.open_occurrences(now);
         self.load.decay(now);
+        self.place_due |= self.suspects_are_due(now);
         if self.place_due {
             self.place(now);
         }
--- a/src/job/cell/need.rs
+++ b/src/job/cell/need.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{Cell, Job, occurrence::Occurrence},
-    crate::job::spec::Step,
+    crate::job::{ledger::Outcome, spec::Step},
     indexmap::IndexMap,
     std::time::{Duration, Instant},
 };
@@ -40,10 +40,15 @@
         let cores = self.vm_cores();
         let mut needs: IndexMap<String, Need> = IndexMap::new();
         let mut spread_vms: IndexMap<&str, usize> = IndexMap::new();
-        for job in self.open_jobs() {
+        for id in &self.open {
+            let Some(job) = self.jobs.get(id).filter(|job| job.outcome == Outcome::Open) else {
+                continue;
+            };
+            let alone = if self.suspects.contains(id) { cores } else { 0.0 };
             let need = needs.entry(job.service.to_string()).or_default();
             for (_, occurrence) in job.opened_occurrences() {
-                let ready = ready_cores(job, occurrence, cores);
+                // A suspect takes a VM of its own.
+                let ready = ready_cores(job, occurrence, cores).max(alone);
                 if occurrence.is_late(now) || !job.within_rate {
                     need.late += ready;
                 } else {
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -40,7 +40,7 @@
             }));
         }
         order.sort_unstable();
-        self.promote_large(&mut order);
+        self.promote_starved(&mut order);
         let mut services = self.candidates(now);
         let mut unplaced: IndexSet<spec::Id> = IndexSet::new();
         for (_, id, occurrence) in order {
@@ -72,8 +72,13 @@
             };
             let candidates = match services.get_mut(registration.service.as_str()) {
                 Some(candidates) => candidates,
-                None => services.entry(Rc::from(registration.service.as_str())).or_default(),
+                None => {
+                    let first = Candidates { fewest_crashes: usize::MAX, ..Candidates::default() };
+                    services.entry(Rc::from(registration.service.as_str())).or_insert(first)
+                }
             };
+            let crashes = self.recent_crashes(now, worker);
+            candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
             candidates.largest_room = candidates.largest_room.max(registration.room.millicores);
             if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
                 continue;
@@ -90,20 +95,29 @@
         services
     }
 
-    /// Ranks one late job of each service as timely and started if its tasks need more than half of
-    /// a runner: on a busy pool they would otherwise never find a runner that is empty enough.
-    fn promote_large(&self, order: &mut [(Rank, spec::Id, u32)]) {
-        let mut promoted: IndexSet<Rc<str>> = IndexSet::new();
+    /// Ranks one late job of each service as timely and started if its tasks need more than half of a
+    /// runner, and as many as may run in isolation if they are suspected of crashing runners: on a busy
+    /// pool they would otherwise never find a runner that is empty enough.
+    fn promote_starved(&self, order: &mut [(Rank, spec::Id, u32)]) {
+        let mut large: IndexSet<Rc<str>> = IndexSet::new();
+        let mut isolating = self.isolation_quotas();
         for (rank, id, _) in order.iter_mut().filter(|(rank, ..)| rank.finite && rank.late) {
             let Some(job) = self.jobs.get(id) else { continue };
-            if self.is_large(job) && promoted.insert(Rc::clone(&job.service)) {
+            let promoted = if self.suspects.contains(id) {
+                isolating.get_mut(&job.service).is_some_and(|quota| {
+                    let any = *quota > 0;
+                    *quota = quota.saturating_sub(1);
+                    any
+                })
+            } else {
+                self.is_large(job) && large.insert(Rc::clone(&job.service))
+            };
+            if promoted {
                 rank.late = false;
                 rank.started = Reverse(true);
             }
         }
-        if !promoted.is_empty() {
-            order.sort_unstable();
-        }
+        order.sort_unstable();
     }
 
     /// Whether a task of the job needs more than half of the largest runner of its service.
@@ -133,7 +147,8 @@
                 all_placed &= state.unfinished.get(usize::from(number)) == Some(&0);
                 continue;
             }
-            let waiting = self.waiting_tasks(&first);
+            let mut waiting = self.waiting_tasks(&first);
+            all_placed &= !self.hold_unproven(now, &mut waiting);
             let placed = if self.needs_ticket(job) {
                 self.place_with_tickets(now, &waiting, step, candidates)
             } else {
@@ -160,7 +175,8 @@
             worker.is_some_and(|(id, _)| self.ticket(now, first, id).is_some())
         };
         let runners = candidates.runners.iter().copied().filter(has_ticket).collect();
-        let mut advised = Candidates { runners, ..Candidates::default() };
+        let fewest_crashes = candidates.fewest_crashes;
+        let mut advised = Candidates { runners, fewest_crashes, ..Candidates::default() };
         let placed = self.place_step(now, waiting, step, &mut advised);
         if placed.len() < waiting.len() {
             self.ask_advisor(now, first, step, candidates);
@@ -197,13 +213,16 @@
             if !self.limit_allows(&task, step, 1) {
                 break;
             }
-            match self.choose_runner(&task, step, zone.as_deref(), candidates) {
+            match self.choose_runner(now, &task, step, zone.as_deref(), candidates) {
                 Choice::Runner(runner) => {
                     self.assign_run(now, task, step, runner);
                     placed.push(task);
                     zone = zone.or_else(|| self.zone_of(&task));
                 }
                 Choice::Nowhere(most_free) => {
+                    if self.suspects.contains(&task.job) {
+                        self.retry_suspects(now);
+                    }
                     candidates.unplaceable += 1;
                     candidates.runners.retain(|runner| Some(*runner) != most_free);
                     break;
@@ -287,6 +306,8 @@
     suspected: Vec<usize>,
     /// Whole room of the largest runner, in thousandths of a core.
     largest_room: u32,
+    /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
+    pub(super) fewest_crashes: usize,
     /// Number of tasks and gangs that fitted nowhere.
     pub(super) unplaceable: usize,
 }
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -211,6 +211,7 @@
                 job.store_checkpoint(&row.task, &row.checkpoint);
                 true
             });
+            self.observe_suspect(now, &row.task);
             if !wanted {
                 self.actions.push(Action::Stop(Rc::clone(runner), row.task, row.run));
             } else if !needed {
@@ -235,9 +236,15 @@
             let Some(state) = state else { continue };
             let Status::Placed(placement) = &state.status else { continue };
             let (run, phase, since) = (state.run, placement.phase, placement.since);
+            let placement_restored = placement.restored;
             let runs = listed.get(&task) == Some(&run);
             match phase {
-                Phase::Restored if !runs => self.lose_run(now, &task),
+                Phase::Restored if !runs => {
+                    if placement_restored {
+                        self.suspect_missing(now, task, run);
+                    }
+                    self.lose_run(now, &task);
+                }
                 Phase::Running | Phase::Stopped if !runs && since < sent => {
                     self.lose_run(now, &task)
                 }
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -90,12 +90,15 @@
         job.outcome = progress.outcome;
         job.stored_outcome = progress.outcome;
         let mut placed = Vec::new();
+        let mut positions = 0..;
         let width = job.spec.steps.len().max(1);
         for (number, tasks) in progress.steps.into_iter().enumerate() {
             for (index, stored) in tasks.into_iter().enumerate() {
                 let (occurrence, step) = ((number / width) as u32, (number % width) as u16);
                 let task = Task { job: id, occurrence, step, index: index as u16 };
+                let history = positions.next().and_then(|at: u32| progress.suspects.get(&at));
                 let Some(state) = job.task_mut(&task) else { continue };
+                state.history = history.cloned().unwrap_or_default();
                 state.run = stored.run;
                 state.failures = stored.failures;
                 state.failed_run = stored.failed_run;
@@ -112,6 +115,9 @@
                 job.started |= stored.done || stored.failures > 0;
             }
         }
+        if !progress.suspects.is_empty() && job.outcome == Outcome::Open {
+            self.suspects.insert(id);
+        }
         if job.outcome != Outcome::Open {
             self.open.swap_remove(&id);
             self.waiting.swap_remove(&id);
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -228,12 +228,11 @@
             return self.requeue(task.job);
         }
         info!("fail: job={:016x} task={task} failures={failures}", task.job);
-        self.finish_job(now, task.job, Outcome::Failed);
-        self.effects.push(Effect::StopAll(task.job));
+        self.fail_job(now, task.job);
     }
 
     /// Ends a job with an outcome.
-    fn finish_job(&mut self, now: Instant, id: spec::Id, outcome: Outcome) {
+    pub(super) fn finish_job(&mut self, now: Instant, id: spec::Id, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome = outcome;
         let (ms, due_ms) = (
@@ -245,6 +244,7 @@
             self.accounts.count_completion(name, ms <= due_ms);
         }
         self.waiting.swap_remove(&id);
+        self.suspects.swap_remove(&id);
         self.forget_advice(id);
         self.undo_placements(now, id);
         self.mark_dirty(id);
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -25,7 +25,7 @@
 };
 
 /// Number of times that the start of a run is sent at most.
-const MAX_ATTEMPTS: u32 = 8;
+pub(super) const MAX_ATTEMPTS: u32 = 8;
 /// Quarantine of a runner that has rejected a start because it has no room, is unhealthy or found
 /// the call malformed.
 const REJECTION_QUARANTINE: Duration = Duration::from_millis(1_000);
--- a/src/job/cell/submit.rs
+++ b/src/job/cell/submit.rs
@@ -132,6 +132,7 @@
             info!("cancel: job={id:016x} started={}", job.started);
             job.outcome = Outcome::Cancelled;
             self.waiting.swap_remove(&id);
+            self.suspects.swap_remove(&id);
             self.forget_advice(id);
             self.undo_placements(now, id);
             self.mark_dirty(id);
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -8,7 +8,7 @@
     crate::job::{
         access::Name,
         runner::{EndNumber, Incarnation, Registration},
-        spec::{Resources, Step, Task},
+        spec::{self, Resources, Step, Task},
     },
     indexmap::IndexMap,
     std::{
@@ -41,6 +41,8 @@
     pub objective_tasks: u32,
     /// Number of fillers on it: tasks that use only CPU time that others leave.
     pub fillers: u32,
+    /// Job whose tasks run in isolation on it: no others start there.
+    pub isolated_for: Option<spec::Id>,
     /// CPU share of the fillers, in percent.
     pub pace: u32,
     /// When that share last changed.
@@ -91,24 +93,37 @@
     need: Resources,
     has_objective: bool,
     is_filler: bool,
+    /// Whether the task runs in isolation.
+    isolated: bool,
     /// What is charged to which organisation for it.
     charge: Option<(Name, Amount)>,
 }
 
 impl Worker {
     /// Counts a task as placed on the runner. Its end releases `charge`.
-    pub(super) fn add(&mut self, task: Task, step: &Step, charge: Option<(Name, Amount)>) {
+    pub(super) fn add(
+        &mut self,
+        task: Task,
+        step: &Step,
+        isolated: bool,
+        charge: Option<(Name, Amount)>,
+    ) {
         let (need, is_filler) = (step.reserved(), step.filler);
         let has_objective = !is_filler && !step.latency_target.is_zero();
         self.used = self.used.plus(&need);
         self.objective_tasks += u32::from(has_objective);
         self.fillers += u32::from(is_filler);
-        self.tasks.insert(task, Reservation { need, has_objective, is_filler, charge });
+        if isolated {
+            self.isolated_for = Some(task.job);
+        }
+        let reservation = Reservation { need, has_objective, is_filler, isolated, charge };
+        self.tasks.insert(task, reservation);
     }
 
     /// Frees the room of a task; returns what was charged to which organisation for it.
     pub(super) fn remove(&mut self, now: Instant, task: &Task) -> Option<(Name, Amount)> {
-        let Reservation { need, has_objective, is_filler, charge } =
+        self.end_isolation(task);
+        let Reservation { need, has_objective, is_filler, charge, .. } =
             self.tasks.swap_remove(task)?;
         self.used = self.used.minus(&need);
         self.objective_tasks -= u32::from(has_objective);
@@ -119,6 +134,17 @@
         charge
     }
 
+    /// Ends the isolation of a task on the runner. The runner stays closed to others while further tasks
+    /// run there in isolation.
+    pub(super) fn end_isolation(&mut self, task: &Task) {
+        let Some(reservation) = self.tasks.get_mut(task) else { return };
+        if std::mem::take(&mut reservation.isolated) {
+            let isolated =
+                |(task, other): (&Task, &Reservation)| other.isolated.then_some(task.job);
+            self.isolated_for = self.tasks.iter().find_map(isolated);
+        }
+    }
+
     /// Record of a runner that this owner learns of at `now`; tasks may run on it until
     /// `lease_expiry`.
     pub fn new(registration: Option<Registration>, now: Instant, lease_expiry: Instant) -> Self {
@@ -132,6 +158,7 @@
             tasks: IndexMap::new(),
             objective_tasks: 0,
             fillers: 0,
+            isolated_for: None,
             pace: pace::FULL_SHARE,
             pace_changed: now,
             empty_since: now,
@@ -202,11 +229,19 @@
         self.registration.as_ref().is_some_and(|registration| registration.draining)
     }
 
+    /// Whether tasks of another job run in isolation on it, so that `task` may not start there.
+    pub fn is_isolated_from(&self, task: &Task) -> bool {
+        self.isolated_for.is_some_and(|job| job != task.job)
+    }
+
+    /// Whole room; none if it is not registered.
+    pub fn room(&self) -> Resources {
+        self.registration.as_ref().map(|registration| registration.room).unwrap_or_default()
+    }
+
     /// Free room.
     pub fn free(&self) -> Resources {
-        self.registration
-            .as_ref()
-            .map_or_else(Resources::default, |registration| registration.room.minus(&self.used))
+        self.room().minus(&self.used)
     }
 
     /// Availability zone, or empty if unknown.
@@ -214,6 +249,11 @@
         self.registration.as_ref().map_or("", |registration| &registration.zone)
     }
 
+    /// Service, or empty if unknown.
+    pub fn service(&self) -> &str {
+        self.registration.as_ref().map_or("", |registration| &registration.service)
+    }
+
     /// Its VM, or empty if unknown.
     pub fn vm(&self) -> &str {
         self.registration.as_ref().map_or("", |registration| &registration.vm)
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -6,7 +6,7 @@
 //! run. A new owner therefore finds in the ledger every runner that may run a task.
 
 use {
-    super::{extension, manifest::Manifest, spec, upkeep},
+    super::{extension, manifest::Manifest, spec, suspicion::History, upkeep},
     crate::id::VmId,
     bincode::error::{DecodeError, EncodeError},
     displaydoc::Display,
@@ -106,6 +106,10 @@
     /// record.
     #[serde(skip)]
     pub organisation: Option<String>,
+    /// Crashes that are held against tasks, by the position of the task in all [`Progress::steps`]
+    /// one after the other. They are stored as a second extension.
+    #[serde(skip)]
+    pub suspects: IndexMap<u32, History>,
 }
 
 /// Progress of a task.
@@ -160,7 +164,15 @@
 
 /// Encodes the record of a job's progress.
 pub fn progress(id: spec::Id, content: &Progress) -> Result<Record> {
-    encode_extended(format!("{id:016x}{PROGRESS}"), content, content.organisation.as_ref())
+    let key = format!("{id:016x}{PROGRESS}");
+    if content.suspects.is_empty() {
+        return encode_extended(key, content, content.organisation.as_ref());
+    }
+    let organisation = content.organisation.as_deref().unwrap_or_default();
+    match extension::encode_all(content, &organisation, &content.suspects) {
+        Ok(value) => Ok(Record { key, value }),
+        Err(e) => Err(Error::Encode(key, e)),
+    }
 }
 
 /// Encodes the record of the manifest in force.
@@ -209,8 +221,10 @@
     };
     let id = spec::Id::from_str_radix(name, 16).map_err(|_| bad_key())?;
     if is_progress {
-        let (progress, organisation) = decode_extended(record)?;
-        return Ok(Content::Progress(id, Progress { organisation, ..progress }));
+        let (progress, organisation, suspects) = extension::decode_all(&record.value)
+            .map_err(|e| Error::Decode(record.key.clone(), e))?;
+        let suspects = suspects.unwrap_or_default();
+        return Ok(Content::Progress(id, Progress { organisation, suspects, ..progress }));
     }
     let (accepted, origin) = decode_extended(record)?;
     Ok(Content::Accepted(id, Accepted { origin, ..accepted }))
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -22,6 +22,7 @@
 pub mod runner;
 pub mod settings;
 pub mod spec;
+pub mod suspicion;
 pub mod upkeep;
 
 use {
--- a/tests/job_crash.rs
+++ b/tests/job_crash.rs
@@ -13,7 +13,8 @@
         ledger::Outcome,
         spec::{Step, Task},
     },
-    simulation::{MILLICORES, Simulation, spec, step},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    simulation::{MILLICORES, Runner, Simulation, spec, step},
     std::time::Duration,
 };
 
@@ -78,6 +79,15 @@
     assert_eq!(hit, 0, "{:?}", sim.crashes.company);
 }
 
+#[test]
+fn a_task_that_crashes_every_runner_without_closing_its_connections_is_given_up() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    sim.crashes.silent = true;
+    let jobs = play(&mut sim, 60, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
 #[test]
 fn a_task_of_a_later_step_that_crashes_every_runner_is_given_up() {
     let second = Step { after: vec![0], ..step(3, 900) };
@@ -163,25 +173,34 @@
     }
 }
 
+/// Crashes the runner of a VM.
+fn crash_vm(sim: &mut Simulation, vm: u64) {
+    let on_vm =
+        |(id, runner): (&String, &Runner)| (runner.vm == format!("m{vm}")).then(|| id.clone());
+    let id = sim.runners.iter().find_map(on_vm).unwrap();
+    sim.crash(&id);
+}
+
 #[test]
 fn work_on_runners_that_crash_by_themselves_is_not_given_up() {
-    let mut sim = Simulation::new(6);
-    sim.run_time = seconds(1.5);
-    sim.submit(JOB, spec(vec![Step { endless: true, ..step(5, 700) }]));
-    let jobs = play(&mut sim, 120, |sim, round| {
-        // Two VMs go down and up by turns, the others crash now and then.
-        let vm = if round % 4 == 0 { round / 4 % 2 } else { 2 + round / 8 % 4 };
-        if round % 4 == 0 || round % 8 == 5 {
-            let on_vm = |(id, runner): (&String, _)| {
-                let runner: &simulation::Runner = runner;
-                (runner.vm == format!("m{vm}")).then(|| id.clone())
-            };
-            let id = sim.runners.iter().find_map(on_vm).unwrap();
-            sim.crash(&id);
-        }
-    });
-    assert_eq!(outcome(&sim, JOB), Some(Outcome::Open));
-    assert_others_complete(&sim, jobs);
+    for seed in 0..12 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut sim = Simulation::new(6);
+        sim.run_time = seconds(1.5);
+        sim.submit(JOB, spec(vec![Step { endless: true, ..step(5, 700) }]));
+        let jobs = play(&mut sim, 120, |sim, round| {
+            // Two VMs go down and up by turns, the others crash now and then.
+            sim.run(Duration::from_millis(random.random_range(0..500)));
+            if round % 4 == 0 {
+                crash_vm(sim, round / 4 % 2);
+            }
+            if random.random_bool(0.125) {
+                crash_vm(sim, random.random_range(2..6));
+            }
+        });
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Open), "seed {seed}");
+        assert_others_complete(&sim, jobs);
+    }
 }
 
 #[test]
--- a/tests/simulation/crash.rs
+++ b/tests/simulation/crash.rs
@@ -3,8 +3,8 @@
 //! A crashed runner forgets all that ran on it and answers nothing until it has restarted.
 
 use {
-    super::{Runner, Simulation},
-    carobhitch::job::{cell::Action, spec::Task},
+    super::{Runner, STEP, Simulation},
+    carobhitch::job::{cell::Action, runner::Exit, spec::Task},
     indexmap::{IndexMap, IndexSet},
     std::time::Duration,
 };
@@ -21,6 +21,8 @@
     pub tasks: IndexSet<Task>,
     /// Time that a runner needs to restart.
     pub restart_time: Duration,
+    /// Whether connections to a crashed runner fall silent, where others are closed at once.
+    pub silent: bool,
     /// Whether a restarted runner has the name that it had.
     pub keeps_name: bool,
     /// For each of these tasks, the other tasks on the runners that crashed under it.
@@ -38,6 +40,7 @@
         Self {
             tasks: IndexSet::new(),
             restart_time: Duration::from_millis(3_300),
+            silent: false,
             keeps_name: false,
             company: IndexMap::new(),
             starts_after: IndexMap::new(),
@@ -54,10 +57,12 @@
             return;
         };
         self.done.retain(|task| !runner.has_ended(task));
-        runner.running.clear();
+        let lost: Vec<Task> = runner.running.drain(..).map(|(task, _)| task).collect();
         runner.ended.clear();
         runner.used = 0;
         runner.crashed = true;
+        runner.crashed_at = self.now;
+        self.break_gangs(&lost);
         let back_at = self.now + self.crashes.restart_time;
         self.crashes.restarting.push((back_at, id.into()));
         self.late_orders.retain(|(_, action)| {
@@ -65,6 +70,26 @@
         });
     }
 
+    /// Ends the runs of the other members of the gangs that lost one, as gangs do.
+    fn break_gangs(&mut self, lost: &[Task]) {
+        for task in lost {
+            let step = self.cell.jobs().get(&task.job).and_then(|job| job.step(task));
+            if !step.is_some_and(|step| step.gang) {
+                continue;
+            }
+            for index in 0..step.map_or(0, |step| step.tasks) as u16 {
+                let member = Task { index, ..*task };
+                self.runners.values_mut().for_each(|runner| runner.end(member, Exit::Stopped));
+            }
+        }
+    }
+
+    /// Whether a call to a runner fails at once, as its connection was closed by a crash.
+    pub(super) fn breaks_off(&self, id: &str) -> bool {
+        let just_now = |runner: &Runner| runner.crashed && self.now < runner.crashed_at + 2 * STEP;
+        !self.crashes.silent && self.runners.get(id).is_some_and(just_now)
+    }
+
     /// Number of runners that have crashed under a task.
     pub fn crashes_under(&self, task: &Task) -> usize {
         self.crashes.company.get(task).map_or(0, Vec::len)
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -56,6 +56,8 @@
     pub rack: String,
     /// Whether it has crashed and not restarted yet: calls to it time out.
     pub crashed: bool,
+    /// When it crashed last.
+    pub crashed_at: Duration,
     /// Whether calls to it fail at once.
     pub unresponsive: bool,
     /// Whether calls to it are not carried out and time out after [`TIMEOUT`].
@@ -498,8 +500,8 @@
                 self.unanswered.push((self.now + ORDER_TIMEOUT, action));
                 continue;
             }
-            if self.is_lost(&action) {
-                self.unanswered.push((self.now + TIMEOUT, action));
+            if let Some(timeout) = self.is_lost(&action) {
+                self.unanswered.push((self.now + timeout, action));
                 continue;
             }
             let now = self.instant();
@@ -534,15 +536,19 @@
         }
     }
 
-    /// Whether a call does not reach its runner.
-    fn is_lost(&self, action: &Action) -> bool {
+    /// Time after which a call fails that does not reach its runner.
+    fn is_lost(&self, action: &Action) -> Option<Duration> {
         let (Action::Start(id, ..) | Action::Stop(id, ..) | Action::Poll(id, ..)) = action else {
-            return false;
+            return None;
         };
+        if self.breaks_off(id) {
+            return Some(Duration::ZERO);
+        }
         let is_start = matches!(action, Action::Start(..));
         self.runners
             .get(&**id)
             .is_some_and(|runner| runner.is_unreachable() || is_start && runner.loses_starts)
+            .then_some(TIMEOUT)
     }
 
     /// Time after which an order is carried out, if its runner leaves it without an answer.
