--- a/src/job/cell/suspect.rs
+++ b/src/job/cell/suspect.rs
@@ -37,7 +37,7 @@
     /// Whether the task waits until the cause of its last crash is known.
     fn awaits_proof(&self, now: Instant) -> bool {
         let recent = |at| now.saturating_duration_since(at) < PROOF_TIMEOUT;
-        self.history.is_suspect() && self.unproven_since.is_some_and(recent)
+        self.history.needs_proof() && self.unproven_since.is_some_and(recent)
     }
 }
 
--- a/src/job/suspicion.rs
+++ b/src/job/suspicion.rs
@@ -99,6 +99,12 @@
         prompt || self.crashes.len() >= MIN_SUSPECT_CRASHES
     }
 
+    /// Whether proof of the last crash may decide about the task, so that its next start is worth
+    /// delaying for it.
+    pub fn needs_proof(&self) -> bool {
+        self.crashes.len() >= MIN_SUSPECT_CRASHES
+    }
+
     /// Whether the task is the cause of the crashes. If `runners_crash_alone`, as runners have crashed
     /// lately under which nothing was new, more evidence is needed.
     pub fn is_culprit(&self, runners_crash_alone: bool) -> bool {
