Start nothing on a runner whose room has shrunk below what is placed on it

A start that waited for the ledger, or was sent again after it got no answer, was sent without looking at the room again, so it could exceed a room that had shrunk meanwhile; and a room that had grown let nothing start until something else happened.

--- a/src/job/cell/registration.rs
+++ b/src/job/cell/registration.rs
@@ -52,6 +52,14 @@
                     );
                     self.place_due = true;
                 }
+                let room = registration.room;
+                if worker.registration.is_some() && worker.room() != room {
+                    info!(
+                        "runner: id={id} room={} memory_mib={}",
+                        room.millicores, room.memory_mib
+                    );
+                    self.place_due = true;
+                }
                 let incarnation = registration.incarnation;
                 worker.incarnation = worker.incarnation.or(incarnation);
                 worker.registration = Some(registration);
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -83,6 +83,9 @@
         let (text, checkpoint) = (job.spec.text.clone(), String::from(job.checkpoint(task)));
         let worker =
             self.workers.get_mut(runner).filter(|worker| worker.can_start()).ok_or(gone)?;
+        if !worker.room().holds(&worker.used) {
+            return Err("its runner's room has shrunk");
+        }
         let until_ms = worker.grant_lease(now).ok_or(gone)?;
         let state = job.task_mut(task).ok_or(gone)?;
         let Status::Placed(placement) = &mut state.status else { return Err(gone) };
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -50,6 +50,8 @@
     pub lease: Duration,
     /// Thousandths of a core that its tasks take.
     pub used: u32,
+    /// Thousandths of a core by which its room has shrunk.
+    pub shrunk_by: u32,
     /// Availability zone.
     pub zone: String,
     /// Rack, which is one of its labels.
@@ -236,7 +238,11 @@
             vm: runner.vm.clone(),
             incarnation: Some(runner.incarnation),
             draining: false,
-            room: Resources { millicores: MILLICORES, memory_mib: 64_000, accelerators: 0 },
+            room: Resources {
+                millicores: MILLICORES - runner.shrunk_by,
+                memory_mib: 64_000,
+                accelerators: 0,
+            },
             labels: vec!["a".into(), runner.rack.clone()],
             rack: runner.rack.clone(),
             sequence: 1,
@@ -280,6 +286,13 @@
         self.vms.insert(vm.into(), listed);
     }
 
+    /// Changes by how much the room of a runner has shrunk, and lists that.
+    pub fn shrink(&mut self, id: &str, shrunk_by: u32) {
+        self.runners[id].shrunk_by = shrunk_by;
+        let (now, registration) = (self.instant(), self.registration(id));
+        self.cell.update_registration(now, id, Some(registration));
+    }
+
     /// Adds a VM to the spare pool.
     pub fn add_spare(&mut self, vm: &str) {
         let listed = Vm {
@@ -720,7 +733,8 @@
         // Only the start of a cancelled job can arrive once the job is settled.
         let Some(step) = step else { return runner::Answer::Rejected(Rejection::Late) };
         runner.used += step.reserved().millicores;
-        assert!(runner.used <= MILLICORES, "{id} has no room for {}", start.task);
+        let room = MILLICORES - runner.shrunk_by;
+        assert!(runner.used <= room, "{id} has no room for {}", start.task);
         runner.starts += 1;
         let (number, millicores) = (start.run, step.reserved().millicores);
         let run = Run { number, millicores, begun: now, endless: step.endless };
