Give up a job of the operators' plane that takes down every worker

It is given up as failed after five attempts in a row that were lost like that; an attempt that has run long enough to count as a success of its worker starts the count anew, which a second test checks.

The plane of callers' requests was read for the same: a request is sent to at most three endpoints (request::retry::Limits), and only if it may be repeated, so nothing was changed there.

--- a/src/job/place/lifecycle.rs
+++ b/src/job/place/lifecycle.rs
@@ -18,6 +18,9 @@
 /// controller can have used, so that no operation ID is used twice.
 const ADOPTED_SERIAL: u32 = 1 << 16;
 
+/// Number of attempts of a job that may be lost with their workers, after which it is given up.
+const MAX_LOST_ATTEMPTS: u32 = 5;
+
 impl Scheduler {
     /// Handles the platform's answer to an action; ignores answers to outdated actions.
     pub fn answer(&mut self, now: Instant, action: &Action, answer: Answer) -> Vec<Action> {
@@ -232,6 +235,9 @@
     fn lease_expired(&mut self, now: Instant, slot: u32) {
         self.enter(now, slot, Phase::Expired);
         self.set_preemption(slot, Preemption::Never);
+        if self.give_up_lost(slot) {
+            return;
+        }
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         if !task.repeatable || task.final_outcome.is_some() {
             return;
@@ -323,8 +329,26 @@
         let Some(task) = self.tasks[slot as usize].as_ref() else { return };
         match task.phase {
             Phase::Reserved => self.abandon_reservation(now, slot),
-            _ => self.attempt_stopped(now, slot),
+            Phase::Expired => self.attempt_stopped(now, slot),
+            _ => {
+                self.give_up_lost(slot);
+                self.attempt_stopped(now, slot);
+            }
+        }
+    }
+
+    /// Counts an attempt that was lost with its worker. Gives its job up after [`MAX_LOST_ATTEMPTS`],
+    /// since it may be the cause; returns whether it does.
+    fn give_up_lost(&mut self, slot: u32) -> bool {
+        let Some(task) = self.task_mut(slot).filter(|task| task.final_outcome.is_none()) else {
+            return false;
+        };
+        task.lost_attempts += 1;
+        let given_up = task.repeatable && task.lost_attempts >= MAX_LOST_ATTEMPTS;
+        if given_up {
+            task.final_outcome = Some(Outcome::Failed);
         }
+        given_up
     }
 
     /// Releases a task's worker and quota, or removes it from its queue if it still waits.
--- a/src/job/place/mod.rs
+++ b/src/job/place/mod.rs
@@ -145,6 +145,7 @@
             lease_until: now,
             started: None,
             counted_success: false,
+            lost_attempts: 0,
             due: None,
         };
         let slot = self.insert(task);
--- a/src/job/place/task.rs
+++ b/src/job/place/task.rs
@@ -207,6 +207,9 @@
     pub started: Option<Instant>,
     /// Whether it has been counted as a success of its worker.
     pub counted_success: bool,
+    /// Number of the job's attempts that were lost with their worker, or whose lease expired, since one
+    /// counted as a success.
+    pub lost_attempts: u32,
     /// When its timer expires.
     pub due: Option<Instant>,
 }
--- a/src/job/place/usage.rs
+++ b/src/job/place/usage.rs
@@ -147,6 +147,7 @@
         if task.worker == NONE || std::mem::replace(&mut task.counted_success, true) {
             return;
         }
+        task.lost_attempts = 0;
         let worker = task.worker;
         if self.classifier.record_success(now, worker, &task.job) {
             self.set_status(worker, Status::Healthy);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -329,3 +329,33 @@
     let held: u32 = workers.map(|worker| worker.held.millicores).sum();
     assert!(held <= 16_000, "{held} of 16000 thousandths of a core are held");
 }
+
+#[test]
+fn a_job_that_takes_down_every_worker_is_given_up() {
+    let mut fake = Fake::new(prompt, runs(600));
+    add_workers(&mut fake.scheduler, "pool", 20);
+    fake.submit(&job("deadly", "a", size(1_000, 1), Priority::Normal));
+    for _ in 0..20 {
+        fake.advance(2 * SECOND);
+        let Some(worker) = fake.scheduler.worker_of("deadly").cloned() else { break };
+        fake.kill(&worker);
+    }
+    assert_eq!(fake.starts["deadly"], 5, "workers that it took down");
+    assert_eq!(fake.outcomes["deadly"], Outcome::Failed);
+}
+
+#[test]
+fn a_job_that_had_run_for_a_while_on_each_worker_that_died_is_not_given_up() {
+    let mut fake = Fake::new(prompt, runs(100_000));
+    add_workers(&mut fake.scheduler, "pool", 20);
+    fake.submit(&job("j", "a", size(1_000, 1), Priority::Normal));
+    for _ in 0..10 {
+        for _ in 0..9 {
+            fake.advance(10 * SECOND);
+            fake.report();
+        }
+        let worker = fake.scheduler.worker_of("j").cloned().unwrap();
+        fake.kill(&worker);
+    }
+    assert_eq!(fake.outcomes.get("j"), None);
+}
