Let the stand-in's runners crash, and the soak have a job that crashes them

A runner of the stand-in forgets everything when it starts a task of such a job, is down for 0.8 s and comes back as a later incarnation; the checker reports a task that has crashed more than five. A new test with real processes kills the owner three times while the job goes around: it fails after five crashes at most, and the jobs beside it complete.

--- a/standin/src/job/mod.rs
+++ b/standin/src/job/mod.rs
@@ -14,6 +14,9 @@
     std::sync::{Arc, Mutex},
 };
 
+/// Number of runners that a task may crash.
+const MAX_CRASHES: usize = 5;
+
 /// Records the tasks that the runners start and end, and checks the invariants: a task runs on one
 /// runner at a time, isn't started again once it is done, and fits the runner; and the tasks of an
 /// organisation stay within its limit.
@@ -25,6 +28,7 @@
     running: IndexMap<String, IndexSet<String>>,
     done: IndexSet<String>,
     starts: usize,
+    crashes: IndexMap<String, usize>,
     violations: Vec<String>,
     limit: Option<Limit>,
 }
@@ -79,6 +83,22 @@
         }
     }
 
+    /// Records that a task has crashed the runner that started it. The runner forgets what it ran, and
+    /// what it has `reported` as done without a confirmation.
+    pub fn crashed(&self, task: &str, runner: &str, reported: &[String]) {
+        let mut observed = lock(&self.0);
+        let crashes = observed.crashes.entry(String::from(task)).or_default();
+        *crashes += 1;
+        if *crashes > MAX_CRASHES {
+            let violation = format!("{task} has crashed {crashes} runners");
+            observed.violations.push(violation);
+        }
+        observed.running.values_mut().for_each(|hosts| {
+            hosts.swap_remove(runner);
+        });
+        observed.done.retain(|task| !reported.contains(task));
+    }
+
     /// Records a violated invariant.
     pub fn violation(&self, description: String) {
         lock(&self.0).violations.push(description);
--- a/standin/src/job/runner.rs
+++ b/standin/src/job/runner.rs
@@ -20,6 +20,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum length of the lease.
 const MAX_LEASE_MS: u64 = 6_000;
+/// Time that a crashed runner needs to restart.
+const RESTART_TIME: Duration = Duration::from_millis(800);
+/// Text of a job whose tasks crash the runners that start them.
+pub const CRASH: &str = "crash";
 /// Capacity of a runner in thousandths of a core.
 const MILLICORES: u64 = 16_000;
 
@@ -59,9 +63,23 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     end_count: u64,
     responses_to_lose: u32,
+    /// When the runner will have restarted after its last crash.
+    down_until: Option<Instant>,
+    crash_count: u64,
     sequence: u64,
 }
 
+impl State {
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Incarnation of the runner.
+    fn born(&self) -> u64 {
+        self.crash_count + 1
+    }
+}
+
 impl Runner {
     /// Creates a runner that reports its tasks to `checker`.
     pub fn new(config: Config, checker: Checker) -> Self {
@@ -77,17 +95,21 @@
         })
     }
 
-    /// Writes the runner's registration, with a new sequence number, to the store.
+    /// Writes the runner's registration, with a new sequence number, to the store. A runner that is down
+    /// writes nothing.
     pub fn register(&self, store: &Store, address: SocketAddr) {
-        let sequence = {
+        let (sequence, born) = {
             let mut state = lock(&self.state);
+            if state.is_down() {
+                return;
+            }
             state.sequence += 1;
-            state.sequence
+            (state.sequence, state.born())
         };
         let registration = json!({
             "service": self.config.service, "addr": address.to_string(), "zone": "zone-a",
             "machine": self.config.vm, "version": "v1", "slots": 8, "state": "ready",
-            "coldLeftMs": 0, "born": 1, "seq": sequence, "labels": ["a", "r1-1"],
+            "coldLeftMs": 0, "born": born, "seq": sequence, "labels": ["a", "r1-1"],
             "headroom": { "cpu": MILLICORES, "memMb": 64_000, "gpu": 0 },
         });
         store.put("keyed.servers", &self.config.id, registration.to_string().as_bytes());
@@ -112,6 +134,9 @@
             Ok(body) => body,
             Err(reply) => return reply,
         };
+        if lock(&self.state).is_down() {
+            return Reply::Close;
+        }
         self.end_due_tasks();
         let number = |name: &str| body[name].as_u64().unwrap_or_default();
         let reply = {
@@ -164,6 +189,10 @@
             self.checker.violation(format!("{} has no room for {task}", self.config.id));
         }
         self.checker.started(task, &self.config.id);
+        if body["spec"] == CRASH {
+            self.crash(state, task);
+            return Reply::Close;
+        }
         Reply::json(200, &json!({ "clockMs": clock_ms }))
     }
 
@@ -178,10 +207,26 @@
         Reply::json(200, &json!({ "clockMs": self.clock_ms() }))
     }
 
+    /// Crashes the runner, which forgets everything and is down for a while.
+    fn crash(&self, state: &mut State, task: &str) {
+        let done = state.ended.iter().filter(|(.., how)| *how == "done");
+        let reported: Vec<String> = done.map(|(_, task, ..)| task.clone()).collect();
+        self.checker.crashed(task, &self.config.id, &reported);
+        *state = State {
+            sequence: state.sequence,
+            crash_count: state.crash_count + 1,
+            down_until: Some(Instant::now() + RESTART_TIME),
+            ..State::default()
+        };
+    }
+
     /// Responds once runs have ended after number `seen`, or when the wait is over.
     async fn poll(&self, seen: u64, wait_ms: u64) -> Reply {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
+            if lock(&self.state).is_down() {
+                return Reply::Close;
+            }
             self.end_due_tasks();
             if let Some(reply) = self.report(seen, Instant::now() >= until) {
                 return reply;
@@ -204,7 +249,7 @@
             .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
             .collect();
         let clock_ms = self.clock_ms();
-        let body = json!({ "clockMs": clock_ms, "born": 1, "running": running, "ended": ended });
+        let body = json!({ "clockMs": clock_ms, "born": state.born(), "running": running, "ended": ended });
         Some(Reply::json(200, &body))
     }
 
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -295,3 +295,18 @@
     site.wait_end(0);
     assert!(site.log("front-0").contains("stop: done requests=0"), "{}", site.log("front-0"));
 }
+
+#[test]
+fn a_job_that_crashes_every_runner_fails_although_its_owners_are_killed() {
+    let mut site = Site::start("crash", 3, 4);
+    site.submit_crashing(0x700);
+    for round in 0..3 {
+        site.submit(0x701 + round, 4);
+        sleep(Duration::from_millis(1_200));
+        let owner = site.owner();
+        site.kill(owner);
+        site.launch(owner);
+    }
+    site.wait_failed(0x700);
+    site.wait_complete(0x701..0x704);
+}
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -7,7 +7,7 @@
     carobhitch_standin::{
         job::{
             Checker,
-            runner::{Config, Runner},
+            runner::{self, Config, Runner},
             store::Store,
             vms,
         },
@@ -143,6 +143,13 @@
     ] })
 }
 
+/// Specification of a job whose tasks crash the runners that start them.
+pub fn crashing_job() -> Value {
+    let mut job = job(1);
+    job["spec"] = json!(runner::CRASH);
+    job
+}
+
 impl Site {
     /// Starts the platform, `runners` runners and `entries` entries, and waits until they are ready.
     pub fn start(name: &str, entries: usize, runners: usize) -> Self {
@@ -337,6 +344,23 @@
         });
     }
 
+    /// Submits a job whose tasks crash runners, until it is accepted.
+    pub fn submit_crashing(&self, id: u64) {
+        wait("a job to be accepted", || {
+            let name = format!("{id:016x}");
+            let entries = 0..self.entries.len();
+            let mut answers =
+                entries.filter_map(|entry| self.call(entry, "POST", &name, Some(&crashing_job())));
+            answers.any(|response| response.status == 200)
+        });
+    }
+
+    /// Waits until a job has failed.
+    pub fn wait_failed(&self, id: u64) {
+        wait("a job to have failed", || self.state(id).as_deref() == Some("failed"));
+        assert_eq!(self.checker.violations(), Vec::<String>::new());
+    }
+
     /// State of a job, as the last of the entries that respond reports it.
     pub fn state(&self, id: u64) -> Option<String> {
         let mut states = (0..self.entries.len()).filter_map(|entry| {
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Soak test: random faults on real entry processes. Entries are killed, paused and stopped, the store
-//! is unavailable, loses responses or drops its history, and responses of runners are lost, one after
-//! the other and overlapping. Jobs of two organisations are submitted meanwhile, one of which has a
+//! is unavailable, loses responses or drops its history, responses of runners are lost, and a job crashes
+//! the runners that start it, one after the other and overlapping. Jobs of two organisations are submitted meanwhile, one of which has a
 //! limit and loses a key halfway; the invariants are checked from what the
 //! callers and the runners observe.
 //!
@@ -40,6 +40,8 @@
 const ACME_TASKS: u32 = 5;
 /// Maximum time from the withdrawal of a key until no entry takes it any more.
 const MAX_WITHDRAWAL: Duration = Duration::from_secs(3);
+/// Id of the job that crashes runners, which belongs to `bolt`.
+const CRASHING_JOB: u64 = 0x800;
 /// Id of the first job.
 const FIRST_JOB: u64 = 0x1000;
 
@@ -188,6 +190,7 @@
 
     fn run(&mut self) {
         let until = Instant::now() + FAULT_TIME;
+        self.site.submit_crashing(CRASHING_JOB);
         let mut next_fault = Instant::now();
         let withdrawal = until - FAULT_TIME / 2;
         let mut withdrawn = false;
@@ -218,6 +221,7 @@
             });
         }
         self.site.wait_complete(self.accepted.clone());
+        self.site.wait_failed(CRASHING_JOB);
         self.check_refused();
     }
 
