--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -11,6 +11,7 @@
 //! the batch with the change is stored.
 
 mod account;
+mod action;
 mod admit;
 mod advice;
 mod availability;
@@ -43,6 +44,7 @@
 
 pub use {
     account::{Account, Accounts, Amount, Counts},
+    action::Action,
     admit::Submission,
     advice::Tickets,
     crash::Event as CrashEvent,
@@ -62,7 +64,7 @@
         ledger::{Outcome, Record},
         manifest::{self, Manifest},
         route::Table,
-        runner::{self, Fence, Poll, Start},
+        runner::{self, Fence},
         settings::Bounds,
         spec::{self, Step, Task},
         upkeep,
@@ -92,43 +94,6 @@
 /// runners working.
 pub const RENEWAL_WINDOW: Duration = Duration::from_secs(6);
 
-/// Call or answer that the owner's process sends for the cell.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Answers a caller.
-    Answer(RequestId, Answer),
-    /// Starts a run of a task.
-    Start(RunnerId, Start),
-    /// Stops a run.
-    Stop(RunnerId, Task, u32),
-    /// Sets the CPU share of a run, in percent.
-    Pace(RunnerId, Task, u32, u32),
-    /// Polls a runner: renews its lease, and asks which tasks run and which have ended.
-    Poll(RunnerId, Poll),
-    /// Asks the advisor which of these runners may run a step. The step is named by its first task.
-    AskAdvisor(Task, Vec<RunnerId>),
-    /// Has the platform act on a VM.
-    ChangeVm(upkeep::Action),
-    /// Publishes whether a maintenance wave is complete.
-    ReportWave(upkeep::Number, bool),
-}
-
-impl Action {
-    /// Label under which metrics count the action.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Answer(..) => "answer",
-            Self::Start(..) => "start",
-            Self::Stop(..) => "stop",
-            Self::Pace(..) => "pace",
-            Self::Poll(..) => "look",
-            Self::AskAdvisor(..) => "advise",
-            Self::ChangeVm(_) => "vm",
-            Self::ReportWave(..) => "report",
-        }
-    }
-}
-
 /// Consequence of a change, applied once the ledger has stored the change.
 #[derive(Clone, Debug, PartialEq)]
 enum Effect {
