Try a relayed request that may have run only at the entry that relayed it

An entry now answers a relayed request whose exchange broke off as unknown, and the one that relayed it decides about the next attempt. The new test in tests/engine.rs failed before (3 at each of three entries) and passes.

--- a/src/request/engine/requests.rs
+++ b/src/request/engine/requests.rs
@@ -293,7 +293,11 @@
             failure,
         };
         let budget = &mut self.service(&inflight.request.service).budget;
-        let verdict = if inflight.repeatable {
+        // The entry that relayed a request counts its attempts, and would multiply those made here.
+        let is_final = inflight.relayed && failure == Failure::Lost;
+        let verdict = if is_final {
+            Verdict::Answer(Outcome::Unknown)
+        } else if inflight.repeatable {
             budget.decide(now, &attempt, run_time)
         } else {
             Verdict::Answer(if inflight.may_have_run { Outcome::Unknown } else { Outcome::NotRun })
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -117,6 +117,17 @@
     }
 
     fn arrive(&mut self, id: u64, class: Class, key: Option<&str>) -> Vec<Action> {
+        self.arrive_from(false, id, class, key)
+    }
+
+    /// The same for a request that another entry may have relayed.
+    fn arrive_from(
+        &mut self,
+        relayed: bool,
+        id: u64,
+        class: Class,
+        key: Option<&str>,
+    ) -> Vec<Action> {
         let request = Request {
             service: "quotes".into(),
             team: "team".into(),
@@ -125,7 +136,7 @@
             key: key.map(String::from),
             repeat: false,
         };
-        let (fingerprint, repeatable, relayed) = (7, true, false);
+        let (fingerprint, repeatable) = (7, true);
         self.handle(Event::Arrived { id, request, fingerprint, repeatable, relayed })
     }
 }
@@ -259,3 +270,25 @@
     let actions = harness.read();
     assert!(actions.iter().any(|action| matches!(action, Action::Expelled)), "{actions:?}");
 }
+
+/// Number of endpoints that a request is sent to whose exchange breaks off each time.
+fn broken_exchanges(relayed: bool) -> usize {
+    let mut harness = Harness::joined();
+    let mut actions = harness.arrive_from(relayed, 1, Class::Quick, None);
+    let mut exchanges = 0;
+    while runs(&actions) > 0 {
+        exchanges += 1;
+        let attempt = attempt(&actions);
+        actions = harness.handle(Event::Ended { id: 1, attempt, end: End::Broken });
+        actions.extend(harness.run(Duration::from_millis(50)));
+    }
+    exchanges
+}
+
+#[test]
+fn a_request_that_crashes_its_endpoints_is_sent_to_three_at_most_also_if_entries_relay_it() {
+    let direct = broken_exchanges(false);
+    let by_relay = broken_exchanges(true);
+    assert!((1..=3).contains(&direct), "{direct} without a relay");
+    assert!(by_relay * 3 <= 3, "{by_relay} at each of three entries that it is relayed to");
+}
