Check that a record with crashes is read by both releases

The history of crashes is a second extension of the progress record. The test reads such a record as the former release does, and checks that a record without crashes has not changed by a byte.

--- a/tests/job_ledger.rs
+++ b/tests/job_ledger.rs
@@ -6,7 +6,11 @@
 #![allow(clippy::unwrap_used)]
 
 use {
-    carobhitch::job::ledger::{self, Content, Progress, Record, Task},
+    carobhitch::job::{
+        extension,
+        ledger::{self, Content, Progress, Record, Task},
+        suspicion::History,
+    },
     proptest::prelude::*,
 };
 
@@ -19,6 +23,23 @@
     assert_eq!(ledger::read(&record).unwrap(), Content::Progress(7, progress));
 }
 
+#[test]
+fn the_crashes_of_a_task_are_read_as_they_were_stored_and_ignored_by_a_former_release() {
+    let steps = vec![vec![Task::default()], vec![Task { run: 2, ..Task::default() }]];
+    let plain = Progress { steps, ..Progress::default() };
+    let mut history = History::default();
+    history.add(2, 40);
+    let suspects = [(1, history)].into();
+    let suspected = Progress { suspects, organisation: Some(String::new()), ..plain.clone() };
+    let record = ledger::progress(7, &suspected).unwrap();
+    assert_eq!(ledger::read(&record).unwrap(), Content::Progress(7, suspected));
+    // A former release knows of one extension, the organisation of a settled job.
+    let former: (Progress, Option<String>) = extension::decode(&record.value).unwrap();
+    assert_eq!(former, (plain.clone(), Some(String::new())));
+    let stored = ledger::progress(7, &plain).unwrap().value;
+    assert!(record.value.starts_with(&stored), "without a history nothing is added");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
