Forget suspects that are cleared, and count no VM for them any more

A job is dropped from the suspects once nothing is held against its tasks, and isolation ends with it; the new test of job_crash checks that both runners are used again. The same run is counted once, the queue of jobs is sorted again only if something was promoted, and names say what they mean (spontaneous crashes).

--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -52,17 +52,15 @@
                 }
                 let new = self.new_tasks_of_others(now, worker, task.job);
                 if new > 0 {
-                    let fewer = fewest_new.is_none_or(|(fewest, _)| new < fewest);
-                    if fewer && worker.room().holds(&need) && may_run_on(worker, step, task) {
-                        fewest_new = Some((new, index));
+                    if could_hold(worker, step, task) {
+                        fewest_new = fewest_new.min(Some((new, index))).or(Some((new, index)));
                     }
                     continue;
                 }
             }
             if !free.holds(&need) {
-                let room = worker.room();
                 let more = most_free.is_none_or(|(max_free, _)| free.millicores > max_free);
-                if more && room.holds(&need) && may_run_on(worker, step, task) {
+                if more && could_hold(worker, step, task) {
                     most_free = Some((free.millicores, index));
                 }
                 continue;
@@ -78,12 +76,10 @@
                 best = Some((fit, index));
             }
         }
+        let emptiest = fewest_new.map(|(_, index)| index);
         match best {
             Some((_, index)) => Choice::Runner(index),
-            None => {
-                let soonest = fewest_new.map(|(_, index)| index);
-                Choice::Nowhere(soonest.or(most_free.map(|(_, index)| index)))
-            }
+            None => Choice::Nowhere(emptiest.or(most_free.map(|(_, index)| index))),
         }
     }
 }
@@ -149,6 +145,11 @@
     }
 }
 
+/// Whether a runner has room for a task of a step once others there have ended.
+fn could_hold(worker: &Worker, step: &Step, task: &Task) -> bool {
+    worker.room().holds(&step.reserved()) && may_run_on(worker, step, task)
+}
+
 /// Whether the label that a step demands and its limit of tasks on one runner allow a task there.
 pub(super) fn may_run_on(worker: &Worker, step: &Step, task: &Task) -> bool {
     if !step.label.is_empty() && !worker.labels().contains(&step.label) {
--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -11,7 +11,10 @@
     },
     crate::job::{spec::Task, suspicion},
     log::{info, warn},
-    std::time::{Duration, Instant},
+    std::{
+        fmt,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time at work on a runner after which a task no longer counts as new there.
@@ -158,7 +161,7 @@
                 worker.vm(),
                 losses.len()
             );
-            self.alone_crashed_at = Some(now);
+            self.spontaneous_crash_at = Some(now);
         }
         if losses.is_empty() {
             return;
@@ -171,8 +174,8 @@
     }
 
     /// Whether a runner has crashed lately under which nothing was new, and so by itself.
-    pub(super) fn runners_crash_alone(&self, now: Instant) -> bool {
-        let crashed_at = self.alone_crashed_at;
+    pub(super) fn has_spontaneous_crashes(&self, now: Instant) -> bool {
+        let crashed_at = self.spontaneous_crash_at;
         crashed_at.is_some_and(|at| now.saturating_duration_since(at) < CRASH_MEMORY)
     }
 
@@ -198,8 +201,8 @@
     }
 }
 
-impl std::fmt::Display for Loss {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}:{}", self.task, self.run, self.age_ms)
     }
 }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -179,7 +179,7 @@
     /// Recent crashes of VMs, and when they were noticed.
     crashed_vms: Vec<(VmId, Instant)>,
     /// When a runner last crashed under which nothing was new.
-    alone_crashed_at: Option<Instant>,
+    spontaneous_crash_at: Option<Instant>,
     /// Open jobs with tasks that are suspected of crashing runners.
     suspects: IndexSet<spec::Id>,
     /// When placement is due for suspects that wait.
@@ -227,7 +227,7 @@
             detector: Detector::default(),
             advisor: Advisor::default(),
             crashed_vms: Vec::new(),
-            alone_crashed_at: None,
+            spontaneous_crash_at: None,
             suspects: IndexSet::new(),
             suspects_due: None,
             crash_events: Vec::new(),
--- a/src/job/cell/need.rs
+++ b/src/job/cell/need.rs
@@ -44,7 +44,7 @@
             let Some(job) = self.jobs.get(id).filter(|job| job.outcome == Outcome::Open) else {
                 continue;
             };
-            let alone = if self.suspects.contains(id) { cores } else { 0.0 };
+            let alone = if self.has_suspect(*id) { cores } else { 0.0 };
             let need = needs.entry(job.service.to_string()).or_default();
             for (_, occurrence) in job.opened_occurrences() {
                 // A suspect takes a VM of its own.
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -101,9 +101,10 @@
     fn promote_starved(&self, order: &mut [(Rank, spec::Id, u32)]) {
         let mut large: IndexSet<Rc<str>> = IndexSet::new();
         let mut isolating = self.isolation_quotas();
+        let mut changed = false;
         for (rank, id, _) in order.iter_mut().filter(|(rank, ..)| rank.finite && rank.late) {
             let Some(job) = self.jobs.get(id) else { continue };
-            let promoted = if self.suspects.contains(id) {
+            let promoted = if self.has_suspect(*id) {
                 isolating.get_mut(&job.service).is_some_and(|quota| {
                     let any = *quota > 0;
                     *quota = quota.saturating_sub(1);
@@ -115,9 +116,12 @@
             if promoted {
                 rank.late = false;
                 rank.started = Reverse(true);
+                changed = true;
             }
         }
-        order.sort_unstable();
+        if changed {
+            order.sort_unstable();
+        }
     }
 
     /// Whether a task of the job needs more than half of the largest runner of its service.
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -236,11 +236,11 @@
             let Some(state) = state else { continue };
             let Status::Placed(placement) = &state.status else { continue };
             let (run, phase, since) = (state.run, placement.phase, placement.since);
-            let placement_restored = placement.restored;
+            let inherited = placement.restored;
             let runs = listed.get(&task) == Some(&run);
             match phase {
                 Phase::Restored if !runs => {
-                    if placement_restored {
+                    if inherited {
                         self.suspect_missing(now, task, run);
                     }
                     self.lose_run(now, &task);
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -185,7 +185,9 @@
             let Task { job, occurrence, step, .. } = task;
             info!("step: job={job:016x} occurrence={occurrence} step={step} done=true ms={ms}");
         }
-        if job.is_finished() && job.outcome == Outcome::Open {
+        let finished = job.is_finished() && job.outcome == Outcome::Open;
+        self.forget_suspect(task.job);
+        if finished {
             self.finish_job(now, task.job, Outcome::Complete);
         }
         self.place_due = true;
--- a/src/job/cell/suspect.rs
+++ b/src/job/cell/suspect.rs
@@ -9,7 +9,7 @@
     super::{
         Cell, Effect, Worker,
         crash::{Loss, UNKNOWN_AGE_MS},
-        job::{State, Status},
+        job::{Job, State, Status},
     },
     crate::job::{
         ledger::Outcome,
@@ -96,7 +96,7 @@
         state.unproven_since = None;
         state.history.withdraw(loss.run);
         self.place_due = true;
-        self.mark_dirty(loss.task.job);
+        self.review_suspect(&loss.task);
     }
 
     /// Takes note that a placed run of a suspect is at work, and ends its isolation if that clears it.
@@ -109,27 +109,57 @@
             return;
         };
         let Status::Placed(placement) = &state.status else { return };
-        let (runner, age_ms) = (placement.runner.clone(), placement.time_at_work(now).as_millis());
+        let age_ms = placement.time_at_work(now).as_millis() as u32;
         if established {
             state.history = History::default();
-        } else if !state.history.observe(age_ms as u32) {
+        } else if !state.history.observe(age_ms) {
             return;
         }
-        if !state.history.is_suspect()
-            && let Some(worker) = self.workers.get_mut(&runner)
-        {
-            worker.end_isolation(task);
-        }
+        self.review_suspect(task);
+    }
+
+    /// Ends the isolation of a task against which less is held than before, if it is no suspect now.
+    fn review_suspect(&mut self, task: &Task) {
         self.mark_dirty(task.job);
+        let Some(state) = self.task(task).filter(|state| !state.history.is_suspect()) else {
+            return;
+        };
+        if let Status::Placed(placement) = &state.status {
+            let runner = Rc::clone(&placement.runner);
+            if let Some(worker) = self.workers.get_mut(&runner) {
+                worker.end_isolation(task);
+            }
+        }
+        self.forget_suspect(task.job);
+    }
+
+    /// Drops a job from the suspects once no crash is held against any of its tasks.
+    pub(super) fn forget_suspect(&mut self, id: spec::Id) {
+        let held = |job: &Job| {
+            let mut tasks = job.tasks(id);
+            tasks.any(|(_, state)| !state.is_done() && !state.history.is_empty())
+        };
+        if self.suspects.contains(&id) && !self.jobs.get(&id).is_some_and(held) {
+            self.suspects.swap_remove(&id);
+        }
+    }
+
+    /// Whether a task of a job must run where nothing else is new.
+    pub(super) fn has_suspect(&self, id: spec::Id) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|_| self.suspects.contains(&id)) else {
+            return false;
+        };
+        job.tasks(id).any(|(_, state)| !state.is_done() && state.history.is_suspect())
     }
 
     /// Fails the job of a task that is the cause of crashes.
     fn give_up_culprit(&mut self, now: Instant, task: &Task) {
-        let unsteady = self.runners_crash_alone(now);
+        let spontaneous = self.has_spontaneous_crashes(now);
         let Some(job) = self.jobs.get(&task.job).filter(|job| job.outcome == Outcome::Open) else {
             return;
         };
-        let Some(state) = job.task(task).filter(|state| state.history.is_culprit(unsteady)) else {
+        let Some(state) = job.task(task).filter(|state| state.history.is_culprit(spontaneous))
+        else {
             return;
         };
         let crashes = &state.history.crashes;
--- a/src/job/suspicion.rs
+++ b/src/job/suspicion.rs
@@ -18,7 +18,6 @@
 /// Number of crashes after which a task is taken for their cause in any case: most of them happened
 /// while it ran in isolation.
 const MAX_CRASHES: usize = 5;
-
 /// Time after the start of a run within which a crash points at it. Later, the runner may as well have
 /// crashed by itself.
 const PROMPT_MS: u32 = 500;
@@ -47,7 +46,7 @@
     pub longest_ms: u32,
 }
 
-/// Whether a runner crashed right after the start of a run, which was at that `age_ms`.
+/// Whether a runner that crashed `age_ms` after the start of a run crashed right after it.
 pub fn is_prompt(age_ms: u32) -> bool {
     age_ms <= PROMPT_MS
 }
@@ -58,10 +57,11 @@
         self.crashes.is_empty()
     }
 
-    /// Adds the crash of a runner `age_ms` after the start of a run, unless another run has lived for
-    /// longer than that.
+    /// Adds the crash of a runner `age_ms` after the start of a run, unless it was added before, or
+    /// another run has lived for longer than that.
     pub fn add(&mut self, run: u32, age_ms: u32) {
-        if !self.is_refuted(age_ms) {
+        let known = self.crashes.iter().any(|crash| crash.run == run);
+        if !known && !self.is_refuted(age_ms) {
             self.crashes.push(Crash { run, age_ms, alone: false });
         }
     }
@@ -105,13 +105,13 @@
         self.crashes.len() >= MIN_SUSPECT_CRASHES
     }
 
-    /// Whether the task is the cause of the crashes. If `runners_crash_alone`, as runners have crashed
-    /// lately under which nothing was new, more evidence is needed.
-    pub fn is_culprit(&self, runners_crash_alone: bool) -> bool {
+    /// Whether the task is the cause of the crashes. `spontaneous` says that runners have crashed lately
+    /// under which nothing was new; then more evidence is needed.
+    pub fn is_culprit(&self, spontaneous: bool) -> bool {
         let crashes = self.crashes.len();
         let alone =
             self.crashes.iter().filter(|crash| crash.alone && is_prompt(crash.age_ms)).count();
-        let min_alone = MIN_ALONE + usize::from(runners_crash_alone);
+        let min_alone = MIN_ALONE + usize::from(spontaneous);
         crashes >= MIN_CRASHES && alone >= min_alone || crashes >= MAX_CRASHES
     }
 }
--- a/tests/job_crash.rs
+++ b/tests/job_crash.rs
@@ -217,6 +217,27 @@
     assert_others_complete(&sim, jobs);
 }
 
+#[test]
+fn a_runner_is_open_to_others_again_once_a_suspect_is_established_on_it() {
+    let mut sim = Simulation::new(2);
+    sim.submit(JOB, spec(vec![Step { endless: true, ..step(1, 700) }]));
+    sim.run(seconds(0.2));
+    let host = sim.runs(task(0, 0)).remove(0);
+    sim.crash(&host);
+    sim.run(seconds(3.4));
+    let isolated = |sim: &Simulation| {
+        sim.cell.workers().values().any(|worker| worker.isolated_for == Some(JOB))
+    };
+    assert!(isolated(&sim), "it had just been started on the runner that crashed");
+    sim.run(seconds(3.0));
+    assert!(!isolated(&sim));
+    let wide = spec(vec![step(30, 1_000)]);
+    sim.submit(OTHERS, wide);
+    sim.run(seconds(0.5));
+    let runs = sim.runners.values().map(|runner| runner.running.len()).sum::<usize>();
+    assert_eq!(runs, 31, "both runners are used");
+}
+
 #[test]
 fn several_tasks_that_crash_runners_stop_neither_each_other_nor_the_rest() {
     let mut sim = Simulation::new(10);
