Look crashes of VMs up by name, and only while there are suspects

Cause: each placement pass compared the VM of every runner with a list of recent crashes, also when no task was a suspect, and on busy deployments the list was long, as the end of a runner whose VM moves on right after it has registered counted as a crash. Crashes are kept by VM and looked at only while there are suspects, and only a runner that had answered this owner can have crashed.

--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -149,10 +149,12 @@
     pub(super) fn runner_crashed(&mut self, now: Instant, runner: &str) {
         self.record_losses(now, runner);
         let Some(worker) = self.workers.get_mut(runner) else { return };
-        let planned = worker.is_draining() || worker.vm_draining;
+        // The runner of a VM that moves on may have ended before this owner reached it.
+        let planned = worker.is_draining() || worker.vm_draining || !worker.fence_accepted;
         if !planned {
-            self.crashed_vms.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_MEMORY);
-            self.crashed_vms.push((String::from(worker.vm()), now));
+            let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_MEMORY;
+            self.crashed_vms.retain(|_, times| times.iter().any(recent));
+            self.crashed_vms.entry(String::from(worker.vm())).or_default().push(now);
         }
         let losses = std::mem::take(&mut worker.losses);
         if !planned && losses.iter().all(|loss| !suspicion::is_prompt(loss.age_ms)) {
@@ -182,8 +184,8 @@
     /// Number of times that the VM of a runner has crashed lately.
     pub(super) fn recent_crashes(&self, now: Instant, worker: &Worker) -> usize {
         let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_MEMORY;
-        let crashes = self.crashed_vms.iter();
-        crashes.filter(|(vm, at)| vm == worker.vm() && recent(at)).count()
+        let times = self.crashed_vms.get(worker.vm());
+        times.map_or(0, |times| times.iter().filter(|at| recent(at)).count())
     }
 
     /// Handles an answer of a runner whose runs were taken for lost.
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -177,7 +177,7 @@
     detector: Detector,
     advisor: Advisor,
     /// Recent crashes of VMs, and when they were noticed.
-    crashed_vms: Vec<(VmId, Instant)>,
+    crashed_vms: IndexMap<VmId, Vec<Instant>>,
     /// When a runner last crashed under which nothing was new.
     spontaneous_crash_at: Option<Instant>,
     /// Open jobs with tasks that are suspected of crashing runners.
@@ -226,7 +226,7 @@
             forecast: Forecast::default(),
             detector: Detector::default(),
             advisor: Advisor::default(),
-            crashed_vms: Vec::new(),
+            crashed_vms: IndexMap::new(),
             spontaneous_crash_at: None,
             suspects: IndexSet::new(),
             suspects_due: None,
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -77,8 +77,10 @@
                     services.entry(Rc::from(registration.service.as_str())).or_insert(first)
                 }
             };
-            let crashes = self.recent_crashes(now, worker);
-            candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
+            if !self.suspects.is_empty() {
+                let crashes = self.recent_crashes(now, worker);
+                candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
+            }
             candidates.largest_room = candidates.largest_room.max(registration.room.millicores);
             if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
                 continue;
