--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -137,8 +137,8 @@
     fn in_isolation(self, worker: &Worker, task: &Task, recent_crashes: usize) -> Self {
         let of_others = worker.tasks.keys().filter(|other| other.job != task.job).count();
         Self {
-            // Tasks of the same job share a runner, so that fewer runners crash if all are at fault.
             recent_crashes,
+            // Tasks of the same job share a runner, so that fewer runners crash if all are at fault.
             work_at_risk: 2 * of_others + usize::from(worker.tasks.len() == of_others),
             ..self
         }
