Log and count appends that the store rejects for good

A refusal for the state of the store (408, 429, 5xx) is now told from one that is final. The latter is logged as an error with the largest record, counted as append_rejected, and tried once a second. What is stored and decided is as before.

--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! requests to it over HTTP/2. All parts run on one thread with a single-threaded runtime, because
 //! an entry VM runs only one thread of a process at a time and its memory is scarce.
 
+mod append;
 mod channel;
 mod claimant;
 mod event;
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -6,13 +6,13 @@
 
 use {
     super::{
-        channel::Channel, event::Event, follow, runners::Runners, shared::Shared, store::Store,
-        suspension::Detector, takeover,
+        append, channel::Channel, event::Event, follow, runners::Runners, shared::Shared,
+        store::Store, suspension::Detector, takeover,
     },
     crate::{
         adapter::{
             self,
-            store::{Error, JOBS, Sequence},
+            store::{Error, Sequence},
         },
         job::{
             answer::Answer,
@@ -50,8 +50,6 @@
 pub(super) const LEDGER_UNRESPONSIVE: &str = "the ledger does not answer";
 /// Largest append in bytes; the store's own limit for a call is higher.
 const MAX_APPEND_BYTES: usize = 512 << 10;
-/// Delay before an append is retried.
-const APPEND_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Maximum number of concurrent calls to the advisor, which answers them one after the other.
 const MAX_ADVISOR_CALLS: usize = 2;
 /// Timeout of a call to the advisor, which decides about each runner in turn.
@@ -240,8 +238,8 @@
         let parts = ledger::split(batch.records, MAX_APPEND_BYTES);
         let first = Sequence { epoch: self.epoch, number: self.last_sequence + 1 };
         self.last_sequence += parts.len() as u64;
-        let (store, events) = (Rc::clone(&self.store), self.events.clone());
-        self.tasks.spawn_local(append(store, events, parts, first));
+        let (shared, store) = (Rc::clone(&self.shared), Rc::clone(&self.store));
+        self.tasks.spawn_local(append::run(shared, store, self.events.clone(), parts, first));
     }
 
     fn appended(&mut self, now: Instant, outcome: Result<(), Error>) {
@@ -359,33 +357,3 @@
         log::debug!("owner: a caller disconnected before its answer");
     }
 }
-
-/// Appends the parts of a batch in order. Each is retried as long as the store refuses it or does
-/// not answer.
-async fn append(
-    store: Rc<Store>,
-    events: UnboundedSender<Event>,
-    parts: Vec<Vec<Record>>,
-    first: Sequence,
-) {
-    let mut outcome = Ok(());
-    for (records, number) in parts.iter().zip(first.number..) {
-        outcome = append_part(&store, records, Sequence { number, ..first }).await;
-        if outcome.is_err() {
-            break;
-        }
-    }
-    if events.send(Event::Appended(outcome)).is_err() {
-        log::debug!("owner: dropped the outcome of an append after ownership was lost");
-    }
-}
-
-async fn append_part(store: &Store, records: &[Record], at: Sequence) -> Result<(), Error> {
-    loop {
-        match store.append(JOBS, records, at).await {
-            Ok(_) => return Ok(()),
-            Err(Error::Refused(_) | Error::NoAnswer(_)) => sleep(APPEND_RETRY_DELAY).await,
-            Err(e) => return Err(e),
-        }
-    }
-}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -230,7 +230,7 @@
 }
 
 #[test]
-fn answers_of_the_store_distinguish_fenced_from_refused() {
+fn answers_of_the_store_distinguish_fenced_refused_and_rejected() {
     assert_eq!(store::appended(&reply(200, r#"{"offset":840,"end":842}"#)), Ok(840));
     let fenced = store::appended(&reply(409, r#"{"reason":"fenced"}"#));
     assert_eq!(fenced, Err(store::Error::Fenced));
@@ -238,6 +238,9 @@
     assert_eq!(sequence, Err(store::Error::Sequence(3)));
     assert_eq!(store::appended(&reply(412, r#"{"end":5}"#)), Err(store::Error::Moved));
     assert_eq!(store::appended(&reply(503, "")), Err(store::Error::Refused(503)));
+    assert_eq!(store::appended(&reply(429, "")), Err(store::Error::Refused(429)));
+    assert_eq!(store::appended(&reply(400, "")), Err(store::Error::Rejected(400)));
+    assert_eq!(store::appended(&reply(413, "")), Err(store::Error::Rejected(413)));
     let newest = r#"{"items":[{"key":"a","value":"AQI=","offset":4}],"hasMore":true,"end":6}"#;
     let newest = store::newest_page(&reply(200, newest)).unwrap();
     assert_eq!(newest.records, [Record { key: String::from("a"), value: vec![1, 2] }]);
