Show with a test that a large manifest stops the ledger for good

The stand-in's store accepted records of any size, so no test of ours could see the incident. It now refuses records and appends above the platform's limits with 400, as the users' store does.

--- a/standin/src/job/store.rs
+++ b/standin/src/job/store.rs
@@ -18,6 +18,10 @@
 
 /// Maximum number of open connections.
 const MAX_CONNECTIONS: usize = 1_024;
+/// Largest record in bytes, with the length of its key and the key, unless a test sets another limit.
+const MAX_RECORD_BYTES: usize = 262_144;
+/// Largest total of the records of one append in bytes.
+const MAX_CALL_BYTES: usize = 2_097_152;
 /// Time between two checks for new records while a read waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -25,11 +29,22 @@
 #[derive(Clone, Default)]
 pub struct Store(Arc<Mutex<State>>);
 
-#[derive(Default)]
 struct State {
     topics: IndexMap<String, Topic>,
     outage_until: Option<Instant>,
     responses_to_lose: u32,
+    max_record_bytes: usize,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            topics: IndexMap::new(),
+            outage_until: None,
+            responses_to_lose: 0,
+            max_record_bytes: MAX_RECORD_BYTES,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -77,6 +92,11 @@
         lock(&self.0).responses_to_lose = count;
     }
 
+    /// Sets the size in bytes up to which records are accepted in appends.
+    pub fn limit_records(&self, max_bytes: usize) {
+        lock(&self.0).max_record_bytes = max_bytes;
+    }
+
     /// Removes the records before the oldest that is still the latest of its key, as if their retention
     /// time had passed.
     pub fn drop_history(&self, topic: &str) {
@@ -120,6 +140,11 @@
     fn append(&self, call: &Call) -> Reply {
         let Some(records) = decode_frames(&call.body) else { return Reply::text(400, "frames") };
         let mut state = lock(&self.0);
+        let largest = records.iter().map(Vec::len).max().unwrap_or_default();
+        let bytes: usize = records.iter().map(Vec::len).sum();
+        if largest > state.max_record_bytes || bytes > MAX_CALL_BYTES {
+            return Reply::text(400, "too large");
+        }
         let lose_response = state.responses_to_lose > 0;
         let name = call.param::<String>("topic").unwrap_or_default();
         let topic = state.topics.entry(name).or_default();
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -6,7 +6,7 @@
 
 use {
     carobhitch_standin::job::Limit,
-    site::{Site, job, keyed_manifest, manifest, wait},
+    site::{Site, exchange, job, keyed_manifest, large_manifest, manifest, wait},
     std::{io::Write, net::TcpStream, thread::sleep, time::Duration},
 };
 
@@ -200,6 +200,31 @@
     assert!(site.log(&format!("front-{owner}")).contains("version=7"));
 }
 
+#[test]
+fn a_manifest_larger_than_a_record_of_the_store_holds_up_no_job() {
+    let mut site = Site::start("large", 3, 3);
+    site.store.limit_records(20_000);
+    site.submit(1, 4);
+    let manifest = large_manifest(4, 1_000).to_string();
+    site.store.put("keyed.op", "config", manifest.as_bytes());
+    sleep(Duration::from_secs(1));
+    site.submit(2, 4);
+    site.wait_complete([1, 2]);
+    for entry in 0..3 {
+        site.kill(entry);
+    }
+    site.store.put("keyed.op", "config", b"");
+    for entry in 0..3 {
+        site.launch(entry);
+    }
+    site.wait_ready();
+    let response = exchange(site.entries[0].callers, "GET", "/unused999/", "", None).unwrap();
+    assert_eq!(response.status, 200, "the whole manifest is in force again");
+    site.submit(3, 4);
+    site.wait_complete(1..=3);
+    assert_eq!(site.checker.done(), 12);
+}
+
 #[test]
 fn a_withdrawn_key_stays_refused_after_all_entries_restart_without_a_manifest() {
     let mut site = Site::start("keys", 3, 2);
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -125,6 +125,21 @@
     })
 }
 
+/// The same manifest with `count` further queues that nobody uses.
+pub fn large_manifest(version: u64, count: usize) -> Value {
+    let mut manifest = manifest(version);
+    let queue = |number| {
+        json!({
+            "name": format!("r-unused-{number}"), "host": "desk.example",
+            "pathPrefix": format!("/unused{number}/"), "service": "desk", "attempts": 2,
+            "stretch": 1.6, "sloMs": 600, "priority": 0,
+        })
+    };
+    let queues = manifest["routes"].as_array_mut().expect("queues");
+    queues.extend((0..count).map(queue));
+    manifest
+}
+
 /// The same manifest with the organisations `acme`, which has these keys and may run `tasks` tasks of
 /// [`job`] at once, and `bolt`, which has the key `bolt-1` and no limit.
 pub fn keyed_manifest(version: u64, acme: &[&str], tasks: u32) -> Value {
