Find queues by an index, not by a search of the manifest

A takeover searched the manifest for each job, and each new manifest was searched for each job, which costs jobs times queues.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -13,6 +13,7 @@
         runner::{EndNumber, Incarnation},
         spec::{self, Task},
     },
+    indexmap::IndexMap,
     log::{error, info},
     std::{
         rc::Rc,
@@ -157,17 +158,24 @@
     /// Puts a manifest into force that the ledger has stored, and lets placement go by it.
     fn activate_manifest(&mut self, manifest: Manifest) {
         info!("manifest: version={} before={}", manifest.version, self.manifest.version);
+        self.put_in_force(manifest);
+        let names =
+            self.queues.iter().map(|(name, at)| (name.as_str(), &self.manifest.queues[*at]));
+        let advised = names.filter_map(|(name, queue)| Some((name, queue.advice?.valid)));
+        let advised: IndexMap<&str, Duration> = advised.collect();
         for job in self.jobs.values_mut() {
-            let queue = manifest.queue(&job.queue);
-            job.tickets_valid = queue.and_then(|queue| queue.advice).map(|advice| advice.valid);
+            job.tickets_valid = advised.get(&*job.queue).copied();
         }
-        self.put_in_force(manifest);
         self.place_due = true;
     }
 
     /// Puts a manifest into force that the ledger has stored.
     pub(super) fn put_in_force(&mut self, manifest: Manifest) {
         self.routes = Table::new(&manifest.queues);
+        self.queues.clear();
+        for (at, queue) in manifest.queues.iter().enumerate() {
+            self.queues.entry(queue.name.clone()).or_insert(at);
+        }
         self.gate = Gate::new(manifest.access.as_ref());
         self.accounts.set_terms(manifest.access.as_ref());
         self.newest_version = self.newest_version.max(manifest.version);
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -62,7 +62,7 @@
         access::Gate,
         answer::Answer,
         ledger::{Outcome, Record, fragment::Divider},
-        manifest::{self, Manifest},
+        manifest::{self, Manifest, Queue},
         route::Table,
         runner::{self, Fence},
         settings::Bounds,
@@ -137,6 +137,8 @@
     newest_version: manifest::Version,
     /// Queues of the manifest by host and path.
     routes: Table,
+    /// Positions of the manifest's queues by name.
+    queues: IndexMap<String, usize>,
     /// Keys of the manifest.
     gate: Gate,
     /// Queues and keys of the newest manifest, if the ledger has not stored it yet.
@@ -206,6 +208,7 @@
             next_manifest: None,
             newest_version: 0,
             routes: Table::default(),
+            queues: IndexMap::new(),
             gate: Gate::default(),
             next_access: None,
             records_read_at: None,
@@ -252,6 +255,11 @@
         &self.manifest
     }
 
+    /// Queue of the manifest in force with this name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.manifest.queues.get(*self.queues.get(name)?)
+    }
+
     /// Accounts of the organisations.
     pub fn accounts(&self) -> &Accounts {
         &self.accounts
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -67,9 +67,7 @@
 
     /// Restores an accepted job. If its queue no longer exists, its tasks have one attempt.
     fn restore_job(&mut self, now: Instant, wall_ms: u64, id: spec::Id, accepted: Accepted) {
-        let manifest = Rc::clone(&self.manifest);
-        let named = manifest.queue(&accepted.queue).cloned();
-        let mut queue = named.unwrap_or_else(|| Queue {
+        let mut queue = self.queue(&accepted.queue).cloned().unwrap_or_else(|| Queue {
             name: accepted.queue.clone(),
             attempts: 1,
             ..Queue::default()
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -224,7 +224,7 @@
     /// Retries a task after a failed run, or fails its job if all attempts are used up.
     fn run_failed(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
-        let attempts = self.manifest.queue(&job.queue).map_or(1, |queue| queue.attempts);
+        let attempts = self.queue(&job.queue).map_or(1, |queue| queue.attempts);
         let failures = job.failures(&task);
         if failures < attempts || job.outcome != Outcome::Open {
             return self.requeue(task.job);
--- a/src/job/cell/submit.rs
+++ b/src/job/cell/submit.rs
@@ -32,8 +32,8 @@
             self.answer_when_stored(request, stored || !visible, Some(id), answer);
             return;
         }
-        let manifest = Rc::clone(&self.manifest);
-        let Some(queue) = manifest.queue(&queue) else {
+        let version = self.manifest.version;
+        let Some(queue) = self.queue(&queue).cloned() else {
             self.actions.push(Action::Answer(request, Answer::NoQueue));
             return;
         };
@@ -41,7 +41,7 @@
             organisation.as_ref().is_none_or(|name| self.accounts.is_within_rate(now, name));
         // What is refused counts as well, since it shows that more VMs are needed.
         self.load.record_job(now, &queue.service, &queue.name, &spec);
-        if let Err(refusal) = self.check_overload(now, queue, &spec, within_rate) {
+        if let Err(refusal) = self.check_overload(now, &queue, &spec, within_rate) {
             if let Some(name) = &organisation {
                 self.accounts.count_refusal(name, &refusal);
             }
@@ -55,7 +55,7 @@
         if spec.schedule.is_some() {
             self.scheduled.insert(id);
         }
-        let mut job = Job::new(spec, queue, at_ms, now, Duration::ZERO);
+        let mut job = Job::new(spec, &queue, at_ms, now, Duration::ZERO);
         job.organisation.clone_from(&organisation);
         job.within_rate = within_rate;
         self.jobs.insert(id, job);
@@ -66,7 +66,7 @@
         self.effects.push(Effect::PublishOutcome(id));
         self.effects.push(Effect::Answer(request, Some(id), Answer::Accepted));
         self.place_due = true;
-        let (queue, version) = (&queue.name, manifest.version);
+        let queue = &queue.name;
         match organisation {
             Some(name) => info!(
                 "accept: job={id:016x} queue={queue} version={version} organisation={name} \
--- a/src/job/daemon/request.rs
+++ b/src/job/daemon/request.rs
@@ -117,8 +117,7 @@
             );
             return send(reply, Answer::refused(LEDGER_UNRESPONSIVE, missing));
         }
-        let advised =
-            self.cell.manifest().queue(&queue).is_some_and(|queue| queue.advice.is_some());
+        let advised = self.cell.queue(&queue).is_some_and(|queue| queue.advice.is_some());
         if advised && self.advisor.is_none() {
             info!("refuse: job={id:016x} queue={queue} why=\"the settings name no advisor\"");
             let why = String::from("the job's queue needs an advisor, and the settings name none");
