Reserve no runners for jobs that none can ever hold

What callers see: 16 endless jobs that ask for a label that no runner has, or one gang that is larger than the whole pool or asks for such a label, and no other job of that service starts any more. They stay accepted and queued for ever.

Cause: a pass of placement ends for a service once 16 tasks or gangs fitted nowhere. That bound is for those for which a runner is reserved; tasks that no runner could ever hold counted as well, and endless ones come first in each pass. A gang reserved the emptiest runners without a look at its label, memory and accelerators, and at whether all of them together could hold it.

Only reservations count now. Steps of the same label and size as one that none of the runners could hold are passed over, so a pass doesn't cost more, and without a free runner no job but suspects is tried. A gang reserves runners that could hold members, and none if all of the service together could not hold it. Finite jobs beyond hope come after timely ones as before; refusing such jobs at submission was ruled out, as a pool may get other VMs at any time.

A large task for which a runner is reserved whose endless tasks never leave room is not covered.

--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -43,8 +43,10 @@
             if self.is_suspect(first) {
                 self.retry_suspects(now);
             }
-            candidates.unplaceable += 1;
-            self.reserve_runners(step, waiting.len(), candidates);
+            let reserved = self.runners_for_gang(first, step, waiting.len(), &candidates.runners);
+            if !reserved.is_empty() {
+                candidates.reserve(reserved);
+            }
             return Vec::new();
         };
         self.align_run_numbers(first);
@@ -110,31 +112,35 @@
         self.workers.get_index(index).map(|(_, worker)| worker)
     }
 
-    /// Reserves the runners with the most free cores, as many as a gang needs, by removing them
-    /// from the candidates for tasks behind it.
-    fn reserve_runners(&self, step: &Step, members: usize, candidates: &mut Candidates) {
-        let need = step.reserved();
-        let free = |at: &usize| self.worker_at(*at).map_or(0, |w| w.free().millicores);
-        let mut most_free = candidates.runners.clone();
-        most_free.sort_by_key(|at| Reverse(free(at)));
-        let mut left = members;
-        for at in most_free {
-            if left == 0 {
-                break;
-            }
-            let Some(registration) =
-                self.worker_at(at).and_then(|worker| worker.registration.as_ref())
-            else {
-                continue;
-            };
-            let fits = (registration.room.millicores / need.millicores.max(1)) as usize;
-            let max_members =
-                if step.per_runner == 0 { fits } else { fits.min(step.per_runner as usize) };
-            if max_members > 0 {
-                left = left.saturating_sub(max_members);
-                candidates.runners.retain(|runner| *runner != at);
-            }
+    /// Runners to reserve for a gang: those with the most free cores, as many as it needs. None if all
+    /// runners of the service together could never hold it.
+    fn runners_for_gang(
+        &self,
+        first: &Task,
+        step: &Step,
+        members: usize,
+        runners: &[usize],
+    ) -> Vec<usize> {
+        let service = self.jobs.get(&first.job).map(|job| &*job.service);
+        let of_service = self.workers.values().filter(|worker| Some(worker.service()) == service);
+        let most = of_service.map(|worker| max_members(worker, first, step));
+        if most.fold(0, usize::saturating_add) < members {
+            return Vec::new();
         }
+        let mut able: Vec<(Reverse<u32>, usize, usize)> = Vec::new();
+        for &at in runners {
+            let Some(worker) = self.worker_at(at) else { continue };
+            able.push((Reverse(worker.free().millicores), at, max_members(worker, first, step)));
+        }
+        able.retain(|(.., most)| *most > 0);
+        able.sort_by_key(|(free, ..)| *free);
+        let mut left = members;
+        let needed = able.into_iter().take_while(|(.., most)| {
+            let needs_more = left > 0;
+            left = left.saturating_sub(*most);
+            needs_more
+        });
+        needed.map(|(_, at, _)| at).collect()
     }
 
     /// Gives all members of a task's gang the same run number, so that their next runs agree.
@@ -188,3 +194,12 @@
         (0..).zip(members.into_iter().flatten()).filter_map(placed).collect()
     }
 }
+
+/// Largest number of members of a gang that a runner could hold once its other tasks have ended.
+fn max_members(worker: &Worker, first: &Task, step: &Step) -> usize {
+    if !may_run_on(worker, step, first) {
+        return 0;
+    }
+    let fits = worker.room().count(&step.reserved());
+    if step.per_runner == 0 { fits } else { fits.min(step.per_runner as usize) }
+}
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -14,7 +14,7 @@
         occurrence::Occurrence,
         rank::Rank,
     },
-    crate::job::spec::{self, Step, Task},
+    crate::job::spec::{self, Resources, Step, Task},
     indexmap::{IndexMap, IndexSet},
     log::info,
     std::{cmp::Reverse, rc::Rc, time::Instant},
@@ -47,9 +47,9 @@
             let Some(service) = self.jobs.get(&id).map(|job| Rc::clone(&job.service)) else {
                 continue;
             };
-            let candidates = services
-                .get_mut(&service)
-                .filter(|candidates| candidates.unplaceable < MAX_UNPLACEABLE);
+            let is_suspect = self.suspects.contains(&id);
+            let candidates =
+                services.get_mut(&service).filter(|candidates| candidates.may_hold(is_suspect));
             if !candidates
                 .is_some_and(|candidates| self.place_occurrence(now, id, occurrence, candidates))
             {
@@ -214,7 +214,12 @@
         candidates: &mut Candidates,
     ) -> Vec<Task> {
         let mut placed = Vec::new();
-        let mut zone = waiting.first().and_then(|task| self.zone_of(task));
+        let Some(first) = waiting.first() else { return placed };
+        let comparable = step.per_runner == 0 && !self.suspects.contains(&first.job);
+        if comparable && candidates.is_unfit_for(step) {
+            return placed;
+        }
+        let mut zone = self.zone_of(first);
         for &task in waiting {
             if !self.limit_allows(&task, step, 1) {
                 break;
@@ -229,8 +234,11 @@
                     if self.suspects.contains(&task.job) {
                         self.retry_suspects(now);
                     }
-                    candidates.unplaceable += 1;
-                    candidates.runners.retain(|runner| Some(*runner) != most_free);
+                    match most_free {
+                        Some(runner) => candidates.reserve([runner]),
+                        None if comparable => candidates.mark_unfit_for(step),
+                        None => {}
+                    }
                     break;
                 }
             }
@@ -314,10 +322,36 @@
     largest_room: u32,
     /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
     pub(super) fewest_crashes: usize,
-    /// Number of tasks and gangs that fitted nowhere.
-    pub(super) unplaceable: usize,
+    /// Number of tasks and gangs that fitted nowhere now, and for which runners are reserved.
+    reservations: usize,
+    /// Labels and room of steps that none of the runners could ever hold.
+    unfit: IndexSet<(String, Resources)>,
 }
 
-/// Number of tasks and gangs that fit nowhere after which the other jobs of a service are not tried
-/// in this pass.
-const MAX_UNPLACEABLE: usize = 16;
+/// Number of tasks and gangs with reserved runners from which on the other jobs of a service are not
+/// tried in this pass.
+const MAX_RESERVATIONS: usize = 16;
+
+impl Candidates {
+    /// Whether a further job may be placed on the runners. Suspects are tried in any case, as that has
+    /// them tried again later.
+    fn may_hold(&self, is_suspect: bool) -> bool {
+        self.reservations < MAX_RESERVATIONS && (is_suspect || !self.runners.is_empty())
+    }
+
+    /// Reserves runners for a task or gang that fits nowhere now.
+    pub(super) fn reserve(&mut self, runners: impl IntoIterator<Item = usize>) {
+        self.reservations += 1;
+        let reserved: IndexSet<usize> = runners.into_iter().collect();
+        self.runners.retain(|runner| !reserved.contains(runner));
+    }
+
+    /// Whether a like step is known to fit none of the runners.
+    fn is_unfit_for(&self, step: &Step) -> bool {
+        !self.unfit.is_empty() && self.unfit.contains(&(step.label.clone(), step.reserved()))
+    }
+
+    fn mark_unfit_for(&mut self, step: &Step) {
+        self.unfit.insert((step.label.clone(), step.reserved()));
+    }
+}
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -112,7 +112,7 @@
 }
 
 /// Resources of a runner, or needed on one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
     /// Thousandths of a core.
@@ -131,6 +131,17 @@
             && self.accelerators >= other.accelerators
     }
 
+    /// How many times `need` fits into these resources.
+    pub fn count(&self, need: &Self) -> usize {
+        let dimensions = [
+            (self.millicores, need.millicores),
+            (self.memory_mib, need.memory_mib),
+            (self.accelerators, need.accelerators),
+        ];
+        let fits = dimensions.into_iter().filter_map(|(have, each)| have.checked_div(each));
+        fits.min().unwrap_or(u32::MAX) as usize
+    }
+
     /// Sum of two amounts.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
--- /dev/null
+++ b/tests/job_rejected.rs
@@ -0,0 +1,56 @@
+//! Jobs and calls that can never succeed: they hold up nothing behind them.
+
+#![allow(clippy::unwrap_used)]
+
+mod simulation;
+
+use {
+    carobhitch::job::{
+        answer::Answer,
+        ledger::Outcome,
+        spec::{Spec, Step},
+    },
+    simulation::{MILLICORES, Simulation, spec, step},
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Id of the job that is to complete.
+const JOB: u64 = 500;
+
+/// Endless step that only a runner with a label that none has may run.
+fn unplaceable(tasks: u32) -> Step {
+    Step { endless: true, label: "unknown".into(), ..step(tasks, 1_000) }
+}
+
+fn is_complete(sim: &mut Simulation, id: u64) -> bool {
+    let request = sim.query(id);
+    sim.run(SECOND / 10);
+    sim.answers[&request] == Answer::State { outcome: Outcome::Complete, started: true }
+}
+
+/// Submits jobs to the queue `quotes`, and then one of a single task, and lets time pass.
+fn submit_before(sim: &mut Simulation, before: impl IntoIterator<Item = Spec>) {
+    for (id, spec) in (0..).zip(before) {
+        sim.submit(id, spec);
+    }
+    sim.run(SECOND / 2);
+    sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    sim.run(SECOND * 5);
+}
+
+#[test]
+fn jobs_that_no_runner_can_hold_keep_no_other_job_from_starting() {
+    let mut sim = Simulation::new(3);
+    submit_before(&mut sim, (0..40).map(|_| spec(vec![unplaceable(1)])));
+    assert!(is_complete(&mut sim, JOB));
+}
+
+#[test]
+fn a_gang_that_no_runners_can_hold_reserves_none() {
+    let mut sim = Simulation::new(3);
+    let gang = |step| spec(vec![Step { gang: true, ..step }]);
+    let too_many = Step { endless: true, ..step(4, MILLICORES) };
+    submit_before(&mut sim, [gang(unplaceable(9)), gang(too_many)]);
+    assert!(is_complete(&mut sim, JOB));
+}
