Ask the advisor about other steps when it rejects the calls about one

What callers see: jobs of a queue with an advisor wait for ever, although runners are free, once the advisor rejects every call (status 400) about two or more steps that are placed before theirs.

Cause: a call without tickets paused all calls for 300 ms, whatever the reason, and the next pass asked about the same first steps again.

After such a pause nothing had placement run again until some other event; both pauses now do. The time at which suspects are placed again became the time at which placement is due for that.

The test (20 endless steps that the advisor rejects, then a job of another step) fails on the code before: the job isn't complete after 5 s. With the change it is, and the 20 steps start within 5 s after the advisor answers about them. Calls that time out because a step takes the advisor longer than 4 s are not covered.

--- a/src/job/cell/advice.rs
+++ b/src/job/cell/advice.rs
@@ -8,6 +8,7 @@
 use {
     super::{Action, Cell, RunnerId, place::Candidates},
     crate::job::spec::{self, Step, Task},
+    displaydoc::Display,
     indexmap::{IndexMap, IndexSet},
     log::{info, warn},
     std::{
@@ -25,6 +26,8 @@
 const EXPIRY_MARGIN: Duration = Duration::from_millis(250);
 /// Pause of all calls after one without an answer.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Pause of the calls about a step after the advisor has rejected one.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// The advisor's answer about some runners.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -35,6 +38,15 @@
     pub valid: Option<Duration>,
 }
 
+/// Why the advisor has not answered a call.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum NoAdvice {
+    /// rejected: {0}
+    Rejected(String),
+    /// no answer: {0}
+    Unknown(String),
+}
+
 /// Answers of the advisor by step, where a step is named by its first task.
 #[derive(Clone, Debug, Default)]
 pub struct Advisor {
@@ -54,6 +66,8 @@
     refused: IndexSet<RunnerId>,
     /// When the outstanding call was sent.
     asked_at: Option<Instant>,
+    /// Until when no call is made, as the advisor has rejected one.
+    rejected_until: Option<Instant>,
 }
 
 /// Permission to run a step on a runner.
@@ -97,7 +111,8 @@
         }
         let key = first_task(task);
         let known = self.advisor.steps.get(&key);
-        if known.is_some_and(|known| known.asked_at.is_some()) {
+        let rejected = |known: &Answers| known.rejected_until.is_some_and(|until| now < until);
+        if known.is_some_and(|known| known.asked_at.is_some() || rejected(known)) {
             return;
         }
         let need = step.reserved();
@@ -129,7 +144,7 @@
         now: Instant,
         step: &Task,
         asked: &[RunnerId],
-        answer: Result<Tickets, String>,
+        answer: Result<Tickets, NoAdvice>,
     ) {
         self.advisor.calls = self.advisor.calls.saturating_sub(1);
         self.place_due = true;
@@ -139,9 +154,14 @@
         let tickets = match answer {
             Ok(tickets) => tickets,
             Err(why) => {
-                warn!("advice: step={step} answer=none why={why:?}");
-                self.advisor.paused_until = Some(now + RETRY_DELAY);
-                return;
+                warn!("advice: step={step} answer=none why=\"{why}\"");
+                let until = match why {
+                    NoAdvice::Rejected(_) => {
+                        *known.rejected_until.insert(now + REJECTED_RETRY_DELAY)
+                    }
+                    NoAdvice::Unknown(_) => *self.advisor.paused_until.insert(now + RETRY_DELAY),
+                };
+                return self.retry_placement(until);
             }
         };
         info!("advice: step={step} asked={} good={}", asked.len(), tickets.given.len());
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -12,6 +12,7 @@
         choose::may_run_on,
         job::{State, Status},
         place::Candidates,
+        suspect::SUSPECTS_RETRY_DELAY,
     },
     crate::job::spec::{Resources, Step, Task},
     indexmap::IndexSet,
@@ -41,7 +42,7 @@
         }
         let Some(runners) = self.assign_members(now, waiting, step, &candidates.runners) else {
             if self.is_suspect(first) {
-                self.retry_suspects(now);
+                self.retry_placement(now + SUSPECTS_RETRY_DELAY);
             }
             let reserved = self.runners_for_gang(first, step, waiting.len(), &candidates.runners);
             if !reserved.is_empty() {
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -46,7 +46,7 @@
     account::{Account, Accounts, Amount, Counts},
     action::Action,
     admit::Submission,
-    advice::Tickets,
+    advice::{NoAdvice, Tickets},
     crash::Event as CrashEvent,
     forecast::{Expected, Forecast},
     job::{Job, Phase, Placement, Status},
@@ -182,8 +182,8 @@
     spontaneous_crash_at: Option<Instant>,
     /// Open jobs with tasks that are suspected of crashing runners.
     suspects: IndexSet<spec::Id>,
-    /// When placement is due for suspects that wait.
-    suspects_due: Option<Instant>,
+    /// When placement is due for tasks that wait for a time to pass.
+    retry_placement_at: Option<Instant>,
     /// What was learned of silent runners and not taken yet.
     crash_events: Vec<CrashEvent>,
     /// Whether something has changed that may let tasks be placed.
@@ -229,7 +229,7 @@
             crashed_vms: IndexMap::new(),
             spontaneous_crash_at: None,
             suspects: IndexSet::new(),
-            suspects_due: None,
+            retry_placement_at: None,
             crash_events: Vec::new(),
             place_due: false,
         }
@@ -325,7 +325,7 @@
         self.remove_ended_jobs(now);
         self.open_occurrences(now);
         self.load.decay(now);
-        self.place_due |= self.suspects_are_due(now);
+        self.place_due |= self.retry_placement_at.take_if(|at| *at <= now).is_some();
         if self.place_due {
             self.place(now);
         }
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -13,6 +13,7 @@
         job::{Job, Phase, Placement, State, Status},
         occurrence::Occurrence,
         rank::Rank,
+        suspect::SUSPECTS_RETRY_DELAY,
     },
     crate::job::spec::{self, Resources, Step, Task},
     indexmap::{IndexMap, IndexSet},
@@ -232,7 +233,7 @@
                 }
                 Choice::Nowhere(most_free) => {
                     if self.suspects.contains(&task.job) {
-                        self.retry_suspects(now);
+                        self.retry_placement(now + SUSPECTS_RETRY_DELAY);
                     }
                     match most_free {
                         Some(runner) => candidates.reserve([runner]),
@@ -246,6 +247,12 @@
         placed
     }
 
+    /// Has placement run again at a time from which on more tasks may find a runner.
+    pub(super) fn retry_placement(&mut self, at: Instant) {
+        let earliest = self.retry_placement_at.map_or(at, |other| other.min(at));
+        self.retry_placement_at = Some(earliest);
+    }
+
     fn occurrence(&self, task: &Task) -> Option<&Occurrence> {
         self.jobs.get(&task.job)?.occurrences.get(task.occurrence as usize)
     }
--- a/src/job/cell/suspect.rs
+++ b/src/job/cell/suspect.rs
@@ -29,7 +29,7 @@
 const PROOF_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time after which placement is tried again for suspects.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(super) const SUSPECTS_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Part of a service's runners that are emptied for suspects while other work waits, as a divisor.
 const ISOLATION_DIVISOR: usize = 3;
 
@@ -185,21 +185,11 @@
         waiting.retain(|task| !job.task(task).is_some_and(|state| state.awaits_proof(now)));
         let held = waiting.len() < before;
         if held {
-            self.retry_suspects(now);
+            self.retry_placement(now + SUSPECTS_RETRY_DELAY);
         }
         held
     }
 
-    /// Has placement run again soon, as runners become eligible for suspects by the time alone.
-    pub(super) fn retry_suspects(&mut self, now: Instant) {
-        self.suspects_due.get_or_insert(now + RETRY_DELAY);
-    }
-
-    /// Whether placement is due for suspects; clears that.
-    pub(super) fn suspects_are_due(&mut self, now: Instant) -> bool {
-        self.suspects_due.take_if(|at| *at <= now).is_some()
-    }
-
     /// Number of suspects in each service for which a runner may be emptied now.
     pub(super) fn isolation_quotas(&self) -> IndexMap<Rc<str>, usize> {
         let mut quotas = IndexMap::new();
--- a/src/job/daemon/event.rs
+++ b/src/job/daemon/event.rs
@@ -6,7 +6,7 @@
         adapter::store::Error,
         job::{
             answer::Answer,
-            cell::{RunnerId, Tickets},
+            cell::{NoAdvice, RunnerId, Tickets},
             manifest::Manifest,
             runner::{self, Registration, Report},
             spec::Task,
@@ -29,7 +29,7 @@
     /// acknowledged.
     Polled(RunnerId, u64, runner::Answer<Report>),
     /// The advisor's answer about a step and the runners that it was asked about.
-    Advised(Task, Vec<RunnerId>, Result<Tickets, String>),
+    Advised(Task, Vec<RunnerId>, Result<Tickets, NoAdvice>),
     /// Outcome of the append in progress: the batch is stored, or a newer owner has written.
     Appended(Result<(), Error>),
     /// Registrations of runners that have changed; `None` for a runner that the store no longer
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -16,7 +16,7 @@
         },
         job::{
             answer::Answer,
-            cell::{Action, Cell, RequestId, RunnerId, Tickets},
+            cell::{Action, Cell, NoAdvice, RequestId, RunnerId, Tickets},
             claim::Epoch,
             clock,
             ledger::{self, Record},
@@ -346,9 +346,11 @@
     advisor: &Channel,
     step: &Task,
     runners: &[RunnerId],
-) -> Result<Tickets, String> {
-    let call = adapter::advisor::ask(step, runners).map_err(|e| e.to_string())?;
-    let reply = advisor.call(call, ADVISOR_TIMEOUT).await.map_err(|e| e.to_string())?;
+) -> Result<Tickets, NoAdvice> {
+    let call = adapter::advisor::ask(step, runners);
+    let call = call.map_err(|e| NoAdvice::Rejected(e.to_string()))?;
+    let reply = advisor.call(call, ADVISOR_TIMEOUT).await;
+    let reply = reply.map_err(|e| NoAdvice::Unknown(e.to_string()))?;
     adapter::advisor::tickets(&reply)
 }
 
--- a/tests/job_rejected.rs
+++ b/tests/job_rejected.rs
@@ -7,10 +7,12 @@
 use {
     carobhitch::job::{
         answer::Answer,
+        cell::Action,
         ledger::Outcome,
+        manifest::Advice,
         spec::{Spec, Step},
     },
-    simulation::{MILLICORES, Simulation, spec, step},
+    simulation::{MILLICORES, Simulation, manifest, spec, step},
     std::time::Duration,
 };
 
@@ -23,6 +25,13 @@
     Step { endless: true, label: "unknown".into(), ..step(tasks, 1_000) }
 }
 
+/// Starts of the jobs below [`JOB`].
+fn starts(sim: &Simulation) -> usize {
+    let is_start =
+        |action: &&Action| matches!(action, Action::Start(_, start) if start.task.job < JOB);
+    sim.actions.iter().filter(is_start).count()
+}
+
 fn is_complete(sim: &mut Simulation, id: u64) -> bool {
     let request = sim.query(id);
     sim.run(SECOND / 10);
@@ -54,3 +63,23 @@
     submit_before(&mut sim, [gang(unplaceable(9)), gang(too_many)]);
     assert!(is_complete(&mut sim, JOB));
 }
+
+#[test]
+fn a_step_that_the_advisor_never_answers_about_keeps_no_other_step_from_its_tickets() {
+    let mut sim = Simulation::new(3);
+    let mut manifest = manifest(2);
+    let millis = Duration::from_millis;
+    let advice = Advice { decide: millis(20), each: millis(5), valid: SECOND * 3 };
+    manifest.queues[0].advice = Some(advice);
+    sim.cell.update_manifest(manifest);
+    sim.advised_runners = vec!["r1".into()];
+    sim.malformed_jobs.extend(0..20);
+    sim.run(SECOND / 2);
+    let endless = Step { endless: true, ..step(1, 500) };
+    submit_before(&mut sim, (0..20).map(|_| spec(vec![endless.clone()])));
+    assert!(is_complete(&mut sim, JOB));
+    assert_eq!(starts(&sim), 0);
+    sim.malformed_jobs.clear();
+    sim.run(SECOND * 5);
+    assert_eq!(starts(&sim), 20, "the advisor is asked again after some time");
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -12,7 +12,7 @@
 use {
     carobhitch::job::{
         answer::Answer,
-        cell::{Action, Cell, RunnerId, Submission, Tickets},
+        cell::{Action, Cell, NoAdvice, RunnerId, Submission, Tickets},
         ledger::{self, Content, Record},
         manifest::{Manifest, Queue, Service},
         runner::{self, End, Exit, Poll, Registration, Rejection, Report, Running, Start},
@@ -129,6 +129,8 @@
     pub move_time: Option<Duration>,
     /// Runners for which the advisor gives tickets.
     pub advised_runners: Vec<String>,
+    /// Jobs whose starts every runner finds malformed, and about which the advisor answers nothing.
+    pub malformed_jobs: IndexSet<u64>,
     /// Milliseconds by which the time of day has jumped ahead; negative if it has jumped back.
     pub clock_jump_ms: i64,
     /// Runners that crash.
@@ -208,6 +210,7 @@
             maintained: IndexSet::new(),
             move_time: None,
             advised_runners: Vec::new(),
+            malformed_jobs: IndexSet::new(),
             clock_jump_ms: 0,
             crashes: crash::Crashes::default(),
             moving: Vec::new(),
@@ -540,7 +543,10 @@
                     };
                     let good = asked.iter().filter(may);
                     let ticket = |id: &RunnerId| (id.to_string(), format!("ticket of {step}"));
-                    let answer = Ok(Tickets { given: good.map(ticket).collect(), valid: None });
+                    let answer = match self.malformed_jobs.contains(&step.job) {
+                        true => Err(NoAdvice::Rejected("status 400".into())),
+                        false => Ok(Tickets { given: good.map(ticket).collect(), valid: None }),
+                    };
                     self.cell.advice_answered(now, &step, &asked, answer);
                 }
                 Action::ChangeVm(action) => self.change_vm(&action),
@@ -712,6 +718,9 @@
         if start.fence < runner.fence {
             return runner::Answer::Rejected(Rejection::Fence);
         }
+        if self.malformed_jobs.contains(&start.task.job) {
+            return runner::Answer::Rejected(Rejection::Malformed);
+        }
         runner.fence = start.fence;
         runner.lease = runner.lease.max(Duration::from_millis(start.until_ms));
         if start.until_ms <= clock_ms {
