--- a/tests/job_crash.rs
+++ b/tests/job_crash.rs
@@ -14,7 +14,7 @@
         spec::{Step, Task},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    simulation::{MILLICORES, Runner, Simulation, spec, step},
+    simulation::{MILLICORES, Runner, STEP, Simulation, spec, step},
     std::time::Duration,
 };
 
@@ -148,6 +148,26 @@
     }
 }
 
+#[test]
+fn a_task_that_crashes_its_runner_is_given_up_though_each_owner_that_starts_it_ends() {
+    for delay_steps in [0, 1, 3, 30, 150] {
+        let mut sim = crashing(6, vec![step(6, 900)], 0);
+        let (mut crashes, mut ends_in) = (0, None);
+        for _ in 0..2_000 {
+            if sim.crashes_under(&task(0, 0)) > crashes {
+                crashes += 1;
+                ends_in = Some(delay_steps);
+            }
+            if ends_in == Some(0) {
+                sim.take_over();
+            }
+            ends_in = ends_in.and_then(|steps: u32| steps.checked_sub(1));
+            sim.run(STEP);
+        }
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed), "{delay_steps} steps later");
+    }
+}
+
 #[test]
 fn what_is_known_of_a_crashing_task_outlasts_a_restart_of_all_entries() {
     for down in [1.0, 4.0, 9.0] {
--- a/tests/job_room.rs
+++ b/tests/job_room.rs
@@ -8,7 +8,7 @@
 mod simulation;
 
 use {
-    carobhitch::job::{cell::Action, ledger::Outcome},
+    carobhitch::job::{cell::Action, ledger::Outcome, spec::Step},
     simulation::{MILLICORES, Simulation, spec, step},
     std::time::Duration,
 };
@@ -86,3 +86,35 @@
         assert_eq!(outcome(&sim, JOB + round), Some(Outcome::Complete), "job {round}");
     }
 }
+
+#[test]
+fn a_room_that_shrinks_below_what_runs_stops_nothing_and_is_used_again_once_it_has_grown() {
+    for takes_over in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.submit(JOB, spec(vec![Step { endless: true, ..step(16, 1_000) }]));
+        sim.submit(JOB + 1, spec(vec![step(16, 1_000)]));
+        sim.run(seconds(0.3));
+        for runner in ["r0", "r1"] {
+            sim.shrink(runner, MILLICORES / 2);
+        }
+        sim.submit(JOB + 2, spec(vec![step(30, 2_000)]));
+        sim.run(seconds(0.3));
+        if takes_over {
+            sim.take_over();
+        }
+        sim.run(seconds(2.0));
+        for runner in ["r0", "r1"] {
+            sim.shrink(runner, 0);
+        }
+        sim.run(seconds(0.2));
+        let used: u32 = sim.runners.values().map(|runner| runner.used).sum();
+        assert_eq!(used, 2 * MILLICORES);
+        sim.run(seconds(10.0));
+        for job in [JOB + 1, JOB + 2] {
+            assert_eq!(outcome(&sim, job), Some(Outcome::Complete));
+        }
+        let starts: usize = sim.runners.values().map(|runner| runner.starts).sum();
+        assert_eq!(starts, 16 + 16 + 30, "each task ran once");
+        assert!(!sim.actions.iter().any(|action| matches!(action, Action::Stop(..))));
+    }
+}
