Have a task wait whose start is found malformed, and leave the runners in use

What callers see: one job whose starts the runners reject as malformed (status 400) and no task of any other job of the service starts any more.

Cause: each such rejection took the runner out of use for 1 s, and the task was placed on the next one at once, which takes it out as well. 12 tasks keep three runners out of use for ever, with two records in the ledger for each try. The request is now held to be the cause once a second start of its job is rejected like that: the runner stays in use. The task waits 1 s, then twice as long each time, up to 32 s, and avoids the runner that rejected it last. It isn't counted as a failed run, as it never ran.

Nothing had placement run when a quarantine ended: a task whose only runner was in one waited for some other event. Placement now runs at the end of each quarantine.

Both tests fail on the code before (with and without the change for the end of a quarantine, for the second one).

--- a/src/job/cell/advice.rs
+++ b/src/job/cell/advice.rs
@@ -105,14 +105,15 @@
         step: &Step,
         candidates: &Candidates,
     ) {
-        let paused = self.advisor.paused_until.is_some_and(|until| now < until);
-        if paused || self.advisor.calls >= MAX_CALLS {
-            return;
-        }
         let key = first_task(task);
         let known = self.advisor.steps.get(&key);
-        let rejected = |known: &Answers| known.rejected_until.is_some_and(|until| now < until);
-        if known.is_some_and(|known| known.asked_at.is_some() || rejected(known)) {
+        let rejected_until = known.and_then(|known| known.rejected_until);
+        let until = self.advisor.paused_until.max(rejected_until).filter(|until| *until > now);
+        if let Some(until) = until {
+            return self.retry_placement(until);
+        }
+        let asked = known.is_some_and(|known| known.asked_at.is_some());
+        if asked || self.advisor.calls >= MAX_CALLS {
             return;
         }
         let need = step.reserved();
@@ -155,13 +156,13 @@
             Ok(tickets) => tickets,
             Err(why) => {
                 warn!("advice: step={step} answer=none why=\"{why}\"");
-                let until = match why {
+                match why {
                     NoAdvice::Rejected(_) => {
-                        *known.rejected_until.insert(now + REJECTED_RETRY_DELAY)
+                        known.rejected_until = Some(now + REJECTED_RETRY_DELAY)
                     }
-                    NoAdvice::Unknown(_) => *self.advisor.paused_until.insert(now + RETRY_DELAY),
-                };
-                return self.retry_placement(until);
+                    NoAdvice::Unknown(_) => self.advisor.paused_until = Some(now + RETRY_DELAY),
+                }
+                return;
             }
         };
         info!("advice: step={step} asked={} good={}", asked.len(), tickets.given.len());
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -72,6 +72,8 @@
     pub unproven_since: Option<Instant>,
     /// Runner on which its last run failed.
     pub failed_on: Option<RunnerId>,
+    /// Number of its starts that runners found malformed, and until when it waits for that reason.
+    pub malformed: Option<(u32, Instant)>,
     /// Whether a run has succeeded that was taken for lost, so that the later run that is placed
     /// is no longer needed.
     pub succeeded: bool,
@@ -388,10 +390,8 @@
             },
             checkpoint: state.checkpoint.clone(),
         };
-        let mut steps = Vec::new();
-        for tasks in self.occurrences.iter().flat_map(|occurrence| &occurrence.steps) {
-            steps.push(tasks.iter().map(&mut store).collect());
-        }
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        let steps = steps.map(|tasks| tasks.iter().map(&mut store).collect()).collect();
         let suspects = self.suspects();
         ledger::Progress { outcome: self.outcome, runners, steps, organisation: None, suspects }
     }
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -26,6 +26,7 @@
     /// placements.
     pub(super) fn place(&mut self, now: Instant) {
         self.place_due = false;
+        self.retry_after_quarantines(now);
         let over_share = self.accounts.over_share();
         let mut order: Vec<(Rank, spec::Id, u32)> = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
@@ -156,6 +157,7 @@
             }
             let mut waiting = self.waiting_tasks(&first);
             all_placed &= !self.hold_unproven(now, &mut waiting);
+            all_placed &= !self.hold_malformed(now, &mut waiting);
             let placed = if self.needs_ticket(job) {
                 self.place_with_tickets(now, &waiting, step, candidates)
             } else {
@@ -247,6 +249,14 @@
         placed
     }
 
+    /// Has placement run again when the next quarantine of a runner ends.
+    fn retry_after_quarantines(&mut self, now: Instant) {
+        let ends = self.workers.values().filter_map(|worker| worker.quarantined_until);
+        if let Some(at) = ends.filter(|at| *at > now).min() {
+            self.retry_placement(at);
+        }
+    }
+
     /// Has placement run again at a time from which on more tasks may find a runner.
     pub(super) fn retry_placement(&mut self, at: Instant) {
         let earliest = self.retry_placement_at.map_or(at, |other| other.min(at));
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -29,6 +29,11 @@
 /// Quarantine of a runner that has rejected a start because it has no room, is unhealthy or found
 /// the call malformed.
 const REJECTION_QUARANTINE: Duration = Duration::from_millis(1_000);
+/// Time for which a task waits after its first start that a runner found malformed. It doubles with each
+/// further one.
+const MALFORMED_DELAY: Duration = Duration::from_millis(1_000);
+/// Number of times that it doubles at most.
+const MAX_DOUBLINGS: u32 = 5;
 
 impl Cell {
     /// Sends the start of a run whose placement the ledger has stored, unless the run or its runner
@@ -123,6 +128,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.started = true;
         let Some(state) = job.task_mut(&task) else { return };
+        state.malformed = None;
         if let Some(placement) = placement_in(state, run, runner, Phase::Sent) {
             placement.phase = Phase::Running;
             placement.since = now;
@@ -143,11 +149,8 @@
             Rejection::Fence => self.superseded = true,
             Rejection::Instance => self.runner_replaced(now, runner),
             Rejection::Ticket => self.drop_ticket(&task, runner),
-            Rejection::Room | Rejection::Unhealthy | Rejection::Malformed => {
-                if let Some(worker) = self.workers.get_mut(runner) {
-                    worker.quarantined_until = Some(now + REJECTION_QUARANTINE);
-                }
-            }
+            Rejection::Room | Rejection::Unhealthy => self.quarantine(now, runner),
+            Rejection::Malformed => self.start_malformed(now, runner, &task),
             Rejection::Late | Rejection::Old => {}
         }
         let Some(state) = self.task_mut(&task) else { return };
@@ -166,6 +169,41 @@
         }
     }
 
+    fn quarantine(&mut self, now: Instant, runner: &RunnerId) {
+        if let Some(worker) = self.workers.get_mut(runner) {
+            worker.quarantined_until = Some(now + REJECTION_QUARANTINE);
+        }
+    }
+
+    /// Handles a start that a runner found malformed. Either may be the cause: the runner is quarantined
+    /// unless another start of the job was found malformed before, and the task waits ever longer.
+    fn start_malformed(&mut self, now: Instant, runner: &RunnerId, task: &Task) {
+        let job = self.jobs.get(&task.job);
+        let is_first =
+            job.is_some_and(|job| job.tasks(task.job).all(|(_, state)| state.malformed.is_none()));
+        if is_first {
+            self.quarantine(now, runner);
+        }
+        let Some(state) = self.task_mut(task) else { return };
+        let count = state.malformed.map_or(0, |(count, _)| count);
+        let until = now + MALFORMED_DELAY * (1 << count.min(MAX_DOUBLINGS));
+        state.malformed = Some((count + 1, until));
+        state.failed_on = Some(Rc::clone(runner));
+    }
+
+    /// Drops the tasks of a step that wait after a malformed start from `waiting`; returns whether there
+    /// were any.
+    pub(super) fn hold_malformed(&mut self, now: Instant, waiting: &mut Vec<Task>) -> bool {
+        let held_until = |task: &Task| {
+            let until = self.task(task)?.malformed.map(|(_, until)| until);
+            until.filter(|until| *until > now)
+        };
+        let Some(at) = waiting.iter().filter_map(held_until).min() else { return false };
+        waiting.retain(|task| held_until(task).is_none());
+        self.retry_placement(at);
+        true
+    }
+
     /// Handles a start without an answer: the run may exist, which the next report will show.
     fn start_unanswered(
         &mut self,
--- a/tests/job_rejected.rs
+++ b/tests/job_rejected.rs
@@ -10,6 +10,7 @@
         cell::Action,
         ledger::Outcome,
         manifest::Advice,
+        runner::{self, Rejection},
         spec::{Spec, Step},
     },
     simulation::{MILLICORES, Simulation, manifest, spec, step},
@@ -83,3 +84,35 @@
     sim.run(SECOND * 5);
     assert_eq!(starts(&sim), 20, "the advisor is asked again after some time");
 }
+
+#[test]
+fn a_start_that_is_found_malformed_takes_no_runner_out_of_use() {
+    let mut sim = Simulation::new(3);
+    sim.malformed_jobs.insert(0);
+    let endless = Step { endless: true, ..step(12, 1_000) };
+    submit_before(&mut sim, [spec(vec![endless])]);
+    assert!(is_complete(&mut sim, JOB));
+    let before = starts(&sim);
+    sim.run(SECOND * 20);
+    let again = starts(&sim) - before;
+    assert!((1..=12 * 20).contains(&again), "it is tried again now and then, {again} times");
+}
+
+#[test]
+fn a_task_that_the_only_runner_rejects_starts_there_after_its_quarantine() {
+    let mut sim = Simulation::new(1);
+    sim.submit(JOB, spec(vec![step(1, 1_000)]));
+    sim.commit();
+    sim.runners["r0"].loses_starts = true;
+    sim.run(SECOND / 10);
+    let start = sim.unanswered.iter().find_map(|(_, action)| match action {
+        Action::Start(id, start) => Some((id.clone(), start.task, start.run)),
+        _ => None,
+    });
+    let ((id, task, run), now) = (start.unwrap(), sim.instant());
+    sim.cell.start_answered(now, &id, task, run, runner::Answer::Rejected(Rejection::Room));
+    sim.runners["r0"].loses_starts = false;
+    sim.unanswered.retain(|(_, action)| !matches!(action, Action::Start(..)));
+    sim.run(SECOND * 4);
+    assert!(is_complete(&mut sim, JOB));
+}
