Let the manifest grow beyond a record of the store in the soak

During a seed the manifest now grows to 600 to 1,500 further queues and shrinks again, at intervals of 0.1 to 1.2 s and overlapping with the other faults, and for two changes of three the owner is killed before or just after it. At the end just the queues of the newest manifest must be served. The random numbers for this are apart from those of the faults. The store limits records to 20,000 bytes, and from now on all records of an append to 60,000.

--- a/standin/src/job/store.rs
+++ b/standin/src/job/store.rs
@@ -20,7 +20,7 @@
 const MAX_CONNECTIONS: usize = 1_024;
 /// Largest record in bytes, with the length of its key and the key, unless a test sets another limit.
 const MAX_RECORD_BYTES: usize = 262_144;
-/// Largest total of the records of one append in bytes.
+/// Largest total of the records of one append in bytes, unless a test sets another limit.
 const MAX_CALL_BYTES: usize = 2_097_152;
 /// Time between two checks for new records while a read waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -34,6 +34,7 @@
     outage_until: Option<Instant>,
     responses_to_lose: u32,
     max_record_bytes: usize,
+    max_call_bytes: usize,
 }
 
 impl Default for State {
@@ -43,6 +44,7 @@
             outage_until: None,
             responses_to_lose: 0,
             max_record_bytes: MAX_RECORD_BYTES,
+            max_call_bytes: MAX_CALL_BYTES,
         }
     }
 }
@@ -97,6 +99,11 @@
         lock(&self.0).max_record_bytes = max_bytes;
     }
 
+    /// Sets the total in bytes up to which the records of one append are accepted.
+    pub fn limit_calls(&self, max_bytes: usize) {
+        lock(&self.0).max_call_bytes = max_bytes;
+    }
+
     /// Removes the records before the oldest that is still the latest of its key, as if their retention
     /// time had passed.
     pub fn drop_history(&self, topic: &str) {
@@ -142,7 +149,7 @@
         let mut state = lock(&self.0);
         let largest = records.iter().map(Vec::len).max().unwrap_or_default();
         let bytes: usize = records.iter().map(Vec::len).sum();
-        if largest > state.max_record_bytes || bytes > MAX_CALL_BYTES {
+        if largest > state.max_record_bytes || bytes > state.max_call_bytes {
             return Reply::text(400, "too large");
         }
         let lose_response = state.responses_to_lose > 0;
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -33,6 +33,8 @@
 const TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest record that the store accepts, in bytes.
 const MAX_RECORD_BYTES: usize = 20_000;
+/// Largest total of the records in one append to the store, in bytes.
+const MAX_CALL_BYTES: usize = 60_000;
 /// Time between two checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Time between two registrations of a runner.
@@ -130,6 +132,12 @@
 /// The same manifest with `count` further queues that nobody uses.
 pub fn large_manifest(version: u64, count: usize) -> Value {
     let mut manifest = manifest(version);
+    grow(&mut manifest, count);
+    manifest
+}
+
+/// Adds `count` queues that nobody uses to a manifest.
+pub fn grow(manifest: &mut Value, count: usize) {
     let queue = |number| {
         json!({
             "name": format!("r-unused-{number}"), "host": "desk.example",
@@ -139,7 +147,6 @@
     };
     let queues = manifest["routes"].as_array_mut().expect("queues");
     queues.extend((0..count).map(queue));
-    manifest
 }
 
 /// The same manifest with the organisations `acme`, which has these keys and may run `tasks` tasks of
@@ -172,6 +179,7 @@
     pub fn start(name: &str, entries: usize, runners: usize) -> Self {
         let (store, checker) = (Store::default(), Checker::default());
         store.limit_records(MAX_RECORD_BYTES);
+        store.limit_calls(MAX_CALL_BYTES);
         let store_handle = store.serve(local(0)).expect("start the store");
         let fleet = vms::serve(local(0)).expect("start the list of VMs");
         store.put("keyed.op", "config", manifest(3).to_string().as_bytes());
@@ -245,7 +253,7 @@
         let settings = format!(
             "node={name}\nzone=zone-a\nip=127.0.0.1\nlisten.front={callers}\nlisten.ready={ready}\n\
              portRange={peers},{metrics}\nplatform.addr={store}\ncloud.addr={fleet}\n\
-             platform.recordBytes={MAX_RECORD_BYTES}\nlater=1\n",
+             platform.recordBytes={MAX_RECORD_BYTES}\nplatform.callBytes={MAX_CALL_BYTES}\nlater=1\n",
             name = entry.name,
             callers = entry.callers,
             ready = entry.ready,
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -1,8 +1,9 @@
 //! Soak test: random faults on real entry processes. Entries are killed, paused and stopped, the store
 //! is unavailable, loses responses or drops its history, responses of runners are lost, and a job crashes
-//! the runners that start it, one after the other and overlapping. Jobs of two organisations are submitted meanwhile, one of which has a
-//! limit and loses a key halfway; the invariants are checked from what the
-//! callers and the runners observe.
+//! the runners that start it, one after the other and overlapping. The operators' manifest grows beyond
+//! what the store accepts as a record and shrinks again several times, and the owner is killed about then.
+//! Jobs of two organisations are submitted meanwhile, one of which has a limit and loses a key halfway; the
+//! invariants are checked from what the callers and the runners observe.
 //!
 //! `CAROBHITCH_SOAK_SEEDS=100..150` runs these seeds instead of the few that CI runs.
 
@@ -14,7 +15,7 @@
     carobhitch_standin::job::Limit,
     indexmap::IndexSet,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    site::{Site, job, keyed_manifest, wait},
+    site::{Site, exchange, grow, job, keyed_manifest, wait},
     std::{
         env,
         ops::Range,
@@ -36,6 +37,12 @@
 const MIN_JOBS: usize = 11;
 /// Maximum time until that many are, however slow the VM.
 const MAX_FAULT_TIME: Duration = Duration::from_secs(40);
+/// Maximum time between two changes of the manifest.
+const MAX_CHANGE_INTERVAL_MS: u64 = 1_200;
+/// Number of further queues of a large manifest, whose copy in the ledger is then larger than a record.
+const LARGE: Range<usize> = 600..1_500;
+/// Version of the first manifest with organisations.
+const FIRST_VERSION: u64 = 4;
 /// Maximum time between two faults.
 const MAX_FAULT_INTERVAL_MS: u64 = 700;
 /// Maximum time until a job is accepted once the faults have ended and every entry is ready.
@@ -68,6 +75,12 @@
 struct Soak {
     site: Site,
     rng: SmallRng,
+    /// Random numbers for the manifest, which leave the faults of a seed as they are.
+    change_rng: SmallRng,
+    /// Version of the newest manifest, and the number of its further queues.
+    version: u64,
+    queues: usize,
+    keys: &'static [&'static str],
     repairs: Vec<(Instant, Repair)>,
     faulty: IndexSet<usize>,
     next_job: u64,
@@ -77,11 +90,13 @@
 
 impl Soak {
     fn new(seed: u64) -> Self {
-        let rng = SmallRng::seed_from_u64(seed);
+        let (rng, change_rng) = (SmallRng::seed_from_u64(seed), SmallRng::seed_from_u64(!seed));
         let mut site = Site::start(&format!("soak-{seed}"), ENTRIES, 4);
         site.key_of = |name| if is_of_acme(name) { "acme-2" } else { "bolt-1" };
         site.checker.set_limit(Limit { tasks: ACME_TASKS as usize, applies: is_of_acme });
-        put_manifest(&site, 4, &["acme-1", "acme-2"]);
+        let keys = &["acme-1", "acme-2"];
+        let manifest = keyed_manifest(FIRST_VERSION, keys, ACME_TASKS).to_string();
+        site.store.put("keyed.op", "config", manifest.as_bytes());
         wait("the manifest to be in force", || {
             let response = site.call_with("acme-1", 0, "GET", "", None);
             let without = site.call_with("", 0, "GET", "", None);
@@ -90,7 +105,71 @@
         });
         let (repairs, faulty) = (Vec::new(), IndexSet::new());
         let (accepted, refused) = (Vec::new(), Vec::new());
-        Self { site, rng, repairs, faulty, next_job: FIRST_JOB, accepted, refused }
+        Self {
+            site,
+            rng,
+            change_rng,
+            version: FIRST_VERSION,
+            queues: 0,
+            keys,
+            repairs,
+            faulty,
+            next_job: FIRST_JOB,
+            accepted,
+            refused,
+        }
+    }
+
+    /// Writes a manifest with `queues` further queues.
+    fn put_manifest(&mut self, queues: usize) {
+        self.version += 1;
+        self.queues = queues;
+        let mut manifest = keyed_manifest(self.version, self.keys, ACME_TASKS);
+        grow(&mut manifest, queues);
+        self.site.store.put("keyed.op", "config", manifest.to_string().as_bytes());
+    }
+
+    /// Writes a large manifest after a small one and the other way round, and kills the owner before or
+    /// after that, or not at all. Returns the time until the next change.
+    fn change_manifest(&mut self) -> Duration {
+        let queues = if self.queues == 0 { self.change_rng.random_range(LARGE) } else { 0 };
+        let kill = self.change_rng.random_range(0..3);
+        if kill == 0 {
+            self.kill_owner();
+        }
+        self.put_manifest(queues);
+        if kill == 1 {
+            sleep(Duration::from_millis(self.change_rng.random_range(0..150)));
+            self.kill_owner();
+        }
+        Duration::from_millis(self.change_rng.random_range(100..MAX_CHANGE_INTERVAL_MS))
+    }
+
+    /// Kills the entry that last served as the owner, unless it or all others have a fault.
+    fn kill_owner(&mut self) {
+        let owner = self.site.owner();
+        if self.faulty.contains(&owner) || self.faulty.len() + 1 >= ENTRIES {
+            return;
+        }
+        self.site.kill(owner);
+        let delay = Duration::from_millis(self.change_rng.random_range(200..2_000));
+        self.add_fault(owner, Instant::now() + delay, Repair::Launch(owner));
+    }
+
+    /// Waits until every entry serves just the queues of the newest manifest.
+    fn check_manifest(&self) {
+        let last = LARGE.end;
+        for entry in &self.site.entries {
+            let is_served = |number: usize| {
+                let path = format!("/unused{number}/");
+                let response = exchange(entry.callers, "GET", &path, "bolt-1", None)?;
+                Some(response.status == 200)
+            };
+            wait("the newest manifest to be in force", || {
+                let newest = self.queues == 0 || is_served(self.queues - 1) == Some(true);
+                newest && is_served(self.queues) == Some(false) && is_served(last) == Some(false)
+            });
+        }
     }
 
     /// Checks that a healthy entry takes the withdrawn key no more.
@@ -202,14 +281,19 @@
         let until = begun + FAULT_TIME;
         self.site.submit_crashing(CRASHING_JOB);
         let mut next_fault = Instant::now();
+        let mut next_change = Instant::now();
         let withdrawal = until - FAULT_TIME / 2;
         let mut withdrawn = false;
         while Instant::now() < until || self.tried() < MIN_JOBS {
             assert!(begun.elapsed() < MAX_FAULT_TIME, "only {} jobs were tried", self.tried());
             if !withdrawn && Instant::now() >= withdrawal {
-                put_manifest(&self.site, 5, &["acme-2"]);
+                self.keys = &["acme-2"];
+                self.put_manifest(self.queues);
                 withdrawn = true;
             }
+            if Instant::now() >= next_change {
+                next_change += self.change_manifest();
+            }
             if Instant::now() > withdrawal + MAX_WITHDRAWAL {
                 self.check_withdrawn();
             }
@@ -225,6 +309,7 @@
         self.end_faults(true);
         self.site.wait_ready();
         self.check_recovery();
+        self.check_manifest();
         for entry in 0..ENTRIES {
             wait("an entry to refuse the withdrawn key", || {
                 let response = self.site.call_with("acme-1", entry, "GET", "", None);
@@ -268,11 +353,6 @@
     }
 }
 
-fn put_manifest(site: &Site, version: u64, keys: &[&str]) {
-    let manifest = keyed_manifest(version, keys, ACME_TASKS).to_string();
-    site.store.put("keyed.op", "config", manifest.as_bytes());
-}
-
 fn seeds() -> Vec<u64> {
     let Ok(range) = env::var("CAROBHITCH_SOAK_SEEDS") else { return SEEDS.to_vec() };
     let (first, end) = range.split_once("..").expect("a range of seeds such as 100..150");
