Continue the list of newest records after those that can't be read

A page of the newest records whose values all can't be decoded ended the list as if it were complete: a new owner would have taken over without the jobs behind it. A key with a space, a number sign or an ampersand as the last of a page made the next call invalid, or had it return the same page again, for ever: the runners behind it would not be known. Keys of runners come from other writers.

A page now tells the key after which the next one begins, whether or not its record was read, and that key is escaped in the query. Keys of jobs are sent as before. A page that makes no progress is an error.

The test covers the decoding and the query; the field it checks is new, so it doesn't compile on the code before, where such a page had no records and the query held the key as it is.

--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -78,19 +78,16 @@
     /// Reads the newest record of every key of a partition. The returned end is that of the first
     /// page, so that a reader that continues from there misses nothing.
     pub async fn all(&self, topic: &str) -> Result<Newest> {
-        let mut all = Newest::default();
-        loop {
-            let after = all.records.last().map(|record: &Record| record.key.clone());
-            let page = self.newest(topic, after.as_deref().unwrap_or_default()).await?;
-            if all.records.is_empty() {
-                all.end = page.end;
+        let mut all = self.newest(topic, "").await?;
+        while let Some(after) = all.next.take() {
+            let page = self.newest(topic, &after).await?;
+            if page.next.as_ref() == Some(&after) {
+                return Err(Error::NoAnswer(format!("the page after key {after} ends there")));
             }
-            let empty = page.records.is_empty();
             all.records.extend(page.records);
-            if !page.more || empty {
-                return Ok(all);
-            }
+            all.next = page.next;
         }
+        Ok(all)
     }
 
     /// Sends an append with a timeout that adapts to how long recent appends took. Its answer may be
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -244,7 +244,18 @@
     let newest = r#"{"items":[{"key":"a","value":"AQI=","offset":4}],"hasMore":true,"end":6}"#;
     let newest = store::newest_page(&reply(200, newest)).unwrap();
     assert_eq!(newest.records, [Record { key: String::from("a"), value: vec![1, 2] }]);
-    assert!(newest.more);
+    assert_eq!(newest.next.as_deref(), Some("a"));
+}
+
+#[test]
+fn a_record_that_cannot_be_read_ends_no_list_of_the_newest_ones() {
+    let page = r#"{"items":[{"key":"a","value":"?"},{"key":"b&c #%","value":"?"}],"hasMore":true}"#;
+    let newest = store::newest_page(&reply(200, page)).unwrap();
+    assert_eq!((newest.records.len(), newest.next.as_deref()), (0, Some("b&c #%")));
+    let path = store::newest("keyed.servers", "b&c #%").path;
+    assert!(path.ends_with("&dependsOn=b%26c%20%23%25"), "{path}");
+    let path = store::newest("keyed.jobs", "5c0e7a21d94b36f8+").path;
+    assert!(path.ends_with("&dependsOn=5c0e7a21d94b36f8+"), "{path}");
 }
 
 #[test]
