Bound the size of an append to the orders stream

An entry sends up to 512 transitions in one append, each of which may hold an answer of up to 4 KiB: 2 MB in one record. The append is sent again until it is stored, and nothing later is sent before that, so a log that rejects it for its size would stop all orders of that entry. An append now takes no further transition once it has 64 KiB of answers; claims and releases, which hold none, still share one append 512 at a time.

The test fails on the code before: 512 transitions in one append.

--- a/src/request/order/batch.rs
+++ b/src/request/order/batch.rs
@@ -24,6 +24,8 @@
 const APPENDS_PER_SECOND: u32 = 250;
 /// Maximum number of transitions in one append.
 const MAX_TRANSITIONS: usize = 512;
+/// Total length of the stored answers from which on an append takes no further transition, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
 /// Time after which an unanswered append is resent.
 const RESEND_AFTER: Duration = Duration::from_millis(500);
 /// Time without an answer after which the log counts as unavailable.
@@ -120,9 +122,22 @@
         self.send(now)
     }
 
+    /// Number of queued transitions that the next append takes.
+    fn next_count(&self) -> usize {
+        let mut bytes = 0;
+        let next = self.queued.iter().take(MAX_TRANSITIONS).take_while(|transition| {
+            let fits = bytes < MAX_ANSWER_BYTES;
+            if let Transition::Done { answer, .. } = transition {
+                bytes += answer.body.as_ref().map_or(0, String::len);
+            }
+            fits
+        });
+        next.count()
+    }
+
     /// Puts the queued transitions into a new append.
     fn send(&mut self, now: Instant) -> Option<Append> {
-        let count = self.queued.len().min(MAX_TRANSITIONS);
+        let count = self.next_count();
         let transitions: Vec<Transition> = self.queued.drain(..count).collect();
         self.record_requested = false;
         self.sequence += 1;
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -4,9 +4,9 @@
 use {
     carobhitch::{
         event::{Finish, RequestId},
-        order::{Arrival, Coordinator, Ending, Key, Owner, Retention, Step},
+        order::{Arrival, Batcher, Coordinator, Ending, Key, Owner, Retention, Step},
         platform::Append,
-        record::{Answer, Batch},
+        record::{Answer, Batch, Transition},
     },
     proptest::{
         prelude::*,
@@ -354,6 +354,19 @@
     assert_eq!((simulation.log.len(), simulation.ran.len()), (2, 100));
 }
 
+#[test]
+fn long_answers_make_no_append_that_a_log_rejects_for_its_size() {
+    let mut batcher = Batcher::new((String::from("front-1"), 1));
+    let answer = Answer { status: 200, body: Some("x".repeat(4 << 10)) };
+    for order in 0..512 {
+        batcher.push(Transition::Done { order, answer: answer.clone() });
+    }
+    let append = batcher.poll(Instant::now()).unwrap();
+    let batch: Batch = serde_json::from_str(append.data.get()).unwrap();
+    assert_eq!(batch.lines.len(), 16);
+    assert!(append.data.get().len() < 128 << 10, "{} bytes", append.data.get().len());
+}
+
 #[test]
 fn an_expired_key_that_contains_its_creation_time_is_unknown() {
     let retention = Retention { claims: Duration::from_secs(60), ..Retention::default() };
