Give a wave's report up that the store rejects for good

A report on a maintenance wave was appended again every 300 ms until the owner ended, even if the store rejects it for good (status 400). Nothing waits for it, but the calls count against the store's limit of all entries. It is now logged as an error and given up. Found by reading; not covered by a test, as the stand-in's store rejects no report.

--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -25,7 +25,7 @@
         },
     },
     indexmap::IndexMap,
-    log::{info, warn},
+    log::{error, info, warn},
     std::{
         rc::Rc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -336,6 +336,9 @@
             let (key, value) = adapter::manifest::wave_status(number, complete);
             let record = Record { key, value };
             while let Err(e) = store.append_any(adapter::manifest::STATUS_TOPIC, &record).await {
+                if matches!(e, Error::Rejected(_)) {
+                    return error!("upkeep: report wave={number} complete={complete}: {e}");
+                }
                 warn!("upkeep: report wave={number} complete={complete}: {e}");
                 sleep(Duration::from_millis(300)).await;
             }
