Show that a slow store makes a healthy owner lose the cell

Each answer of the stand-in's store takes 800 ms for 8 s, with three real entries, three runners and six lasting tasks.

running 1 test test a_slow_store_changes_no_owner_and_stops_no_lasting_task ... FAILED thread panicked at standin/tests/jobs.rs:322:9: an entry is not ready test result: FAILED. 0 passed; 1 failed; 0 ignored; 0 measured; 16 filtered out; finished in 2.52s

The stand-in's store gets a delay of its answers that a test sets (half of it passes before the call is carried out), its runners a job whose tasks last.

--- a/standin/src/job/runner.rs
+++ b/standin/src/job/runner.rs
@@ -4,7 +4,7 @@
 use {
     super::{Checker, store::Store},
     crate::server::{self, Call, Handle, Reply, lock},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
@@ -24,6 +24,8 @@
 const RESTART_TIME: Duration = Duration::from_millis(800);
 /// Text of a job whose tasks crash the runners that start them.
 pub const CRASH: &str = "crash";
+/// Text of a job whose tasks run until they are stopped.
+pub const LASTING: &str = "lasting";
 /// Capacity of a runner in thousandths of a core.
 const MILLICORES: u64 = 16_000;
 
@@ -57,6 +59,8 @@
     lease_until_ms: u64,
     /// Number and start of the current run of each task.
     running: IndexMap<String, (u64, Instant)>,
+    /// Running tasks that end only when they are stopped.
+    lasting: IndexSet<String>,
     /// Highest run of each task that was started or stopped.
     latest_runs: IndexMap<String, u64>,
     /// Ended runs that the owner has not confirmed: number of the end, task, run and how it ended.
@@ -185,6 +189,9 @@
         }
         state.latest_runs.insert(String::from(task), run);
         state.running.insert(String::from(task), (run, Instant::now()));
+        if body["spec"] == LASTING {
+            state.lasting.insert(String::from(task));
+        }
         if state.running.len() as u64 * self.config.millicores > MILLICORES {
             self.checker.violation(format!("{} has no room for {task}", self.config.id));
         }
@@ -260,7 +267,10 @@
         let due: Vec<String> = state
             .running
             .iter()
-            .filter(|(_, (_, started))| expired || started.elapsed() >= self.config.run_time)
+            .filter(|(task, (_, started))| {
+                let is_done = started.elapsed() >= self.config.run_time;
+                expired || is_done && !state.lasting.contains(*task)
+            })
             .map(|(task, _)| task.clone())
             .collect();
         for task in due {
@@ -270,6 +280,7 @@
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
         let Some((run, _)) = state.running.swap_remove(task) else { return };
+        state.lasting.swap_remove(task);
         state.end_count += 1;
         let number = state.end_count;
         state.ended.push((number, String::from(task), run, how));
--- a/standin/src/job/store.rs
+++ b/standin/src/job/store.rs
@@ -29,6 +29,8 @@
 struct State {
     topics: IndexMap<String, Topic>,
     outage_until: Option<Instant>,
+    /// How long an answer takes, and until when.
+    delay: Option<(Duration, Instant)>,
     responses_to_lose: u32,
 }
 
@@ -72,6 +74,17 @@
         lock(&self.0).outage_until = Some(Instant::now() + duration);
     }
 
+    /// Answers every call late by `delay` for `duration`: half of it passes before the call is carried out.
+    pub fn delay_answers(&self, delay: Duration, duration: Duration) {
+        lock(&self.0).delay = Some((delay, Instant::now() + duration));
+    }
+
+    /// Half of the present delay of answers.
+    fn half_delay(&self) -> Duration {
+        let delay = lock(&self.0).delay.filter(|(_, until)| Instant::now() < *until);
+        delay.map_or(Duration::ZERO, |(delay, _)| delay / 2)
+    }
+
     /// Carries out the next `count` appends without a response.
     pub fn lose_responses(&self, count: u32) {
         lock(&self.0).responses_to_lose = count;
@@ -109,12 +122,15 @@
         if lock(&self.0).outage_until.is_some_and(|until| Instant::now() < until) {
             return Reply::text(503, "away");
         }
-        match call.uri.path() {
+        sleep(self.half_delay()).await;
+        let reply = match call.uri.path() {
             "/v1/log-append" => self.append(&call),
             "/v1/log-read" => self.read(&call).await,
             "/v1/log-newest" => self.newest(&call),
             _ => Reply::text(404, "no such call"),
-        }
+        };
+        sleep(self.half_delay()).await;
+        reply
     }
 
     fn append(&self, call: &Call) -> Reply {
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -310,3 +310,20 @@
     site.wait_failed(0x700);
     site.wait_complete(0x701..0x704);
 }
+
+#[test]
+fn a_slow_store_changes_no_owner_and_stops_no_lasting_task() {
+    let site = Site::start("slow", 3, 3);
+    site.submit_lasting(0x900, 6);
+    let starts = site.checker.starts();
+    site.store.delay_answers(Duration::from_millis(800), Duration::from_secs(8));
+    for _ in 0..16 {
+        sleep(Duration::from_millis(500));
+        assert!((0..3).all(|entry| site.is_ready(entry)), "an entry is not ready");
+    }
+    site.submit(0x901, 2);
+    site.wait_complete([0x901]);
+    let logs: String = (0..3).map(|entry| site.log(&format!("front-{entry}"))).collect();
+    assert_eq!(logs.matches("taking_over=true").count(), 1, "the owner has changed:\n{logs}");
+    assert_eq!(site.checker.starts(), starts + 2, "a lasting task has started again");
+}
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -150,6 +150,13 @@
     job
 }
 
+/// Specification of a job of one step whose tasks run until they are stopped.
+pub fn lasting_job(tasks: u32) -> Value {
+    json!({ "spec": runner::LASTING, "steps": [
+        { "count": tasks, "cpu": 2000, "memMb": 64, "daemon": true },
+    ] })
+}
+
 impl Site {
     /// Starts the platform, `runners` runners and `entries` entries, and waits until they are ready.
     pub fn start(name: &str, entries: usize, runners: usize) -> Self {
@@ -344,6 +351,17 @@
         });
     }
 
+    /// Submits a job whose tasks run until they are stopped, and waits until they run.
+    pub fn submit_lasting(&self, id: u64, tasks: u32) {
+        let starts = self.checker.starts();
+        let name = format!("{id:016x}");
+        wait("a lasting job to be accepted", || {
+            let response = self.call(0, "POST", &name, Some(&lasting_job(tasks)));
+            response.is_some_and(|response| response.status == 200)
+        });
+        wait("lasting tasks to run", || self.checker.starts() >= starts + tasks as usize);
+    }
+
     /// Submits a job whose tasks crash runners, until it is accepted.
     pub fn submit_crashing(&self, id: u64) {
         wait("a job to be accepted", || {
