Wait for a slow store instead of claiming the cell from a healthy owner

Cause: the client reset a late call and sent it again, and a claimant counted its own way to the store as silence of the owner.

Change: - A call of the store is given up after 4 s. One that may be on a dead connection is sent again over a new one, after the time after which it was given up before, and the first answer counts. Appends are checked by sequence number, offset or epoch, so that only one of them lands; an unconditional append is sent once. - A heartbeat answered 412 whose record has landed confirms the owner as of the first sending at that offset. - An entry claims after 0.9 s of silence and twice the store's delay: as its own calls show it (the empty read that would lead to the claim is one), or the time between the owner's last two heartbeats. Time on the way to the store and back is no silence. With a fast store nothing changes. - A late answer is followed by the next heartbeat at once. The owner counts as healthy for 1.2 s and twice the delay, at most 5.2 s and less than its renewals last (6 s). Actions on VMs still need a heartbeat sent 0.65 s ago. - Log lines 'store: delay_ms=' and 'claim: waits_ms=', gauges carobhitch_store_delay_ms and carobhitch_claim_timeout_ms, event store_call_repeated.

Ruled out: a delay window of 2 s without the heartbeats' spacing.

--- a/src/job/claim.rs
+++ b/src/job/claim.rs
@@ -2,7 +2,8 @@
 //!
 //! The owner appends a heartbeat every [`HEARTBEAT_INTERVAL`], on the condition that the log still
 //! ends at the last record that it knows. An entry that has seen no record for [`CLAIM_TIMEOUT`],
-//! although the log answered its reads, appends a claim on the same condition. Only one of several
+//! although the log answered its reads, appends a claim on the same condition; while the log is slow,
+//! it waits for longer ([`Silence`]), since the owner's heartbeats are late too. Only one of several
 //! concurrent claims succeeds, and the epoch follows from its offset, so that epochs are unique and
 //! rise. The next heartbeat of the previous owner fails, and the ledger and the runners reject its
 //! epoch.
@@ -24,10 +25,62 @@
 /// Time after a heartbeat for which the owner counts as healthy; longer than [`CLAIM_TIMEOUT`], after
 /// which other entries claim the cell.
 pub const HEALTHY_TIME: Duration = Duration::from_millis(1_200);
+/// Additional time without a record before a claim, and for which an owner counts as healthy, as a
+/// multiple of the log's delay. The owner sends a heartbeat once the last one is answered, so two of
+/// them are a delay apart, and this leaves room for one that takes twice as long as the last.
+const DELAY_FACTOR: u32 = 2;
+
 /// Time after a heartbeat in which no other entry can have claimed the cell; shorter than
 /// [`CLAIM_TIMEOUT`].
 pub const EXCLUSIVE_TIME: Duration = Duration::from_millis(650);
 
+/// Time after a heartbeat for which the owner counts as healthy while the log answers with `delay`.
+pub fn healthy_time(delay: Duration) -> Duration {
+    HEALTHY_TIME + DELAY_FACTOR * delay
+}
+
+/// Time without a record in the log after which an entry claims the cell while the log answers with
+/// `delay`.
+pub fn claim_timeout(delay: Duration) -> Duration {
+    CLAIM_TIMEOUT + DELAY_FACTOR * delay
+}
+
+/// Delay of the log that the time between two heartbeats of one owner shows; zero if they follow one
+/// another as usual, or if only one answer may have been lost between them.
+pub fn delay_from_gap(gap: Duration) -> Duration {
+    let late = gap.saturating_sub(HEARTBEAT_INTERVAL);
+    Some(late).filter(|late| *late > USUAL_LATENESS).unwrap_or_default()
+}
+
+/// Time for which an entry has waited for a record of the owner in vain. It counts as the log has
+/// waited, so that the time on the way to the log and back is no silence of the owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    waited: Duration,
+    /// Time that is added to the claim timeout, which differs between the entries.
+    spread: Duration,
+}
+
+impl Silence {
+    /// Begins without a wait.
+    pub fn new(spread: Duration) -> Self {
+        Self { waited: Duration::ZERO, spread }
+    }
+
+    /// Records that the log has waited for a record in vain.
+    pub fn waited(&mut self, time: Duration) {
+        self.waited += time;
+    }
+
+    /// Returns for how long the log must still wait before a claim, by its present delay.
+    pub fn missing(&self, delay: Duration) -> Duration {
+        (claim_timeout(delay) + self.spread).saturating_sub(self.waited)
+    }
+}
+
+/// Time by which a heartbeat is late if the answer to the last one was lost.
+const USUAL_LATENESS: Duration = Duration::from_millis(250);
+
 /// Number that an entry's process draws at its start.
 pub type Incarnation = u64;
 /// Number of an ownership; later ones have higher numbers.
@@ -123,9 +176,9 @@
         self.is_younger(now, EXCLUSIVE_TIME)
     }
 
-    /// Whether the log has accepted a claim or heartbeat recently.
-    pub fn is_recent(&self, now: Instant) -> bool {
-        self.is_younger(now, HEALTHY_TIME)
+    /// Whether the log, which answers with `delay`, has accepted a claim or heartbeat recently.
+    pub fn is_recent(&self, now: Instant, delay: Duration) -> bool {
+        self.is_younger(now, healthy_time(delay))
     }
 
     fn is_younger(&self, now: Instant, limit: Duration) -> bool {
--- a/src/job/daemon/channel.rs
+++ b/src/job/daemon/channel.rs
@@ -70,6 +70,11 @@
         self.call_if(call, limit, || true).await
     }
 
+    /// Closes the idle connections, so that the next call opens a new one.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Like [`Self::call`], for a call that must not be sent once `permitted` returns false. It is
     /// asked immediately before the call is written, since waiting for a connection takes time.
     pub async fn call_if(
@@ -84,7 +89,7 @@
         let outcome = timeout(limit, self.exchange(call, permitted)).await;
         let outcome = outcome.unwrap_or(Err(Error::Timeout(self.address, limit)));
         if outcome.is_err() {
-            self.idle.borrow_mut().clear();
+            self.close_idle();
         }
         outcome
     }
--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -1,7 +1,7 @@
 //! Claims the cell for this entry and sends heartbeats while it owns the cell.
 //!
 //! Every entry follows the claim records in the log. It claims the cell when it has read no record
-//! for [`CLAIM_TIMEOUT`], and at once if the owner has released the cell or is known to have ended.
+//! for the claim timeout ([`Silence`]), and at once if the owner has released the cell or is known to have ended.
 //! [`crate::job::claim`] describes the protocol.
 
 use {
@@ -9,14 +9,17 @@
     crate::{
         adapter::store::{CLAIMS, Error},
         job::{
-            claim::{CLAIM_TIMEOUT, Claim, Epoch, HEARTBEAT_INTERVAL, Kind, Owner},
+            claim::{Claim, Epoch, HEARTBEAT_INTERVAL, Kind, Owner, Silence, delay_from_gap},
             clock,
             ledger::Record,
         },
     },
     log::{info, warn},
     rand::Rng,
-    std::{rc::Rc, time::Duration},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         task::{JoinHandle, spawn_local},
         time::sleep,
@@ -42,11 +45,16 @@
     end: u64,
     /// Epoch and event loop of this entry's ownership, while it has one.
     owning: Option<(Epoch, JoinHandle<()>)>,
+    /// When the last heartbeat was sent.
+    heartbeat_sent: Option<Instant>,
+    /// Offset at which a heartbeat was last attempted, and when that was first.
+    attempted: Option<(u64, Instant)>,
 }
 
 /// Follows the claim records until the process ends.
 pub async fn run(shared: Rc<Shared>, store: Rc<Store>) {
-    let mut claimant = Claimant { shared, store, end: 0, owning: None };
+    let mut claimant =
+        Claimant { shared, store, end: 0, owning: None, heartbeat_sent: None, attempted: None };
     claimant.read_newest().await;
     loop {
         match claimant.owning.take() {
@@ -80,10 +88,15 @@
     }
 
     /// Handles a record that was appended while this entry follows the log, and notes when it was
-    /// read: unlike the newest record at the start, it shows that its writer ran just now.
+    /// read: unlike the newest record at the start, it shows that its writer ran just now. The time
+    /// since the owner's last record shows whether the log is slow for the owner.
     fn handle_record(&mut self, offset: u64, record: &Record) {
-        self.shared.owner_seen_at.set(Some(clock::now()));
+        let before = self.owner();
+        let last = self.shared.owner_seen_at.replace(Some(clock::now()));
         self.update_owner(offset, record);
+        if let Some(last) = last.filter(|_| before.is_some() && before == self.owner()) {
+            self.store.observe_delay(delay_from_gap(clock::elapsed(last)));
+        }
     }
 
     /// Updates the known owner from a claim record.
@@ -127,34 +140,47 @@
         owner.node == self.shared.settings.node && owner.incarnation != self.shared.incarnation
     }
 
-    /// Waits for a claim record, and claims the cell if none arrives in time.
+    /// Waits for a claim record, and claims the cell if none arrives in time. A read that shows that
+    /// the store is slow makes the entry wait on.
     async fn watch(&mut self) {
         let vacant = self.is_vacant();
         let jitter = Duration::from_millis(rand::rng().random_range(0..MAX_JITTER_MS));
         let first = self.core_delay() + jitter / 3;
-        let wait = if vacant { first } else { self.core_delay() + CLAIM_TIMEOUT + jitter };
+        let mut silence = Silence::new(self.core_delay() + jitter);
+        let mut wait = if vacant { first } else { silence.missing(self.store.delay()) };
         let shared = Rc::clone(&self.shared);
-        let read = tokio::select! {
-            read = self.read(wait) => read,
-            () = shared.owner_ended.notified(), if !vacant => return,
-        };
-        if self.shared.stopping.borrow().is_some() {
-            return;
-        }
-        match read {
-            Some(0) => {
-                info!("claim: at={} vacant={vacant} waited_ms={}", self.end, wait.as_millis());
-                self.claim().await;
+        loop {
+            let read = tokio::select! {
+                read = self.read(wait) => read,
+                () = shared.owner_ended.notified(), if !vacant => return,
+            };
+            if self.shared.stopping.borrow().is_some() {
+                return;
             }
-            Some(_) => {
-                let own = self.owner().filter(|owner| {
-                    owner.incarnation == self.shared.incarnation && !owner.released
-                });
-                if let Some(owner) = own {
-                    self.start_owner(owner.epoch);
-                }
+            match read {
+                Some(0) => silence.waited(wait),
+                Some(_) => return self.resume_ownership(),
+                None => return sleep(RETRY_DELAY).await,
+            }
+            let delay = self.store.delay();
+            let missing = silence.missing(delay);
+            let (at, waited_ms, delay_ms) = (self.end, wait.as_millis(), delay.as_millis());
+            if vacant || missing.is_zero() {
+                info!("claim: at={at} vacant={vacant} waited_ms={waited_ms} delay_ms={delay_ms}");
+                return self.claim().await;
             }
-            None => sleep(RETRY_DELAY).await,
+            info!("claim: at={at} waits_ms={} delay_ms={delay_ms}", missing.as_millis());
+            wait = missing;
+        }
+    }
+
+    /// Starts the event loop of the owner if this entry owns the cell by a claim whose answer was
+    /// lost.
+    fn resume_ownership(&mut self) {
+        let is_own =
+            |owner: &Owner| owner.incarnation == self.shared.incarnation && !owner.released;
+        if let Some(owner) = self.owner().filter(is_own) {
+            self.start_owner(owner.epoch);
         }
     }
 
@@ -224,7 +250,9 @@
     /// Appends a heartbeat, or the release of the cell if the process stops or the event loop has
     /// ended. Ends the ownership if another entry has claimed the cell.
     async fn send_heartbeat(&mut self, epoch: Epoch, task: JoinHandle<()>) {
-        sleep(HEARTBEAT_INTERVAL).await;
+        // An answer that took longer than the interval is followed by the next heartbeat at once.
+        let elapsed = self.heartbeat_sent.map_or(Duration::ZERO, clock::elapsed);
+        sleep(HEARTBEAT_INTERVAL.saturating_sub(elapsed)).await;
         let stopping = self.shared.stopping.borrow().is_some();
         let kind = if stopping || task.is_finished() {
             Kind::Release(epoch)
@@ -232,8 +260,12 @@
             Kind::Heartbeat(epoch)
         };
         let Some(record) = self.record(kind) else { return };
-        let sent = clock::now();
-        match self.store.append_at(CLAIMS, &record, self.end).await {
+        let (at, sent) = (self.end, clock::now());
+        self.heartbeat_sent = Some(sent);
+        if self.attempted.is_none_or(|(end, _)| end != at) {
+            self.attempted = Some((at, sent));
+        }
+        match self.store.append_at(CLAIMS, &record, at).await {
             Ok(offset) => {
                 self.end = offset + 1;
                 if matches!(kind, Kind::Release(_)) {
@@ -244,10 +276,14 @@
                 }
             }
             Err(Error::Moved) => {
-                self.read(Duration::ZERO).await;
+                let read = self.read(Duration::ZERO).await;
                 if self.owner().is_none_or(|owner| owner.epoch != epoch || owner.released) {
                     return self.end_ownership(epoch, &task, "another entry has claimed the cell");
                 }
+                // An earlier attempt has landed, at any time since the first one at this offset.
+                if let (Some(1..), Some((_, first))) = (read, self.attempted) {
+                    self.shared.record_confirmation(first);
+                }
             }
             Err(e) => {
                 warn!("claim: heartbeat at {}: {e}", self.end);
--- a/src/job/daemon/meter.rs
+++ b/src/job/daemon/meter.rs
@@ -2,15 +2,18 @@
 
 use {
     super::{listener::Listener, peer::Method},
-    crate::job::cell::{Accounts, Counts},
+    crate::job::{
+        cell::{Accounts, Counts},
+        claim::claim_timeout,
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::TokioIo,
     log::warn,
     prometheus::{
-        Encoder, HistogramVec, IntCounterVec, IntGaugeVec, Registry, TextEncoder, histogram_opts,
-        opts,
+        Encoder, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
+        histogram_opts, opts,
     },
     std::{convert::Infallible, rc::Rc, time::Duration},
     tokio::task::spawn_local,
@@ -29,6 +32,8 @@
     calls: HistogramVec,
     events: IntCounterVec,
     organisations: IntGaugeVec,
+    store_delay: IntGauge,
+    claim_timeout: IntGauge,
 }
 
 impl Meter {
@@ -47,11 +52,21 @@
                 opts!("carobhitch_organisation", "Organisations at the owner"),
                 &["organisation", "value"],
             )?,
+            store_delay: IntGauge::new(
+                "carobhitch_store_delay_ms",
+                "Time that the store takes to answer, 0 if it is fast",
+            )?,
+            claim_timeout: IntGauge::new(
+                "carobhitch_claim_timeout_ms",
+                "Time without a record of the owner after which this entry claims the cell",
+            )?,
         };
         meter.registry.register(Box::new(meter.answers.clone()))?;
         meter.registry.register(Box::new(meter.calls.clone()))?;
         meter.registry.register(Box::new(meter.events.clone()))?;
         meter.registry.register(Box::new(meter.organisations.clone()))?;
+        meter.registry.register(Box::new(meter.store_delay.clone()))?;
+        meter.registry.register(Box::new(meter.claim_timeout.clone()))?;
         Ok(meter)
     }
 
@@ -72,6 +87,13 @@
         self.calls.with_label_values(&[call, outcome]).observe(took.as_secs_f64());
     }
 
+    /// Shows the store's present delay, and the claim timeout that follows from it.
+    pub fn show_store_delay(&self, delay: Duration) {
+        let ms = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+        self.store_delay.set(ms(delay));
+        self.claim_timeout.set(ms(claim_timeout(delay)));
+    }
+
     /// Counts a decision of the owner by its name.
     pub fn count_event(&self, event: &str) {
         self.events.with_label_values(&[event]).inc();
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -82,6 +82,7 @@
         owner: watch::Sender::new(None),
         stopping: watch::Sender::new(None),
         owner_events: RefCell::default(),
+        store: Rc::clone(&store),
         link: Link::default(),
         linked: watch::Sender::new(false),
         last_ready: Cell::new(clock::now()),
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -5,6 +5,7 @@
         event::Event,
         meter::Meter,
         peer::{Link, Relay, Status},
+        store::Store,
     },
     crate::job::{
         answer::Answer,
@@ -42,6 +43,8 @@
     pub stopping: watch::Sender<Option<Instant>>,
     /// Queue of the owner's event loop, while this entry owns the cell and has read its state.
     pub owner_events: RefCell<Option<UnboundedSender<Event>>>,
+    /// Client of the platform's store.
+    pub store: Rc<Store>,
     /// Connection to the owner.
     pub link: Link,
     /// Whether another entry owns the cell, is healthy, and is connected.
@@ -89,7 +92,7 @@
 
     /// Returns whether the log has recently accepted a claim or heartbeat of this entry.
     fn is_confirmed(&self) -> bool {
-        self.confirmation.get().is_recent(clock::now())
+        self.confirmation.get().is_recent(clock::now(), self.store.delay())
     }
 
     /// Returns whether a claim or heartbeat of another entry was read recently.
--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -1,7 +1,16 @@
 //! Asynchronous client of the platform's store.
+//!
+//! A store that is slow is waited for: a call is given up only after [`MAX_ANSWER_TIME`]. A call that is
+//! unanswered for long enough that its connection may be dead is sent again over a new connection, while
+//! the first may still be answered. This is harmless, since reads change nothing and the store checks
+//! the sequence numbers, offsets and epochs of appends; calls without such a check are sent once.
 
 use {
-    super::{channel::Channel, meter::Meter, timeout::Timeout},
+    super::{
+        channel::{self, Channel},
+        meter::Meter,
+        timeout::Timeout,
+    },
     crate::{
         adapter::{
             frame::Page,
@@ -9,36 +18,87 @@
         },
         job::{
             call::{Call, Reply},
+            claim::claim_timeout,
+            latency::{Latency, Number},
             ledger::Record,
         },
     },
+    log::info,
     std::{
+        cell::{Cell, RefCell},
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
+    tokio::{
+        task::JoinSet,
+        time::{sleep, sleep_until},
+    },
 };
 
-/// Timeout of a read, added to the time for which the store is asked to wait for records.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Bounds of the timeout of an append.
-const APPEND_TIMEOUT: (Duration, Duration) =
+/// Time after which a call is given up, added to the time for which the store is asked to wait.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(4);
+/// Time after which a read is sent again, added to the time for which the store is asked to wait.
+const READ_REPEAT: Duration = Duration::from_millis(1_000);
+/// Bounds of the time after which an append is sent again.
+const APPEND_REPEAT: (Duration, Duration) =
     (Duration::from_millis(120), Duration::from_millis(1_000));
+/// Time after which a call is sent again as a multiple of the store's present delay, at least.
+const REPEAT_FACTOR: f64 = 1.5;
+/// Maximum number of attempts of a call that are outstanding at once.
+const MAX_ATTEMPTS: usize = 4;
 /// Maximum number of concurrent calls to the store.
-const MAX_CALLS: usize = 8;
+const MAX_CALLS: usize = 12;
+/// Change of the delay that is logged.
+const LOGGED_CHANGE: Duration = Duration::from_millis(200);
 
 /// Client of the platform's store.
 pub struct Store {
-    channel: Channel,
+    channel: Rc<Channel>,
     meter: Rc<Meter>,
-    append_timeout: Timeout,
+    append_repeat: Timeout,
+    latency: Rc<RefCell<Latency>>,
+    /// Delay that was logged last.
+    logged_delay: Cell<Duration>,
+}
+
+/// Registration of one attempt of a call with the estimate of the store's answer time.
+struct Attempt {
+    latency: Rc<RefCell<Latency>>,
+    number: Number,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.latency.borrow_mut().abandoned(self.number);
+    }
 }
 
 impl Store {
     /// Creates a client of the store at `address`.
     pub fn new(address: SocketAddr, meter: Rc<Meter>) -> Self {
-        let append_timeout = Timeout::new(APPEND_TIMEOUT.0, APPEND_TIMEOUT.1);
-        Self { channel: Channel::new(address, MAX_CALLS), meter, append_timeout }
+        Self {
+            channel: Rc::new(Channel::new(address, MAX_CALLS)),
+            meter,
+            append_repeat: Timeout::new(APPEND_REPEAT.0, APPEND_REPEAT.1),
+            latency: Rc::default(),
+            logged_delay: Cell::default(),
+        }
+    }
+
+    /// Returns how long answers take now; zero if the store is fast.
+    pub fn delay(&self) -> Duration {
+        self.latency.borrow().delay(Instant::now())
+    }
+
+    /// Returns how long recent answers have taken.
+    pub fn answered_in(&self) -> Duration {
+        self.latency.borrow().answered_in(Instant::now())
+    }
+
+    /// Records that a call of another entry took at least `delay`.
+    pub fn observe_delay(&self, delay: Duration) {
+        self.latency.borrow_mut().observed(Instant::now(), delay);
     }
 
     /// Appends records under the epoch of the writer; returns the offset of the first one.
@@ -48,7 +108,7 @@
 
     /// Fences off every writer of a lower epoch.
     pub async fn fence(&self, topic: &str, epoch: u64) -> Result<u64> {
-        store::appended(&self.call("fence", store::fence(topic, epoch), ANSWER_TIMEOUT).await?)
+        store::appended(&self.call_read("fence", store::fence(topic, epoch), Duration::ZERO).await?)
     }
 
     /// Appends a record on the condition that the partition ends at `at`.
@@ -58,21 +118,19 @@
 
     /// Appends a record unconditionally.
     pub async fn append_any(&self, topic: &str, record: &Record) -> Result<u64> {
-        store::appended(
-            &self.call("report", store::append_any(topic, record), ANSWER_TIMEOUT).await?,
-        )
+        let call = store::append_any(topic, record);
+        store::appended(&self.call("report", call, Duration::ZERO, MAX_ANSWER_TIME).await?)
     }
 
     /// Reads records from an offset, waiting for the first up to `wait`.
     pub async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Page> {
-        store::page(
-            &self.call("read", store::read(topic, from, wait), wait + ANSWER_TIMEOUT).await?,
-        )
+        store::page(&self.call_read("read", store::read(topic, from, wait), wait).await?)
     }
 
     /// Reads a page of the newest record of each key, from after the key `after`.
     pub async fn newest(&self, topic: &str, after: &str) -> Result<Newest> {
-        store::newest_page(&self.call("newest", store::newest(topic, after), ANSWER_TIMEOUT).await?)
+        let call = store::newest(topic, after);
+        store::newest_page(&self.call_read("newest", call, Duration::ZERO).await?)
     }
 
     /// Reads the newest record of every key of a partition. The returned end is that of the first
@@ -93,24 +151,91 @@
         }
     }
 
-    /// Sends an append with a timeout that adapts to how long recent appends took. Its answer may be
-    /// lost, and a retry is harmless since the store checks sequence numbers and offsets.
+    /// Sends an append, again after a time that adapts to how long recent appends took.
     async fn call_append(&self, name: &str, call: Call) -> Result<Reply> {
-        let timeout = self.append_timeout.get();
+        let repeat = self.append_repeat.get().max(self.delay().mul_f64(REPEAT_FACTOR));
         let begun = Instant::now();
-        let outcome = self.call(name, call, timeout).await;
-        self.append_timeout.record(begun, outcome.is_ok());
+        let outcome = self.call(name, call, Duration::ZERO, repeat).await;
+        self.append_repeat.record(begun, outcome.is_ok());
         outcome
     }
 
-    async fn call(&self, name: &str, call: Call, timeout: Duration) -> Result<Reply> {
+    /// Sends a call that changes nothing if it is repeated, and which the store may hold back for
+    /// `wait`.
+    async fn call_read(&self, name: &str, call: Call, wait: Duration) -> Result<Reply> {
+        let repeat = wait + READ_REPEAT.max(self.delay().mul_f64(REPEAT_FACTOR));
+        self.call(name, call, wait, repeat).await
+    }
+
+    /// Sends a call and waits for its reply. While it is unanswered, it is sent again over a new
+    /// connection after `repeat`, and again after longer times; the first reply counts.
+    async fn call(
+        &self,
+        name: &str,
+        call: Call,
+        wait: Duration,
+        mut repeat: Duration,
+    ) -> Result<Reply> {
         let begun = Instant::now();
-        let outcome = self.channel.call(call, timeout).await;
-        let label = match &outcome {
-            Ok(reply) => reply.status.to_string(),
-            Err(_) => String::from("none"),
+        let deadline = begun + wait + MAX_ANSWER_TIME;
+        let mut attempts = JoinSet::new();
+        self.spawn_attempt(&mut attempts, call.clone(), wait);
+        let outcome = loop {
+            tokio::select! {
+                Some(outcome) = attempts.join_next() => match outcome {
+                    Ok(Err(_)) if !attempts.is_empty() => {}
+                    Ok(outcome) => break outcome.map_err(|e| e.to_string()),
+                    Err(e) => break Err(e.to_string()),
+                },
+                () = sleep(repeat), if attempts.len() < MAX_ATTEMPTS => {
+                    self.meter.count_event("store_call_repeated");
+                    self.channel.close_idle();
+                    self.spawn_attempt(&mut attempts, call.clone(), wait);
+                    repeat = (repeat * 2).min(repeat.max(READ_REPEAT));
+                }
+                () = sleep_until(deadline.into()) => {
+                    break Err(format!("gave up after {:?}", begun.elapsed()));
+                }
+            }
         };
+        let label = outcome.as_ref().map_or(String::from("none"), |reply| reply.status.to_string());
         self.meter.count_call(name, &label, begun.elapsed());
-        outcome.map_err(|e| Error::NoAnswer(e.to_string()))
+        self.show_delay();
+        outcome.map_err(Error::NoAnswer)
+    }
+
+    /// Spawns one attempt of a call.
+    fn spawn_attempt(
+        &self,
+        attempts: &mut JoinSet<channel::Result<Reply>>,
+        call: Call,
+        wait: Duration,
+    ) {
+        let (channel, latency) = (Rc::clone(&self.channel), Rc::clone(&self.latency));
+        attempts.spawn_local(async move {
+            let number = latency.borrow_mut().sent(Instant::now(), wait);
+            let attempt = Attempt { latency, number };
+            let outcome = channel.call(call, wait + MAX_ANSWER_TIME).await;
+            let mut latency = attempt.latency.borrow_mut();
+            match &outcome {
+                Ok(_) => latency.answered(Instant::now(), number),
+                Err(channel::Error::Connect(..)) => latency.unreachable(),
+                Err(_) => {}
+            }
+            drop(latency);
+            outcome
+        });
+    }
+
+    /// Shows the store's delay in the metrics, and logs a large change of it.
+    fn show_delay(&self) {
+        let delay = self.delay();
+        self.meter.show_store_delay(delay);
+        let change = delay.abs_diff(self.logged_delay.get());
+        if change > LOGGED_CHANGE || delay.is_zero() && !self.logged_delay.get().is_zero() {
+            self.logged_delay.set(delay);
+            let claim_ms = claim_timeout(delay).as_millis();
+            info!("store: delay_ms={} claim_timeout_ms={claim_ms}", delay.as_millis());
+        }
     }
 }
