Divide records by the store's limits only, and keep the parts of what can't be joined

Records are divided above the store's limits only, of the record or the append, whichever is lower; parts have 64 KiB and appends 128 KiB at most, for slow links. Parts before a missing one were neither used nor removed; a page that repeats a record restored it twice.

--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -94,10 +94,6 @@
 /// runners working.
 pub const RENEWAL_WINDOW: Duration = Duration::from_secs(6);
 
-/// Size in bytes above which a record is stored in parts, even if the store would accept it. It is a
-/// fraction of what a slow link carries in the time that an append may take.
-const MAX_RECORD_BYTES: usize = 128 << 10;
-
 /// Consequence of a change, applied once the ledger has stored the change.
 #[derive(Clone, Debug, PartialEq)]
 enum Effect {
@@ -224,7 +220,7 @@
             dirty: IndexSet::new(),
             new_jobs: Vec::new(),
             removed_jobs: Vec::new(),
-            divider: Divider::new(bounds.record_bytes.min(MAX_RECORD_BYTES)),
+            divider: Divider::new(bounds.record_bytes.min(bounds.append_bytes)),
             effects: Vec::new(),
             in_flight: None,
             batch_sent: None,
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -49,7 +49,7 @@
 /// Reason given for these refusals.
 pub(super) const LEDGER_UNRESPONSIVE: &str = "the ledger does not answer";
 /// Largest append in bytes, unless the store's own limit is lower.
-const MAX_APPEND_BYTES: usize = 256 << 10;
+const MAX_APPEND_BYTES: usize = 128 << 10;
 /// Maximum number of concurrent calls to the advisor, which answers them one after the other.
 const MAX_ADVISOR_CALLS: usize = 2;
 /// Timeout of a call to the advisor, which decides about each runner in turn.
--- a/src/job/ledger/fragment.rs
+++ b/src/job/ledger/fragment.rs
@@ -2,8 +2,11 @@
 //!
 //! A large record is stored in parts under keys of their own, and an index of the parts under its own
 //! key. The parts come before the index, and those of the former index are removed after it, so the
-//! newest index always has all of its parts, even if only the first of several appends is stored. Parts of
-//! different generations have different keys. Smaller records are stored as they are.
+//! newest index always has all of its parts for a reader that has fenced off the writer, even if only the
+//! first of several appends was stored. Parts of different generations have different keys. Smaller
+//! records are stored as they are.
+//!
+//! A [`Divider`] takes what it divides for stored: a writer whose append fails ends its ownership.
 
 use {
     super::Record,
@@ -18,7 +21,9 @@
 const MARK: u8 = 0xff;
 /// Character in the keys of parts that is in no other key.
 const SEPARATOR: char = '~';
-/// Bytes by which the value of a part is smaller than the limit, for its key.
+/// Largest value of a part in bytes, so that a part is stored soon also over a slow link.
+const MAX_PART_BYTES: usize = 64 << 10;
+/// Bytes by which the value of a part is smaller than the limit at least, for its key.
 const KEY_BYTES: usize = 64;
 
 /// Result of joining the parts of a record.
@@ -108,7 +113,7 @@
     /// Adds the parts of a large record and their index.
     fn push_parts(&mut self, divided: &mut Vec<Record>, record: Record) {
         let Record { key, value } = record;
-        let parts = value.chunks(self.max_bytes - KEY_BYTES);
+        let parts = value.chunks((self.max_bytes - KEY_BYTES).min(MAX_PART_BYTES));
         self.generation += 1;
         let index = Index { generation: self.generation, parts: parts.len() as u32 };
         let Some(encoded) = index.encode() else {
@@ -125,14 +130,12 @@
     pub fn join(&mut self, records: Vec<Record>) -> Vec<Record> {
         let is_part = |record: &Record| record.key.contains(SEPARATOR);
         let (parts, whole): (Vec<Record>, Vec<Record>) = records.into_iter().partition(is_part);
-        let mut parts: IndexMap<String, Vec<u8>> =
-            parts.into_iter().map(|part| (part.key, part.value)).collect();
-        let generation = |key: &String| key.split(SEPARATOR).nth(1)?.parse::<u32>().ok();
-        self.generation = parts.keys().filter_map(generation).max().unwrap_or_default();
+        let mut parts = by_key(parts);
+        self.generation = parts.keys().filter_map(|key| generation(key)).max().unwrap_or_default();
         let mut joined = Vec::with_capacity(whole.len());
-        for record in whole {
-            match self.join_record(record, &mut parts) {
-                Ok(record) => joined.push(record),
+        for (key, value) in by_key(whole) {
+            match self.join_parts(&key, value, &mut parts) {
+                Ok(value) => joined.push(Record { key, value }),
                 Err(e) => error!("ledger: {e}"),
             }
         }
@@ -140,24 +143,38 @@
         joined
     }
 
-    /// Replaces the index of a record by its content, which is taken from `parts`.
-    fn join_record(
+    /// Returns the content of a record: its value, or what the parts hold that the value is the index of.
+    /// These are taken from `parts` if none is missing.
+    fn join_parts(
         &mut self,
-        record: Record,
+        key: &str,
+        value: Vec<u8>,
         parts: &mut IndexMap<String, Vec<u8>>,
-    ) -> Result<Record> {
-        let Some(index) = Index::decode(&record.key, &record.value) else { return Ok(record) };
+    ) -> Result<Vec<u8>> {
+        let Some(index) = Index::decode(key, &value) else { return Ok(value) };
         let index = index?;
-        let mut value = Vec::new();
-        for key in index.keys(&record.key) {
-            let part = parts.swap_remove(&key).ok_or_else(|| Error::Part(key.clone()))?;
-            value.extend(part);
+        let mut content = Vec::new();
+        for part in index.keys(key) {
+            content.extend(parts.get(&part).ok_or(Error::Part(part))?);
+        }
+        for part in index.keys(key) {
+            parts.swap_remove(&part);
         }
-        self.stored.insert(record.key.clone(), index);
-        Ok(Record { key: record.key, value })
+        self.stored.insert(String::from(key), index);
+        Ok(content)
     }
 }
 
+/// Values by key. Pages of the store may repeat a record.
+fn by_key(records: Vec<Record>) -> IndexMap<String, Vec<u8>> {
+    records.into_iter().map(|record| (record.key, record.value)).collect()
+}
+
+/// Generation in the key of a part.
+fn generation(key: &str) -> Option<u32> {
+    key.split(SEPARATOR).nth(1)?.parse().ok()
+}
+
 /// Record that removes a key.
 fn removal(key: String) -> Record {
     Record { key, value: Vec::new() }
--- a/tests/job_ledger.rs
+++ b/tests/job_ledger.rs
@@ -60,43 +60,56 @@
     }
 
     #[test]
-    fn large_records_are_read_as_the_last_complete_batch_stored_them(
-        batches in prop::collection::vec(prop::collection::vec((0_usize..3, 0_usize..900), 1..4), 1..8),
-        cut in 0_usize..20,
+    fn large_records_are_old_or_new_wherever_their_owners_end_and_no_part_stays_behind(
+        owners in prop::collection::vec((batches(), 0_usize..25), 1..7),
     ) {
-        let mut divider = Divider::new(200);
-        let (mut stored, mut expected) = (Stored::new(), Stored::new());
-        let last = batches.len() - 1;
-        for (number, batch) in batches.iter().enumerate() {
-            let record = |&(key, size): &(usize, usize)| Record {
-                key: format!("k{key}"),
-                value: vec![number as u8; size],
-            };
-            let records: Vec<Record> = batch.iter().map(record).collect();
-            let divided = divider.divide(records.clone());
-            prop_assert!(divided.iter().all(|record| record.stored_bytes() <= 200));
-            if number == last && cut < divided.len() {
-                // The owner ends while the last batch is stored, and another one reads what is there.
-                store(&mut stored, &divided[..cut]);
-                let read = join(&mut Divider::new(200), &stored);
-                for (key, value) in &read {
-                    let new = records.iter().any(|r| r.key == *key && r.value == *value);
-                    prop_assert!(new || expected.get(key) == Some(value), "{key} is neither old nor new");
+        let (mut stored, mut expected, mut stamp) = (Stored::new(), Stored::new(), 0_u8);
+        for (batches, cut) in owners {
+            let mut divider = Divider::new(LIMIT);
+            prop_assert_eq!(&join(&mut divider, &stored), &expected);
+            for (number, batch) in batches.iter().enumerate() {
+                stamp = stamp.wrapping_add(1);
+                let record = |&(key, size)| Record { key: format!("k{key}"), value: vec![stamp; size] };
+                let records: Vec<Record> = batch.iter().map(record).collect();
+                let mut divided = divider.divide(records.clone());
+                prop_assert!(divided.iter().all(|record| record.stored_bytes() <= LIMIT));
+                if number + 1 == batches.len() {
+                    divided.truncate(cut);
                 }
-                prop_assert!(expected.keys().all(|key| read.contains_key(key)
-                    || records.iter().any(|r| r.key == *key && r.value.is_empty())));
-                return Ok(());
+                store(&mut stored, &divided);
+                // The content is new once the record itself, or its index, is stored.
+                let is_content = |record: &&Record| !record.key.contains('~');
+                store(&mut expected, &records[..divided.iter().filter(is_content).count()]);
             }
-            store(&mut stored, &divided);
-            store(&mut expected, &records);
         }
-        let mut divider = Divider::new(200);
-        prop_assert_eq!(join(&mut divider, &stored), expected.clone());
-        store(&mut stored, &divider.divide((0..3).map(|key| Record { key: format!("k{key}"), value: Vec::new() }).collect()));
-        prop_assert!(stored.is_empty(), "no part stays behind: {:?}", stored.keys());
+        let mut divider = Divider::new(LIMIT);
+        join(&mut divider, &stored);
+        let removal = |key: usize| Record { key: format!("k{key}"), value: Vec::new() };
+        store(&mut stored, &divider.divide((0..3).map(removal).collect()));
+        prop_assert!(stored.is_empty(), "parts stay behind: {:?}", stored.keys());
     }
 }
 
+#[test]
+fn the_parts_of_a_record_that_lacks_one_are_removed() {
+    let mut stored = Stored::new();
+    let record = |size| Record { key: "k0".into(), value: vec![7; size] };
+    store(&mut stored, &Divider::new(LIMIT).divide(vec![record(400)]));
+    stored.swap_remove("k0~1~1").unwrap();
+    let mut divider = Divider::new(LIMIT);
+    assert!(join(&mut divider, &stored).is_empty());
+    store(&mut stored, &divider.divide(vec![record(10)]));
+    assert_eq!(stored.keys().collect::<Vec<_>>(), ["k0"]);
+}
+
+/// Largest record in bytes.
+const LIMIT: usize = 200;
+
+/// Batches of records, by the number of the key and the size.
+fn batches() -> impl Strategy<Value = Vec<Vec<(usize, usize)>>> {
+    prop::collection::vec(prop::collection::vec((0_usize..3, 0_usize..900), 1..4), 1..4)
+}
+
 /// Values by key, as the ledger keeps them.
 type Stored = IndexMap<String, Vec<u8>>;
 
