Store a job's outcome before its specification is removed

A batch of more than one append may end with its first. The removal of an ended job's specification came before its outcome, so an owner that ended between the two left a job that its successor did not know: 410 for an accepted job.

The test stores each beginning of such a batch; before: "1 stored: Some(NoJob)".

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -58,12 +58,15 @@
             let settled = job.is_settled();
             if settled {
                 job.shrink();
-                records.push(ledger::spec_removal(id));
             }
             let mut progress = job.progress();
             let organisation = job.organisation.as_deref().filter(|_| settled);
             progress.organisation = organisation.map(String::from);
             push_encoded(&mut records, ledger::progress(id, &progress));
+            // The outcome comes first, as the owner may end between two appends of the batch.
+            if settled {
+                records.push(ledger::spec_removal(id));
+            }
         }
         records.extend(
             std::mem::take(&mut self.removed_jobs).into_iter().flat_map(ledger::job_removal),
--- a/tests/job_cell.rs
+++ b/tests/job_cell.rs
@@ -553,3 +553,27 @@
     sim.run(seconds(2.0));
     assert_eq!(sim.done.len(), 1, "once it is confirmed again, the task runs");
 }
+
+#[test]
+fn a_job_stays_known_wherever_its_owner_ends_between_the_appends_of_its_outcome() {
+    let mut sim = Simulation::new(1);
+    sim.submit(7, spec(vec![step(1, 1_000)]));
+    sim.run(Duration::from_millis(500));
+    sim.store_down = true;
+    sim.run(Duration::from_millis(1_500));
+    let records = sim.pending_batch.take().unwrap();
+    let before = sim.ledger.clone();
+    for stored in 0..=records.len() {
+        sim.ledger = before.clone();
+        sim.ledger.extend(records[..stored].iter().map(|r| (r.key.clone(), r.value.clone())));
+        sim.store_down = false;
+        sim.take_over();
+        let request = sim.query(7);
+        sim.run(Duration::from_millis(400));
+        let answer = sim.answers.get(&request);
+        assert!(
+            answer.is_some_and(|answer| *answer != Answer::NoJob),
+            "{stored} stored: {answer:?}"
+        );
+    }
+}
