Continue a read after the records of its page, not at the partition's end

A page holds about 1 MB at most, and its head names the end of the partition. The stand-in's pages are limited now, and the test is among those with real entries.

--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -189,13 +189,14 @@
     async fn read(&mut self, wait: Duration) -> Option<usize> {
         match self.store.read(CLAIMS, self.end, wait).await {
             Ok(page) => {
-                let count = page.records.len();
-                let first = page.end.saturating_sub(count as u64).max(self.end);
-                for (offset, record) in (first..).zip(page.records.iter().flatten()) {
-                    self.handle_record(offset, record);
+                let next = page.next(self.end);
+                for (offset, record) in (self.end..).zip(&page.records) {
+                    if let Some(record) = record {
+                        self.handle_record(offset, record);
+                    }
                 }
-                self.end = page.end;
-                Some(count)
+                self.end = next;
+                Some(page.records.len())
             }
             Err(Error::Gone(_)) => {
                 self.read_newest().await;
--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -67,10 +67,10 @@
         let sent = clock::now();
         let outcome = match next {
             None => store.all(topic).await.map(|newest| (newest.records, newest.end, true)),
-            Some(from) => store
-                .read(topic, from, wait)
-                .await
-                .map(|page| (page.records.into_iter().flatten().collect(), page.end, false)),
+            Some(from) => store.read(topic, from, wait).await.map(|page| {
+                let end = page.next(from);
+                (page.records.into_iter().flatten().collect(), end, false)
+            }),
         };
         match outcome {
             Ok((records, end, whole)) => {
--- a/standin/src/job/store.rs
+++ b/standin/src/job/store.rs
@@ -22,6 +22,8 @@
 const MAX_RECORD_BYTES: usize = 262_144;
 /// Largest total of the records of one append in bytes, unless a test sets another limit.
 const MAX_CALL_BYTES: usize = 2_097_152;
+/// Size in bytes that a page of a read does not exceed, unless by its only record.
+const MAX_PAGE_BYTES: usize = 1_024 << 10;
 /// Time between two checks for new records while a read waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -46,6 +48,7 @@
             outage_until: None,
             responses_to_lose: 0,
             max_record_bytes: MAX_RECORD_BYTES,
+            delay: None,
             max_call_bytes: MAX_CALL_BYTES,
         }
     }
@@ -230,6 +233,9 @@
         let mut body = [topic.end().to_be_bytes(), topic.first.to_be_bytes()].concat();
         let header_bytes = body.len();
         for record in records {
+            if body.len() > header_bytes && body.len() + record.len() > MAX_PAGE_BYTES {
+                break;
+            }
             body.extend((record.len() as u32).to_be_bytes());
             body.extend(record);
         }
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -224,6 +224,19 @@
     assert_eq!(site.checker.done(), 12);
 }
 
+#[test]
+fn the_last_of_several_manifests_that_fill_more_than_a_page_is_put_in_force() {
+    let site = Site::start("pages", 1, 1);
+    for version in 4..8 {
+        let manifest = large_manifest(version, 5_000 + version as usize).to_string();
+        site.store.put("keyed.op", "config", manifest.as_bytes());
+    }
+    wait("the last manifest to be in force", || {
+        let response = exchange(site.entries[0].callers, "GET", "/unused5006/", "", None);
+        response.is_some_and(|response| response.status == 200)
+    });
+}
+
 #[test]
 fn a_withdrawn_key_stays_refused_after_all_entries_restart_without_a_manifest() {
     let mut site = Site::start("keys", 3, 2);
