Take submissions for as long as a slow store's recent answers let expect

What callers saw: while the store answered after 800 ms, most submissions got 503 'the ledger does not answer', although the append was stored a moment later. Cause: they were refused once an append was unanswered for 700 ms.

Only answers count, not the age of outstanding calls, so that a store that doesn't answer at all is noticed after 0.7 s as before.

--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -44,8 +44,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the metrics show the accounts of organisations anew.
 const ACCOUNTS_INTERVAL: Duration = Duration::from_secs(2);
-/// Age of an unanswered append after which submissions are refused at once.
-pub(super) const LEDGER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Age of an unanswered append after which submissions are refused at once, if the store is fast.
+const LEDGER_TIMEOUT: Duration = Duration::from_millis(700);
+/// The same as a multiple of the time that recent answers of a slow store have taken.
+const LEDGER_TIMEOUT_FACTOR: u32 = 2;
 /// Reason given for these refusals.
 pub(super) const LEDGER_UNRESPONSIVE: &str = "the ledger does not answer";
 /// Largest append in bytes; the store's own limit for a call is higher.
@@ -224,14 +226,20 @@
     }
 
     /// Returns for how long the append in progress has been unanswered; zero if there is none.
-    pub(super) fn append_age(&self, now: Instant) -> Duration {
+    fn append_age(&self, now: Instant) -> Duration {
         self.append_started.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
+    /// Returns for how long the append in progress has been unanswered, if that is so long that
+    /// submissions are refused.
+    pub(super) fn ledger_missing(&self, now: Instant) -> Option<Duration> {
+        let limit = LEDGER_TIMEOUT.max(self.store.answered_in() * LEDGER_TIMEOUT_FACTOR);
+        Some(self.append_age(now)).filter(|missing| *missing > limit)
+    }
+
     fn append_batch(&mut self) {
         let now = clock::now();
-        let missing = self.append_age(now);
-        if missing > LEDGER_TIMEOUT {
+        if let Some(missing) = self.ledger_missing(now) {
             self.cell.refuse_unstored(now, LEDGER_UNRESPONSIVE, missing);
             return;
         }
--- a/src/job/daemon/request.rs
+++ b/src/job/daemon/request.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        owner::{Driver, LEDGER_TIMEOUT, LEDGER_UNRESPONSIVE, send, wall_ms},
+        owner::{Driver, LEDGER_UNRESPONSIVE, send, wall_ms},
         peer::{Method, Relay},
     },
     crate::{
@@ -45,8 +45,7 @@
             Err(answer) => return self.turn_away(&relay, &queue, answer, reply),
         };
         if relay.method == Method::Get && rest.is_empty() {
-            let missing = self.append_age(now);
-            if missing > LEDGER_TIMEOUT {
+            if let Some(missing) = self.ledger_missing(now) {
                 return send(reply, Answer::refused(LEDGER_UNRESPONSIVE, missing));
             }
             let request = self.register(reply);
@@ -109,8 +108,8 @@
         id: u64,
         reply: oneshot::Sender<Answer>,
     ) {
-        let missing = self.append_age(now);
-        if missing > LEDGER_TIMEOUT && !self.cell.jobs().contains_key(&id) {
+        let missing = self.ledger_missing(now).filter(|_| !self.cell.jobs().contains_key(&id));
+        if let Some(missing) = missing {
             info!(
                 "refuse: job={id:016x} why={LEDGER_UNRESPONSIVE:?} missing_ms={}",
                 missing.as_millis()
