Read what a new owner needs beside the ledger

Cause: a new owner read the ledger, then the manifest, then the registrations of runners, without which it polls none and renews no lease; with a slow store each page costs its delay. Now it follows the store's topics from the beginning of the takeover, and reads the manifest beside the ledger. The list of VMs is still read only once it serves, so that no list is older than what the previous owner did last.

Ruled out: counting the wait for runners that are gone from what is certain about the previous owner; the ledger has no time that bounds its last grant, so this needs a change of the records and of the model.

--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -27,15 +27,16 @@
 /// Delay before the next call after the store failed to answer one.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Spawns the tasks that watch the platform.
-pub fn spawn(
-    tasks: &mut JoinSet<()>,
-    shared: &Rc<Shared>,
-    store: &Rc<Store>,
-    events: &UnboundedSender<Event>,
-) {
+/// Spawns the tasks that follow the store's topics. They may begin before the ledger is read, so that
+/// a new owner knows the runners as soon as it serves, and renews their leases.
+pub fn spawn(tasks: &mut JoinSet<()>, store: &Rc<Store>, events: &UnboundedSender<Event>) {
     tasks.spawn_local(records(Rc::clone(store), events.clone()));
     tasks.spawn_local(runners(Rc::clone(store), events.clone()));
+}
+
+/// Spawns the task that reads the list of VMs. It begins once the owner serves, so that no list is
+/// older than what the previous owner did last.
+pub fn spawn_vms(tasks: &mut JoinSet<()>, shared: &Rc<Shared>, events: &UnboundedSender<Event>) {
     if let Some(address) = shared.settings.fleet {
         tasks.spawn_local(vms(Channel::new(address, 1), events.clone()));
     }
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -69,13 +69,14 @@
     let begun = clock::now();
     info!("owner: epoch={epoch} taking_over=true");
     let mut cell = Cell::new(epoch, shared.settings.bounds, begun);
+    let (sender, receiver) = unbounded_channel();
+    let mut tasks = JoinSet::new();
+    follow::spawn(&mut tasks, &store, &sender);
     if let Err(e) = takeover::run(&mut cell, &store, epoch, wall_ms()).await {
         warn!("owner: epoch={epoch} take over: {e}");
         return;
     }
-    let (sender, receiver) = unbounded_channel();
-    let mut tasks = JoinSet::new();
-    follow::spawn(&mut tasks, &shared, &store, &sender);
+    follow::spawn_vms(&mut tasks, &shared, &sender);
     *shared.owner_events.borrow_mut() = Some(sender.clone());
     let ms = clock::elapsed(begun).as_millis();
     let (jobs, runners) = (cell.jobs().len(), cell.workers().len());
--- a/src/job/daemon/takeover.rs
+++ b/src/job/daemon/takeover.rs
@@ -12,11 +12,11 @@
             cell::Cell,
             claim::Epoch,
             clock,
-            ledger::{self, Content},
+            ledger::{self, Content, Record},
         },
     },
     log::{error, warn},
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::time::sleep,
 };
 
@@ -33,7 +33,8 @@
     wall_ms: u64,
 ) -> Result<(), Error> {
     retry(|| store.fence(JOBS, epoch)).await?;
-    let records = retry(|| store.all(JOBS)).await?.records;
+    let (ledger, manifest) = tokio::join!(retry(|| store.all(JOBS)), read_operators_records(store));
+    let records = ledger?.records;
     let now = clock::now();
     let mut contents = Vec::with_capacity(records.len());
     for record in &records {
@@ -50,29 +51,29 @@
     for content in contents {
         cell.restore(now, wall_ms, content);
     }
-    read_operators_records(cell, store).await;
+    let Some((records, sent)) = manifest else { return Ok(()) };
+    for event in records.iter().filter_map(operators_record) {
+        if let Event::Manifest(manifest) = event {
+            cell.update_manifest(manifest);
+        }
+    }
+    cell.records_read(sent);
     Ok(())
 }
 
-/// Reads the newest manifest, which may have withdrawn keys since the former owner last read it. If
-/// the store doesn't answer, the owner goes on with the manifest of the ledger.
-async fn read_operators_records(cell: &mut Cell, store: &Store) {
+/// Reads the newest manifest, which may have withdrawn keys since the former owner last read it, and
+/// returns when the read was sent. If the store doesn't answer, the owner goes on with the manifest of
+/// the ledger.
+async fn read_operators_records(store: &Store) -> Option<(Vec<Record>, Instant)> {
     for _ in 0..MANIFEST_READS {
         let sent = clock::now();
         match store.all(manifest::TOPIC).await {
-            Ok(page) => {
-                for event in page.records.iter().filter_map(operators_record) {
-                    if let Event::Manifest(manifest) = event {
-                        cell.update_manifest(manifest);
-                    }
-                }
-                cell.records_read(sent);
-                return;
-            }
+            Ok(page) => return Some((page.records, sent)),
             Err(e) => warn!("owner: read manifest: {e}"),
         }
         sleep(RETRY_DELAY).await;
     }
+    None
 }
 
 /// Retries a call as long as the store refuses it or does not answer.
