--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -327,3 +327,20 @@
     assert_eq!(logs.matches("taking_over=true").count(), 1, "the owner has changed:\n{logs}");
     assert_eq!(site.checker.starts(), starts + 2, "a lasting task has started again");
 }
+
+#[test]
+fn an_owner_killed_while_the_store_is_slow_is_replaced_and_no_task_runs_twice() {
+    let mut site = Site::start("slowkill", 3, 3);
+    for id in 1..=4 {
+        site.submit(id, 6);
+    }
+    site.store.delay_answers(Duration::from_millis(800), Duration::from_secs(10));
+    sleep(Duration::from_millis(1_500));
+    let owner = site.owner();
+    site.kill(owner);
+    wait("another owner", || site.owner() != owner);
+    site.submit(5, 6);
+    site.launch(owner);
+    site.wait_complete(1..=5);
+    assert_eq!(site.checker.done(), 30);
+}
