--- a/src/job/daemon/takeover.rs
+++ b/src/job/daemon/takeover.rs
@@ -8,10 +8,10 @@
             manifest,
             store::{Error, JOBS},
         },
-        job::{cell::Cell, claim::Epoch, clock},
+        job::{cell::Cell, claim::Epoch, clock, ledger::Record},
     },
     log::warn,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::time::sleep,
 };
 
@@ -28,31 +28,31 @@
     wall_ms: u64,
 ) -> Result<(), Error> {
     retry(|| store.fence(JOBS, epoch)).await?;
-    let records = retry(|| store.all(JOBS)).await?.records;
-    cell.restore_all(clock::now(), wall_ms, records);
-    read_operators_records(cell, store).await;
+    let (ledger, manifest) = tokio::join!(retry(|| store.all(JOBS)), read_operators_records(store));
+    cell.restore_all(clock::now(), wall_ms, ledger?.records);
+    let Some((records, sent)) = manifest else { return Ok(()) };
+    for event in records.iter().filter_map(operators_record) {
+        if let Event::Manifest(manifest) = event {
+            cell.update_manifest(manifest);
+        }
+    }
+    cell.records_read(sent);
     Ok(())
 }
 
-/// Reads the newest manifest, which may have withdrawn keys since the former owner last read it. If
-/// the store doesn't answer, the owner goes on with the manifest of the ledger.
-async fn read_operators_records(cell: &mut Cell, store: &Store) {
+/// Reads the newest manifest, which may have withdrawn keys since the former owner last read it, and
+/// returns when the read was sent. If the store doesn't answer, the owner goes on with the manifest of
+/// the ledger.
+async fn read_operators_records(store: &Store) -> Option<(Vec<Record>, Instant)> {
     for _ in 0..MANIFEST_READS {
         let sent = clock::now();
         match store.all(manifest::TOPIC).await {
-            Ok(page) => {
-                for event in page.records.iter().filter_map(operators_record) {
-                    if let Event::Manifest(manifest) = event {
-                        cell.update_manifest(manifest);
-                    }
-                }
-                cell.records_read(sent);
-                return;
-            }
+            Ok(page) => return Some((page.records, sent)),
             Err(e) => warn!("owner: read manifest: {e}"),
         }
         sleep(RETRY_DELAY).await;
     }
+    None
 }
 
 /// Retries a call as long as the store refuses it or does not answer.
