Find tasks that crash their runners long after the start

A task that crashed its runner later than 2.5 s after the start was never found: only runs that were new on a runner were held against their tasks, and a run at work for 2.5 s dropped the history. So such a task took runner after runner down without bound, one each time that it had run for that long, with all that ran beside it.

Crashes up to 20 s after the start are held against the tasks now, too. As runners crash by themselves mostly under tasks that have long been at work, a late crash counts only together with others within 0.5 s of the same time after the start, and five are needed. The history is no longer dropped at 2.5 s; a run drops what it refutes by living 0.5 s longer, as before.

Two tests (endless tasks that crash their runners 2.2 to 15 s after the start, finite ones after 3.5 s) fail without the change: a third start after five crashes. With it the jobs are given up after five at most, and the work beside them is done. 17 tests of the job plane pass.

Ruled out: letting a late crash refute earlier ones that came right after the start. A task with a bad checkpoint crashes late once and at once from then on.

A new owner still drops the history of an endless task that it finds at work.

--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -9,7 +9,11 @@
         Cell, Worker,
         job::{Phase, Placement, Status},
     },
-    crate::job::{spec::Task, suspicion},
+    crate::job::{
+        spec::{self, Task},
+        suspicion,
+    },
+    indexmap::IndexSet,
     log::{info, warn},
     std::{
         fmt,
@@ -18,9 +22,11 @@
 };
 
 /// Time at work on a runner after which a task no longer counts as new there.
-const ESTABLISHED_AFTER: Duration = Duration::from_millis(2_500);
+const ESTABLISHED_AFTER: Duration = Duration::from_millis(suspicion::ESTABLISHED_MS as u64);
+/// Time at work from which on a crash is held against no task.
+const MAX_BLAMED: Duration = Duration::from_secs(20);
 /// Age of a run of which it is not known when it started.
-pub(super) const UNKNOWN_AGE_MS: u32 = ESTABLISHED_AFTER.as_millis() as u32;
+pub(super) const UNKNOWN_AGE_MS: u32 = suspicion::ESTABLISHED_MS;
 /// Time for which a crash of a VM is remembered.
 const CRASH_MEMORY: Duration = Duration::from_secs(20);
 /// Number of runs that a log line names.
@@ -48,7 +54,7 @@
     }
 }
 
-/// A run that was lost with its runner, before it was established there.
+/// A run that was lost with its runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loss {
     /// Task.
@@ -58,8 +64,8 @@
     /// Time from its start until the runner fell silent, in milliseconds; 0 if the start was not
     /// answered.
     pub age_ms: u32,
-    /// Whether it had certainly begun, and all other runs on the runner were of the same job or
-    /// established.
+    /// Whether it was new and had certainly begun, and all other runs on the runner were of the same
+    /// job or established.
     pub alone: bool,
 }
 
@@ -72,11 +78,15 @@
         }
     }
 
-    /// Whether the run had been at work for long enough at `now` that a crash is not put down to it. A
-    /// run of an earlier owner that is still at work counts as well, if it is `endless`.
+    /// Whether the run is one of an earlier owner that is still at work, and `endless`: it has been at
+    /// work for an unknown time.
+    pub(super) fn is_inherited(&self, endless: bool) -> bool {
+        endless && self.restored && self.phase == Phase::Running
+    }
+
+    /// Whether the run had been at work for long enough at `now` not to count as new on its runner.
     pub(super) fn is_established(&self, now: Instant, endless: bool) -> bool {
-        let inherited = endless && self.restored && self.phase == Phase::Running;
-        inherited || self.time_at_work(now) >= ESTABLISHED_AFTER
+        self.is_inherited(endless) || self.time_at_work(now) >= ESTABLISHED_AFTER
     }
 }
 
@@ -106,7 +116,7 @@
         let losses = self.losses_on(silent_since, worker);
         let names: Vec<String> = losses.iter().take(MAX_LOGGED).map(Loss::to_string).collect();
         warn!(
-            "crash: runner={runner} vm={} silent_ms={} new={} established={} runs={}",
+            "crash: runner={runner} vm={} silent_ms={} held_against={} others={} runs={}",
             worker.vm(),
             now.saturating_duration_since(silent_since).as_millis(),
             losses.len(),
@@ -122,29 +132,40 @@
         }
     }
 
-    /// Runs on a runner that were not established when it fell silent. Runs whose start was not sent
-    /// are not among them.
+    /// Runs on a runner against whose tasks its silence may be held. Runs whose start was not sent are
+    /// left out.
     fn losses_on(&self, silent_since: Instant, worker: &Worker) -> Vec<Loss> {
-        let new = |task: &&Task| !self.is_established(silent_since, task);
-        let sent = |task: &Task| {
-            let state = self.task(task)?;
-            let Status::Placed(placement) = &state.status else { return None };
-            let age_ms = match placement.phase {
-                Phase::Planned => return None,
-                Phase::Restored => UNKNOWN_AGE_MS,
-                _ => placement.time_at_work(silent_since).as_millis() as u32,
-            };
-            // An unanswered start may have been sent after the runner had ended.
-            let begun = placement.phase == Phase::Running;
-            Some(Loss { task: *task, run: state.run, age_ms, alone: begun })
-        };
-        let mut losses: Vec<Loss> = worker.tasks.keys().filter(new).filter_map(sent).collect();
-        let alone =
-            losses.iter().all(|loss| Some(loss.task.job) == losses.first().map(|l| l.task.job));
-        losses.iter_mut().for_each(|loss| loss.alone &= alone);
+        let lost = |task: &Task| self.loss_of(silent_since, task);
+        let mut losses: Vec<Loss> = worker.tasks.keys().filter_map(lost).collect();
+        let is_new = |task: &Task| !self.is_established(silent_since, task);
+        let new_jobs: IndexSet<spec::Id> =
+            losses.iter().filter(|loss| is_new(&loss.task)).map(|loss| loss.task.job).collect();
+        for loss in &mut losses {
+            loss.alone &= new_jobs.len() == 1 && is_new(&loss.task);
+        }
         losses
     }
 
+    /// What the silence of a runner since `silent_since` says about a task that was placed there; none
+    /// if nothing.
+    fn loss_of(&self, silent_since: Instant, task: &Task) -> Option<Loss> {
+        let state = self.task(task)?;
+        let Status::Placed(placement) = &state.status else { return None };
+        let endless = self.step(task).is_some_and(|step| step.endless);
+        let age = placement.time_at_work(silent_since);
+        if placement.is_inherited(endless) || age >= MAX_BLAMED {
+            return None;
+        }
+        let age_ms = match placement.phase {
+            Phase::Planned => return None,
+            Phase::Restored => UNKNOWN_AGE_MS,
+            _ => age.as_millis() as u32,
+        };
+        // An unanswered start may have been sent after the runner had ended.
+        let begun = placement.phase == Phase::Running;
+        Some(Loss { task: *task, run: state.run, age_ms, alone: begun })
+    }
+
     /// Handles the certain end of a runner, which may have been silent before.
     pub(super) fn runner_crashed(&mut self, now: Instant, runner: &str) {
         self.record_losses(now, runner);
--- a/src/job/cell/suspect.rs
+++ b/src/job/cell/suspect.rs
@@ -104,13 +104,13 @@
         if !self.suspects.contains(&task.job) {
             return;
         }
-        let established = self.is_established(now, task);
+        let endless = self.step(task).is_some_and(|step| step.endless);
         let Some(state) = self.task_mut(task).filter(|state| !state.history.is_empty()) else {
             return;
         };
         let Status::Placed(placement) = &state.status else { return };
         let age_ms = placement.time_at_work(now).as_millis() as u32;
-        if established {
+        if placement.is_inherited(endless) {
             state.history = History::default();
         } else if !state.history.observe(age_ms) {
             return;
--- a/src/job/suspicion.rs
+++ b/src/job/suspicion.rs
@@ -6,6 +6,9 @@
 //! new work down and has no other task as its cause. Only after several such crashes right after its
 //! start is a task taken for the cause, as a runner may also crash by itself at that moment. A crash that
 //! came clearly sooner after the start than a run of the task has lived elsewhere says nothing against it.
+//!
+//! A runner that crashes long after the start of a task mostly crashes for another reason. Such crashes
+//! count only together with others at the same time after the start.
 
 use serde::{Deserialize, Serialize};
 
@@ -21,10 +24,12 @@
 /// Time after the start of a run within which a crash points at it. Later, the runner may as well have
 /// crashed by itself.
 const PROMPT_MS: u32 = 500;
+/// Time at work after which a task no longer counts as new on its runner.
+pub const ESTABLISHED_MS: u32 = 2_500;
 /// Difference between the times from start to crash of a task that crashes runners.
 const JITTER_MS: u32 = 500;
 
-/// Crash of a runner on which a run of a task was new.
+/// Crash of a runner that ran a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crash {
@@ -58,12 +63,18 @@
     }
 
     /// Adds the crash of a runner `age_ms` after the start of a run, unless it was added before, or
-    /// another run has lived for longer than that.
+    /// another run has lived for longer than that. Drops others if one of both came late, and not at
+    /// the same time after the start.
     pub fn add(&mut self, run: u32, age_ms: u32) {
         let known = self.crashes.iter().any(|crash| crash.run == run);
-        if !known && !self.is_refuted(age_ms) {
-            self.crashes.push(Crash { run, age_ms, alone: false });
+        if known || self.is_refuted(age_ms) {
+            return;
         }
+        self.crashes.retain(|crash| {
+            let both_new = crash.age_ms.max(age_ms) <= ESTABLISHED_MS;
+            both_new || crash.age_ms.abs_diff(age_ms) <= JITTER_MS
+        });
+        self.crashes.push(Crash { run, age_ms, alone: false });
     }
 
     /// Takes note that nothing else was new on the runner of a run, and that it has certainly crashed.
--- a/tests/job_crash.rs
+++ b/tests/job_crash.rs
@@ -135,6 +135,28 @@
     assert_others_complete(&sim, jobs);
 }
 
+#[test]
+fn an_endless_task_that_crashes_its_runners_some_time_after_its_start_is_given_up() {
+    for delay in [2.2, 2.6, 4.0, 9.0, 15.0] {
+        let endless = Step { endless: true, ..step(5, 700) };
+        let mut sim = crashing(6, vec![endless], 0);
+        sim.crashes.delay = seconds(delay);
+        let jobs = play(&mut sim, 240, |_, _| {});
+        assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed), "after {delay} s");
+        assert_others_complete(&sim, jobs);
+    }
+}
+
+#[test]
+fn a_finite_task_that_crashes_its_runners_some_time_after_its_start_is_given_up() {
+    let mut sim = crashing(6, vec![step(6, 900)], 0);
+    sim.crashes.delay = seconds(3.5);
+    sim.run_time = seconds(4.0);
+    let jobs = play(&mut sim, 100, |_, _| {});
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
+    assert_others_complete(&sim, jobs);
+}
+
 #[test]
 fn what_is_known_of_a_crashing_task_outlasts_takeovers() {
     for period in [3, 5, 7, 9, 11] {
--- a/tests/simulation/crash.rs
+++ b/tests/simulation/crash.rs
@@ -19,6 +19,8 @@
 pub struct Crashes {
     /// Tasks that crash each runner that starts them.
     pub tasks: IndexSet<Task>,
+    /// Time from the start of such a task until its runner crashes.
+    pub delay: Duration,
     /// Time that a runner needs to restart.
     pub restart_time: Duration,
     /// Whether connections to a crashed runner fall silent, where others are closed at once.
@@ -29,8 +31,8 @@
     pub company: IndexMap<Task, Vec<Vec<Task>>>,
     /// Starts of these tasks after [`COUNTED_CRASHES`].
     starts_after: IndexMap<Task, u32>,
-    /// Runners that crash at the next step, and the task that is the cause.
-    due: Vec<(String, Task)>,
+    /// Runners that will crash, when, and the task that is the cause.
+    due: Vec<(Duration, String, Task)>,
     /// Crashed runners, and when they have restarted.
     restarting: Vec<(Duration, String)>,
 }
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             tasks: IndexSet::new(),
+            delay: Duration::ZERO,
             restart_time: Duration::from_millis(3_300),
             silent: false,
             keeps_name: false,
@@ -109,19 +112,20 @@
                 "{task} was started {starts} times after {before} crashes"
             );
         }
-        self.crashes.due.push((id.into(), *task));
+        self.crashes.due.push((self.now + self.crashes.delay, id.into(), *task));
     }
 
     /// Crashes the runners that are due, and restarts those whose time has come.
     pub(super) fn advance_crashes(&mut self) {
-        for (id, task) in std::mem::take(&mut self.crashes.due) {
+        let now = self.now;
+        let due: Vec<_> = self.crashes.due.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, id, task) in due {
             let running = self.runners.get(&id).filter(|runner| runner.running.contains_key(&task));
             let Some(runner) = running else { continue };
             let others = runner.running.keys().filter(|other| **other != task).copied().collect();
             self.crashes.company.entry(task).or_default().push(others);
             self.crash(&id);
         }
-        let now = self.now;
         let back: Vec<_> = self
             .crashes
             .restarting
