Isolate tasks for late crashes only from the third on

The cause is supposed, not traced: where many tasks crash runners, all that is lost together starts together again, so that two late crashes at the same time after the start are common among innocent tasks, which are isolated then.

--- a/src/job/suspicion.rs
+++ b/src/job/suspicion.rs
@@ -14,6 +14,8 @@
 
 /// Number of crashes that make a task a suspect, however long it had been on the runners.
 const MIN_SUSPECT_CRASHES: usize = 2;
+/// The same where they came late.
+const MIN_LATE_CRASHES: usize = 3;
 /// Number of crashes that a task needs at least to be taken for their cause.
 const MIN_CRASHES: usize = 3;
 /// Number of them that must have happened right after its start, with nothing else new on the runner.
@@ -107,13 +109,19 @@
     /// Whether the task must run where nothing else is new.
     pub fn is_suspect(&self) -> bool {
         let prompt = self.crashes.iter().any(|crash| is_prompt(crash.age_ms));
-        prompt || self.crashes.len() >= MIN_SUSPECT_CRASHES
+        prompt || self.crashes.len() >= self.min_suspect_crashes()
+    }
+
+    /// Number of crashes that make the task a suspect.
+    fn min_suspect_crashes(&self) -> usize {
+        let late = self.crashes.iter().any(|crash| crash.age_ms > ESTABLISHED_MS);
+        if late { MIN_LATE_CRASHES } else { MIN_SUSPECT_CRASHES }
     }
 
     /// Whether proof of the last crash may decide about the task, so that its next start is worth
     /// delaying for it.
     pub fn needs_proof(&self) -> bool {
-        self.crashes.len() >= MIN_SUSPECT_CRASHES
+        self.crashes.len() >= self.min_suspect_crashes()
     }
 
     /// Whether the task is the cause of the crashes. `spontaneous` says that runners have crashed lately
