Look at each waiting job and runner once per placement pass

A profile of the owner shows the placement pass before the first task is placed: for each late job all runners were compared by name (is_large), each waiting job was looked up three times and its service hashed, and the list of waiting jobs was built anew. needs() looked at all open jobs five times for each service, for the endless tasks.

Change: the largest room of each service and the load of endless tasks are found in one pass; a service is looked up once for each waiting job; services without room are passed over; what was placed is taken off the list. Order and choice of placement are as before.

--- a/src/job/cell/need.rs
+++ b/src/job/cell/need.rs
@@ -28,6 +28,33 @@
     pub(super) late: f64,
 }
 
+/// What the endless tasks of a service reserve.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EndlessLoad {
+    /// Thousandths of a core of all tasks.
+    millicores: f64,
+    /// Thousandths of a core of the largest task.
+    largest: f64,
+}
+
+impl EndlessLoad {
+    fn add(&mut self, step: &Step) {
+        let each = f64::from(step.reserved().millicores);
+        self.millicores += f64::from(step.tasks) * each;
+        self.largest = self.largest.max(each);
+    }
+
+    /// Cores of all tasks.
+    pub(super) fn cores(&self) -> f64 {
+        self.millicores / 1_000.0
+    }
+
+    /// Number of VMs with `cores` cores each that hold all tasks in any packing.
+    fn vms(&self, cores: f64) -> usize {
+        (self.cores() / (cores - self.largest / 1_000.0).max(1.0)).ceil() as usize
+    }
+}
+
 /// Fewest runners over which the steps of a job must be spread.
 fn min_runners(job: &Job) -> usize {
     let limited = job.spec.steps.iter().filter(|step| step.per_runner > 0);
@@ -63,11 +90,13 @@
             let expected = self.load.extrapolated_cores(service, self.moving_time());
             need.timely = need.timely.max(expected).max(self.burst_cores(now, service, spare));
         }
+        let endless = self.endless_loads();
         for (service, need) in &mut needs {
+            let endless = endless.get(service.as_str()).copied().unwrap_or_default();
             let vms = spread_vms.get(service.as_str()).copied().unwrap_or_default();
-            let vms = vms.max(self.endless_vms(service, cores));
-            need.floor = self.endless_cores(service).max(vms as f64 * cores);
-            need.timely = need.floor.max(need.timely + self.endless_cores(service));
+            let vms = vms.max(endless.vms(cores));
+            need.floor = endless.cores().max(vms as f64 * cores);
+            need.timely = need.floor.max(need.timely + endless.cores());
         }
         needs
     }
@@ -103,23 +132,15 @@
         vms as f64 * self.vm_cores()
     }
 
-    /// Endless steps of a service's open jobs.
-    fn endless_steps(&self, service: &str) -> impl Iterator<Item = &Step> {
-        let jobs = self.open_jobs().filter(move |job| *job.service == *service);
-        jobs.flat_map(|job| &job.spec.steps).filter(|step| step.endless)
-    }
-
-    /// Cores that a service's endless tasks reserve.
-    pub(super) fn endless_cores(&self, service: &str) -> f64 {
-        let cores = |step: &Step| f64::from(step.tasks) * f64::from(step.reserved().millicores);
-        self.endless_steps(service).map(cores).sum::<f64>() / 1_000.0
-    }
-
-    /// Number of VMs with `cores` cores each that hold a service's endless tasks in any packing.
-    fn endless_vms(&self, service: &str, cores: f64) -> usize {
-        let largest = self.endless_steps(service).map(|step| step.reserved().millicores).max();
-        let largest = f64::from(largest.unwrap_or_default()) / 1_000.0;
-        (self.endless_cores(service) / (cores - largest).max(1.0)).ceil() as usize
+    /// Load of the endless tasks of each service that has some.
+    pub(super) fn endless_loads(&self) -> IndexMap<&str, EndlessLoad> {
+        let mut loads: IndexMap<&str, EndlessLoad> = IndexMap::new();
+        for job in self.open_jobs() {
+            for step in job.spec.steps.iter().filter(|step| step.endless) {
+                loads.entry(&job.service).or_default().add(step);
+            }
+        }
+        loads
     }
 
     /// Cores of the largest runner.
--- a/src/job/cell/overload.rs
+++ b/src/job/cell/overload.rs
@@ -204,11 +204,13 @@
             return;
         }
         let mut by_service: IndexMap<Rc<str>, Backlog> = IndexMap::new();
+        let endless = self.endless_loads();
         for job in self.open_jobs().filter(|job| !job.spec.endless()) {
             let backlog = match by_service.get_mut(&job.service) {
                 Some(backlog) => backlog,
                 None => {
-                    let backlog = self.empty_backlog(now, &job.service);
+                    let endless = endless.get(&*job.service).copied().unwrap_or_default();
+                    let backlog = self.empty_backlog(now, &job.service, endless.cores());
                     by_service.entry(Rc::clone(&job.service)).or_insert(backlog)
                 }
             };
@@ -228,23 +230,25 @@
         self.backlogs = Backlogs { by_service, measured_at: Some(now) };
     }
 
-    /// Backlog of a service without any work, to which the work found is added.
-    fn empty_backlog(&self, now: Instant, service: &str) -> Backlog {
-        let mut backlog = Backlog::new(self.finite_cores(service));
+    /// Backlog of a service without any work, to which the work found is added; `endless` cores are
+    /// for endless tasks.
+    fn empty_backlog(&self, now: Instant, service: &str, endless: f64) -> Backlog {
+        let mut backlog = Backlog::new(self.finite_cores(service, endless));
         backlog.overloaded_since = self.backlog(service).and_then(|last| last.overloaded_since);
         backlog.set_overloaded(now, self.load.cores(service) > backlog.cores);
         backlog
     }
 
-    /// Cores that a service has for finite tasks, with those of the VMs that its pool should get.
-    fn finite_cores(&self, service: &str) -> f64 {
+    /// Cores that a service has besides those for endless tasks, with those of the VMs that its pool
+    /// should get.
+    fn finite_cores(&self, service: &str, endless: f64) -> f64 {
         let target = self.pools.targets.get(service).copied().unwrap_or_default();
         let is_registered = |worker: &&Worker| {
             let registration = worker.registration.as_ref();
             registration.is_some_and(|registration| registration.service == *service)
         };
         let vms = self.workers.values().filter(is_registered).count().max(target);
-        (vms as f64 * self.vm_cores() - self.endless_cores(service)).max(self.vm_cores())
+        (vms as f64 * self.vm_cores() - endless).max(self.vm_cores())
     }
 }
 
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -15,7 +15,7 @@
         rank::Rank,
     },
     crate::job::spec::{self, Step, Task},
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     log::info,
     std::{cmp::Reverse, rc::Rc, time::Instant},
 };
@@ -25,38 +25,55 @@
     /// placements.
     pub(super) fn place(&mut self, now: Instant) {
         self.place_due = false;
+        let mut services = self.candidates(now);
+        let mut order = self.rank_waiting(now, &services);
+        order.sort_unstable();
+        self.promote_starved(&mut order, &services);
+        let mut placed: IndexMap<spec::Id, usize> = IndexMap::new();
+        for Entry { job, occurrence, service, .. } in order {
+            let candidates = services.get_index_mut(service).map(|(_, candidates)| candidates);
+            let candidates =
+                candidates.filter(|candidates| candidates.unplaceable < MAX_UNPLACEABLE);
+            if candidates
+                .is_some_and(|candidates| self.place_occurrence(now, job, occurrence, candidates))
+            {
+                *placed.entry(job).or_default() += 1;
+            }
+        }
+        for (id, count) in placed {
+            if self.unfinished_occurrences(&id).count() == count {
+                self.waiting.swap_remove(&id);
+            }
+        }
+    }
+
+    /// Unfinished opened occurrences of a job.
+    fn unfinished_occurrences(&self, id: &spec::Id) -> impl Iterator<Item = (u32, &Occurrence)> {
+        let opened = self.jobs.get(id).into_iter().flat_map(Job::opened_occurrences);
+        opened.filter(|(_, occurrence)| !occurrence.is_finished())
+    }
+
+    /// Waiting occurrences whose services have runners with room, and suspects, in no order.
+    fn rank_waiting(&self, now: Instant, services: &IndexMap<Rc<str>, Candidates>) -> Vec<Entry> {
         let over_share = self.accounts.over_share();
-        let mut order: Vec<(Rank, spec::Id, u32)> = Vec::with_capacity(self.waiting.len());
+        let sheds_load = self.bounds.sheds_load;
+        let mut order = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
             let Some(job) = self.jobs.get(id) else { continue };
-            let unfinished =
-                job.opened_occurrences().filter(|(_, occurrence)| !occurrence.is_finished());
+            let Some((service, _, candidates)) = services.get_full(&job.service) else { continue };
+            if candidates.runners.is_empty() && !self.suspects.contains(id) {
+                continue;
+            }
             let over_share =
                 job.organisation.as_ref().is_some_and(|name| over_share.contains(name));
-            let sheds_load = self.bounds.sheds_load;
+            let unfinished =
+                job.opened_occurrences().filter(|(_, occurrence)| !occurrence.is_finished());
             order.extend(unfinished.map(|(number, occurrence)| {
                 let rank = Rank::of(job, occurrence, now, over_share, sheds_load);
-                (rank, *id, number)
+                Entry { rank, job: *id, occurrence: number, service }
             }));
         }
-        order.sort_unstable();
-        self.promote_starved(&mut order);
-        let mut services = self.candidates(now);
-        let mut unplaced: IndexSet<spec::Id> = IndexSet::new();
-        for (_, id, occurrence) in order {
-            let Some(service) = self.jobs.get(&id).map(|job| Rc::clone(&job.service)) else {
-                continue;
-            };
-            let candidates = services
-                .get_mut(&service)
-                .filter(|candidates| candidates.unplaceable < MAX_UNPLACEABLE);
-            if !candidates
-                .is_some_and(|candidates| self.place_occurrence(now, id, occurrence, candidates))
-            {
-                unplaced.insert(id);
-            }
-        }
-        self.waiting = unplaced;
+        order
     }
 
     /// Runners of each service on which tasks may be placed now. Those in suspected failure domains
@@ -81,7 +98,6 @@
                 let crashes = self.recent_crashes(now, worker);
                 candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
             }
-            candidates.largest_room = candidates.largest_room.max(registration.room.millicores);
             if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
                 continue;
             }
@@ -100,24 +116,37 @@
     /// Ranks one late job of each service as timely and started if its tasks need more than half of a
     /// runner, and as many as may run in isolation if they are suspected of crashing runners: on a busy
     /// pool they would otherwise never find a runner that is empty enough.
-    fn promote_starved(&self, order: &mut [(Rank, spec::Id, u32)]) {
-        let mut large: IndexSet<Rc<str>> = IndexSet::new();
+    fn promote_starved(&self, order: &mut [Entry], services: &IndexMap<Rc<str>, Candidates>) {
+        let largest = self.largest_rooms();
+        let mut rooms: Vec<u32> = services
+            .keys()
+            .map(|service| largest.get(&**service).copied().unwrap_or_default())
+            .collect();
         let mut isolating = self.isolation_quotas();
         let mut changed = false;
-        for (rank, id, _) in order.iter_mut().filter(|(rank, ..)| rank.finite && rank.late) {
-            let Some(job) = self.jobs.get(id) else { continue };
-            let promoted = if self.has_suspect(*id) {
-                isolating.get_mut(&job.service).is_some_and(|quota| {
-                    let any = *quota > 0;
-                    *quota = quota.saturating_sub(1);
-                    any
+        for entry in order.iter_mut().filter(|entry| entry.rank.finite && entry.rank.late) {
+            let promoted = if self.has_suspect(entry.job) {
+                services.get_index(entry.service).is_some_and(|(service, _)| {
+                    isolating.get_mut(service).is_some_and(|quota| {
+                        let any = *quota > 0;
+                        *quota = quota.saturating_sub(1);
+                        any
+                    })
                 })
             } else {
-                self.is_large(job) && large.insert(Rc::clone(&job.service))
+                // The room of a service is taken by its first large job.
+                rooms.get_mut(entry.service).is_some_and(|room| {
+                    let job = self.jobs.get(&entry.job).filter(|_| *room > 0);
+                    let large = job.is_some_and(|job| is_large(job, *room));
+                    if large {
+                        *room = 0;
+                    }
+                    large
+                })
             };
             if promoted {
-                rank.late = false;
-                rank.started = Reverse(true);
+                entry.rank.late = false;
+                entry.rank.started = Reverse(true);
                 changed = true;
             }
         }
@@ -126,14 +155,14 @@
         }
     }
 
-    /// Whether a task of the job needs more than half of the largest runner of its service.
-    fn is_large(&self, job: &Job) -> bool {
-        let runners = self.workers.values().filter_map(|worker| worker.registration.as_ref());
-        let room = runners
-            .filter(|registration| *registration.service == *job.service)
-            .map(|registration| registration.room.millicores);
-        let largest = job.spec.steps.iter().map(|step| step.reserved().millicores).max();
-        room.max().is_some_and(|room| largest.unwrap_or_default() > room / 2)
+    /// Whole room of the largest runner of each service, in thousandths of a core.
+    fn largest_rooms(&self) -> IndexMap<&str, u32> {
+        let mut largest: IndexMap<&str, u32> = IndexMap::new();
+        for registration in self.workers.values().filter_map(|w| w.registration.as_ref()) {
+            let room = largest.entry(&registration.service).or_default();
+            *room = registration.room.millicores.max(*room);
+        }
+        largest
     }
 
     /// Places the tasks of an occurrence; returns whether none of them waits any more.
@@ -303,6 +332,22 @@
     }
 }
 
+/// Whether a task of the job needs more than half of a runner with `room` thousandths of a core.
+fn is_large(job: &Job, room: u32) -> bool {
+    let largest = job.spec.steps.iter().map(|step| step.reserved().millicores).max();
+    largest.unwrap_or_default() > room / 2
+}
+
+/// A waiting occurrence, in the order of placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Entry {
+    rank: Rank,
+    job: spec::Id,
+    occurrence: u32,
+    /// Index of its service among those with candidates.
+    service: usize,
+}
+
 /// Runners of a service on which tasks may be placed now, as indices into `Cell::workers`.
 #[derive(Default)]
 pub(super) struct Candidates {
@@ -310,8 +355,6 @@
     pub(super) runners: Vec<usize>,
     /// Runners with room in a suspected failure domain.
     suspected: Vec<usize>,
-    /// Whole room of the largest runner, in thousandths of a core.
-    largest_room: u32,
     /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
     pub(super) fewest_crashes: usize,
     /// Number of tasks and gangs that fitted nowhere.
--- a/src/job/cell/suspect.rs
+++ b/src/job/cell/suspect.rs
@@ -45,10 +45,10 @@
     /// Whether a task must run where nothing else is new. All members of a gang start together, so one
     /// that must is enough.
     pub(super) fn is_suspect(&self, task: &Task) -> bool {
-        let Some(job) = self.jobs.get(&task.job).filter(|_| self.suspects.contains(&task.job))
-        else {
+        if !self.suspects.contains(&task.job) {
             return false;
-        };
+        }
+        let Some(job) = self.jobs.get(&task.job) else { return false };
         let is_suspect = |state: &State| state.history.is_suspect();
         if self.is_gang(task) {
             return job.siblings(task).into_iter().flatten().any(is_suspect);
@@ -146,9 +146,10 @@
 
     /// Whether a task of a job must run where nothing else is new.
     pub(super) fn has_suspect(&self, id: spec::Id) -> bool {
-        let Some(job) = self.jobs.get(&id).filter(|_| self.suspects.contains(&id)) else {
+        if !self.suspects.contains(&id) {
             return false;
-        };
+        }
+        let Some(job) = self.jobs.get(&id) else { return false };
         job.tasks(id).any(|(_, state)| !state.is_done() && state.history.is_suspect())
     }
 
