Hand the cell over to an entry with twice the owner's cores

Cause: while the log answers slowly, the order in which strong entries claim before weak ones (126 ms on entries with 0.5 and 0.12 cores) doesn't decide who is first.

Ruled out as a trigger: how often ticks of the event loop are late (a trial of that never fired in time: 0.2 to 0.76 of the ticks of a weak owner, but 0.2 to 0.3 of those of a strong one without load, as an event puts a tick off by up to an interval).

Change: an entry that opens its connection to a new owner sends its cores with the request for the owner's view, as an extension that older releases ignore, if it reads the log and was not asked to stop. An owner that has served for 2 s and knows of an entry with at least twice its cores releases the cell as in a planned stop, if the log and the ledger answer, and at most once in 30 s. Nothing changes where entries have the same cores.

--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -217,16 +217,18 @@
     /// Starts the event loop of the owner.
     fn start_owner(&mut self, epoch: Epoch) {
         let (shared, store) = (Rc::clone(&self.shared), Rc::clone(&self.store));
+        shared.strongest_peer.set(0.0);
+        shared.hands_over.set(false);
         let task = spawn_local(owner::run(shared, store, epoch));
         self.owning = Some((epoch, task));
     }
 
-    /// Appends a heartbeat, or the release of the cell if the process stops or the event loop has
-    /// ended. Ends the ownership if another entry has claimed the cell.
+    /// Appends a heartbeat, or the release of the cell if the process stops, the event loop has ended,
+    /// or the cell is handed over. Ends the ownership if another entry has claimed the cell.
     async fn send_heartbeat(&mut self, epoch: Epoch, task: JoinHandle<()>) {
         sleep(HEARTBEAT_INTERVAL).await;
         let stopping = self.shared.stopping.borrow().is_some();
-        let kind = if stopping || task.is_finished() {
+        let kind = if stopping || task.is_finished() || self.shared.hands_over.get() {
             Kind::Release(epoch)
         } else {
             Kind::Heartbeat(epoch)
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod follow;
 mod front;
+mod handover;
 mod listener;
 pub mod log_output;
 mod meter;
@@ -89,6 +90,9 @@
         owner_seen_at: Cell::new(None),
         ended_epoch: Cell::new(None),
         owner_ended: Notify::new(),
+        strongest_peer: Cell::new(0.0),
+        hands_over: Cell::new(false),
+        handed_over_at: Cell::new(None),
         open_requests: Cell::new(0),
         meter: Rc::clone(&meter),
     });
--- a/src/job/daemon/monitor.rs
+++ b/src/job/daemon/monitor.rs
@@ -55,7 +55,8 @@
     if connection == Connection::Kept && shared.has_seen_owner() {
         return true;
     }
-    match shared.link.status(owner.peer, STATUS_TIMEOUT).await {
+    let cores = shared.may_own().then_some(shared.settings.cores);
+    match shared.link.status(owner.peer, cores, STATUS_TIMEOUT).await {
         Ok(status) if status.incarnation != owner.incarnation => {
             shared.record_owner_end(owner, status.owner);
             false
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -111,10 +111,10 @@
     pub(super) shared: Rc<Shared>,
     store: Rc<Store>,
     pub(super) cell: Cell,
-    epoch: Epoch,
+    pub(super) epoch: Epoch,
     suspension: Detector,
     /// When the takeover began.
-    started: Instant,
+    pub(super) started: Instant,
     /// Sequence number of the last append to the ledger in this epoch.
     last_sequence: u64,
     /// When the append in progress began.
@@ -165,6 +165,7 @@
             if now.saturating_duration_since(shown) >= ACCOUNTS_INTERVAL {
                 shown = now;
                 self.show_accounts();
+                self.hand_over_if_due(now);
             }
             if self.cell.is_superseded() {
                 warn!("owner: epoch={} lost=true why=\"a newer owner has written\"", self.epoch);
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -129,10 +129,17 @@
         }
     }
 
-    /// Asks the entry at `peer` for its view of the cell's owner.
-    pub async fn status(&self, peer: SocketAddr, limit: Duration) -> Result<Status, String> {
+    /// Asks the entry at `peer` for its view of the cell's owner. `cores` are those of this entry, if
+    /// it could own the cell.
+    pub async fn status(
+        &self,
+        peer: SocketAddr,
+        cores: Option<f64>,
+        limit: Duration,
+    ) -> Result<Status, String> {
         let sender = self.sender(peer).ok_or_else(|| String::from("no connection"))?;
-        let answer = timeout(limit, exchange(sender, encode(STATUS_PATH, &(), None::<&()>)?)).await;
+        let request = encode(STATUS_PATH, &(), cores.as_ref())?;
+        let answer = timeout(limit, exchange(sender, request)).await;
         answer.unwrap_or_else(|_| Err(format!("no answer after {limit:?}")))
     }
 
@@ -219,13 +226,17 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    if request.uri().path() == STATUS_PATH {
-        return Ok(reply(&shared.status()));
-    }
+    let asks_status = request.uri().path() == STATUS_PATH;
     let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => return Ok(plain(StatusCode::BAD_REQUEST, e.to_string().into_bytes())),
     };
+    if asks_status {
+        if let Ok(((), Some(cores))) = extension::decode::<(), f64>(&body) {
+            shared.record_peer(cores);
+        }
+        return Ok(reply(&shared.status()));
+    }
     let answer = match extension::decode::<Relay, Key>(&body) {
         Ok((relay, key)) => shared.decide(Relay { key, ..relay }).await,
         Err(e) => Answer::Malformed(e.to_string()),
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -56,6 +56,12 @@
     pub ended_epoch: Cell<Option<Epoch>>,
     /// Notifies the claimant when the owner's process is known to have ended.
     pub owner_ended: Notify,
+    /// Most cores of another entry that could own the cell and has connected in this ownership.
+    pub strongest_peer: Cell<f64>,
+    /// Whether this entry, which owns the cell, hands it over.
+    pub hands_over: Cell<bool>,
+    /// When this entry last handed the cell over.
+    pub handed_over_at: Cell<Option<Instant>>,
     /// Callers' requests in progress.
     pub open_requests: Cell<usize>,
     /// Metrics.
@@ -97,6 +103,22 @@
         self.owner_seen_at.get().is_some_and(|at| clock::elapsed(at) < HEALTHY_TIME)
     }
 
+    /// Returns whether this entry could own the cell: it reads the log, and was not asked to stop.
+    pub fn may_own(&self) -> bool {
+        self.has_seen_owner() && self.stopping.borrow().is_none()
+    }
+
+    /// Records the cores of another entry that could own the cell.
+    pub fn record_peer(&self, cores: f64) {
+        self.strongest_peer.set(self.strongest_peer.get().max(cores));
+    }
+
+    /// Has the claimant release the cell.
+    pub fn hand_over(&self) {
+        self.hands_over.set(true);
+        self.handed_over_at.set(Some(clock::now()));
+    }
+
     /// Returns this entry's view of who owns the cell.
     pub fn status(&self) -> Status {
         Status {
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod diagnose;
 pub mod extension;
+pub mod handover;
 pub mod learn;
 pub mod ledger;
 pub mod manifest;
