Don't take what is older than a maintenance for its end

Read in src/job/cell/{vm,pools, wave}.rs: a VM in maintenance counted as up again, so that the wave took down the next one, in two cases before its time: - its runner was not known when it was taken down (such VMs are taken first), and a list that was asked for before arrives after the answer and shows it up with that runner; - its runner had restarted under its name just before, and that registration arrives afterwards.

Change: as long as the maintenance takes since the call was first sent, only a runner of another name than the known former one shows that the VM is up.

Ruled out by reading: calls without an answer (they count as down until answered, also for the next owner, as begun in the ledger); a late action of the former owner (confirmation of 0.65 s, and the next owner's pause of 1 s).

Tests: two in tests/job_vms.rs, which fail on the code before (a second VM is taken down, one allowed).

--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -178,10 +178,15 @@
 
     /// Handles the first registration of an incarnation of a runner; returns whether its VM is being
     /// drained.
-    pub(super) fn runner_registered(&mut self, runner: &str, registration: &Registration) -> bool {
+    pub(super) fn runner_registered(
+        &mut self,
+        now: Instant,
+        runner: &str,
+        registration: &Registration,
+    ) -> bool {
         let Some(record) = self.pools.vms.get_mut(registration.vm.as_str()) else { return false };
         let target = Target { runner: Rc::from(runner), incarnation: registration.incarnation };
-        record.runner_registered(&target, registration);
+        record.runner_registered(now, &target, registration);
         record.plan.is_some()
     }
 
@@ -236,12 +241,12 @@
                 Stage::Draining => {
                     let worker = runner.as_ref().and_then(|id| self.workers.get(id));
                     if worker.is_none_or(|worker| worker.tasks.is_empty()) {
-                        self.send_action(&vm, &plan.action);
+                        self.send_action(now, &vm, &plan.action);
                     } else if let Some(runner) = runner {
                         self.stop_endless_tasks(now, &runner);
                     }
                 }
-                Stage::RetryAt(at) if at <= now => self.retry_action(&vm, &plan),
+                Stage::RetryAt(at) if at <= now => self.retry_action(now, &vm, &plan),
                 Stage::RetryAt(_) | Stage::Sent => {}
             }
         }
@@ -265,9 +270,9 @@
 
     /// Sends an action again. If the VM has got another runner meanwhile, that one is drained first:
     /// the action may be carried out only now, or may have ended the runner before it.
-    fn retry_action(&mut self, vm: &str, plan: &Plan) {
+    fn retry_action(&mut self, now: Instant, vm: &str, plan: &Plan) {
         if plan.target == self.target_of(vm) {
-            return self.send_action(vm, &plan.action);
+            return self.send_action(now, vm, &plan.action);
         }
         if let Some(worker) = self.runner_of(vm).and_then(|id| self.workers.get_mut(&id)) {
             worker.vm_draining = true;
@@ -287,7 +292,7 @@
 
     /// Sends an action once the ledger has stored it. Maintenance waits if its wave has as many VMs
     /// down as it may, unless a call for this VM may have been carried out already.
-    fn send_action(&mut self, vm: &str, action: &Action) {
+    fn send_action(&mut self, now: Instant, vm: &str, action: &Action) {
         let mut resumes = false;
         if let Action::Upkeep { wave, .. } = action {
             let (wave, max_down) = (*wave, self.max_down(*wave));
@@ -301,6 +306,9 @@
         if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
             let is_retry = plan.stage != Stage::Draining;
             plan.may_be_done |= resumes && !is_retry;
+            if !is_retry && !plan.may_be_done {
+                plan.first_sent = Some(now);
+            }
             plan.stage = Stage::Sent;
             plan.target = target;
         }
@@ -323,7 +331,7 @@
             Ok(()) => {
                 info!("vm: id={vm} done={action:?}");
                 let (target, may_be_done) = (plan.target.take(), plan.may_be_done);
-                record.complete_action(now, action, target.clone());
+                record.complete_action(now, action, target.clone(), self.bounds.upkeep_time);
                 if let Action::Upkeep { wave, .. } = action {
                     self.pools.mark_upkeep_done(*wave, vm);
                 }
--- a/src/job/cell/registration.rs
+++ b/src/job/cell/registration.rs
@@ -67,7 +67,7 @@
                     self.handle_restart(now, id, incarnation);
                 }
                 if restarted || unknown {
-                    self.note_incarnation(id);
+                    self.note_incarnation(now, id);
                 }
             }
             None => {
@@ -76,7 +76,7 @@
                     registration.service, registration.sequence
                 );
                 self.workers.insert(Rc::from(id), Worker::new(Some(registration), now, now));
-                self.note_incarnation(id);
+                self.note_incarnation(now, id);
             }
         }
         self.remove_former_runners(now, id, &vm);
@@ -84,12 +84,12 @@
 
     /// Notes an incarnation that has registered for the first time. It takes no tasks if its VM is
     /// being drained.
-    fn note_incarnation(&mut self, id: &str) {
+    fn note_incarnation(&mut self, now: Instant, id: &str) {
         let worker = self.workers.get(id);
         let Some(registration) = worker.and_then(|worker| worker.registration.clone()) else {
             return;
         };
-        let vm_draining = self.runner_registered(id, &registration);
+        let vm_draining = self.runner_registered(now, id, &registration);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.vm_draining = vm_draining;
         }
--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -3,7 +3,9 @@
 //!
 //! A call to the platform may be carried out without an answer, and its answer may come after the
 //! VM's next runner has registered. A record therefore keeps the runner that an action is meant to
-//! end: only that incarnation counts as ended when the platform confirms the action.
+//! end: only that incarnation counts as ended when the platform confirms the action. Lists and
+//! registrations from before maintenance may arrive after it has begun: as long as it takes, only a
+//! runner of another name than the former one shows that the VM is up again.
 
 use {
     super::RunnerId,
@@ -45,6 +47,8 @@
     former: Option<Target>,
     /// Whether the action took the VM down for its maintenance.
     is_upkeep: bool,
+    /// When the VM can be up again at the earliest, if that is known.
+    down_until: Option<Instant>,
 }
 
 /// Planned action on a VM.
@@ -55,6 +59,8 @@
     pub(super) stage: Stage,
     /// Runner that the VM had when the action was last sent; it ends if the action is carried out.
     pub(super) target: Option<Target>,
+    /// When the action was first sent, unless it may have been carried out before.
+    pub(super) first_sent: Option<Instant>,
     /// Whether the action may have been carried out before the target registered, so that its
     /// confirmation does not show that the target has ended.
     pub(super) may_be_done: bool,
@@ -82,7 +88,7 @@
     /// Plan whose VM is to be drained from `now` on.
     pub(super) fn new(action: Action, now: Instant) -> Self {
         let stage = Stage::Draining;
-        Self { action, since: now, stage, target: None, may_be_done: false }
+        Self { action, since: now, stage, target: None, first_sent: None, may_be_done: false }
     }
 
     /// Whether the action was sent, so that it may have been carried out.
@@ -102,13 +108,20 @@
         self.former.as_ref().map(|former| &*former.runner)
     }
 
+    /// Whether a list or a registration that shows the VM with this runner may be from before the
+    /// action, since the VM can't be up again yet.
+    fn may_precede(&self, now: Instant, runner: Option<&str>) -> bool {
+        let lasts = self.down_until.is_some_and(|until| now < until);
+        lasts && self.former_id().is_none_or(|former| runner == Some(former))
+    }
+
     /// Whether the platform lists the VM as up again, with `listed` as its state.
     fn is_over(&self, now: Instant, listed: &Vm) -> bool {
         let elapsed = now.saturating_duration_since(self.at);
         if elapsed > ARRIVAL_TIMEOUT {
             return true;
         }
-        if listed.state != State::Up {
+        if listed.state != State::Up || self.may_precede(now, listed.runner.as_deref()) {
             return false;
         }
         match (&listed.runner, self.former_id()) {
@@ -132,24 +145,29 @@
     pub(super) fn update(&mut self, now: Instant, vm: Vm) {
         let is_older = |action: &Completion| {
             let recent = now.saturating_duration_since(action.at) < LIST_LAG;
-            recent && vm.state == State::Up && vm.runner.as_deref() == action.former_id()
+            let runner = vm.runner.as_deref();
+            let same = recent && runner == action.former_id();
+            vm.state == State::Up && (same || action.may_precede(now, runner))
         };
         if !self.last_action.as_ref().is_some_and(is_older) {
             self.listed = vm;
         }
     }
 
-    /// Updates the state after an action was carried out that was to end `former`.
+    /// Updates the state after an action was carried out that was to end `former`. Maintenance takes
+    /// `upkeep_time`.
     pub(super) fn complete_action(
         &mut self,
         now: Instant,
         action: &Action,
         former: Option<Target>,
+        upkeep_time: Duration,
     ) {
         let is_upkeep = matches!(action, Action::Upkeep { .. });
-        self.plan = None;
+        let sent = self.plan.take().and_then(|plan| plan.first_sent).filter(|_| is_upkeep);
+        let down_until = sent.map(|at| at + upkeep_time);
         self.listed.runner = None;
-        self.last_action = Some(Completion { at: now, former, is_upkeep });
+        self.last_action = Some(Completion { at: now, former, is_upkeep, down_until });
         match action {
             Action::Move { pool, .. } => {
                 self.listed.pool.clone_from(pool);
@@ -170,10 +188,18 @@
 
     /// Handles the registration of a new incarnation of the VM's runner, which completes the last
     /// action, or shows that a move whose answer is outstanding was carried out.
-    pub(super) fn runner_registered(&mut self, runner: &Target, registration: &Registration) {
+    pub(super) fn runner_registered(
+        &mut self,
+        now: Instant,
+        runner: &Target,
+        registration: &Registration,
+    ) {
         let service = registration.service.as_str();
         if let Some(action) = &self.last_action {
-            if service == self.listed.pool && action.former.as_ref() != Some(runner) {
+            if !action.may_precede(now, Some(&*runner.runner))
+                && service == self.listed.pool
+                && action.former.as_ref() != Some(runner)
+            {
                 self.set_up(runner);
                 self.last_action = None;
             }
--- a/tests/job_vms.rs
+++ b/tests/job_vms.rs
@@ -351,3 +351,38 @@
     sim.run(seconds(1.0));
     assert_eq!(sim.runners["next"].starts, 1, "the runner of the VM is still there");
 }
+
+#[test]
+fn a_list_from_before_a_maintenance_does_not_end_it_if_the_runner_was_unknown() {
+    let mut sim = Simulation::new(1);
+    sim.add_spare("m9");
+    sim.vms["m9"].pool = String::from("desk");
+    sim.runners.insert(String::from("r9"), simulation::Runner::default());
+    sim.vms["m9"].runner = Some(String::from("r9"));
+    sim.update_vms();
+    let before = sim.vms["m9"].clone();
+    let now = sim.instant();
+    sim.cell.add_wave(now, wave(&["m9", "m0"], 1));
+    sim.run(seconds(0.3));
+    assert_eq!(upkeeps(&sim), ["m9"]);
+    sim.vms["m9"] = before;
+    sim.update_vms();
+    sim.run(seconds(0.5));
+    assert_eq!(upkeeps(&sim), ["m9"]);
+}
+
+#[test]
+fn a_late_registration_from_before_a_maintenance_does_not_end_it() {
+    let mut sim = Simulation::new(2);
+    sim.update_vms();
+    let mut late = sim.registration("r0");
+    late.incarnation = Some(2);
+    let now = sim.instant();
+    sim.cell.add_wave(now, wave(&["m0", "m1"], 1));
+    sim.run(seconds(0.3));
+    assert_eq!(upkeeps(&sim), ["m0"]);
+    let now = sim.instant();
+    sim.cell.update_registration(now, "r0", Some(late));
+    sim.run(seconds(0.5));
+    assert_eq!(upkeeps(&sim), ["m0"]);
+}
