--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -38,6 +38,7 @@
 mod start;
 mod submit;
 mod suspect;
+mod throttle;
 mod vm;
 mod wave;
 mod workers;
@@ -53,6 +54,7 @@
     load::Load,
     overload::{Backlog, Demand, Refusal},
     pools::Pools,
+    throttle::Throttle,
     workers::Worker,
 };
 
@@ -192,6 +194,7 @@
     crash_events: Vec<CrashEvent>,
     /// Whether something has changed that may let tasks be placed.
     place_due: bool,
+    throttle: Throttle,
 }
 
 impl Cell {
@@ -238,6 +241,7 @@
             retry_placement_at: None,
             crash_events: Vec::new(),
             place_due: false,
+            throttle: Throttle::default(),
         }
     }
 
@@ -337,9 +341,7 @@
         self.open_occurrences(now);
         self.load.decay(now);
         self.place_due |= self.retry_placement_at.take_if(|at| *at <= now).is_some();
-        if self.place_due {
-            self.place(now);
-        }
+        self.place_if_due(now);
         self.advance_waves(now);
         self.balance(now);
         self.measure_backlogs(now);
@@ -350,9 +352,7 @@
     /// Reacts to events between two ticks: places tasks if anything has changed, and sends the
     /// polls that are due.
     pub fn handle_changes(&mut self, now: Instant) {
-        if self.place_due {
-            self.place(now);
-        }
+        self.place_if_due(now);
         self.poll_runners(now);
     }
 
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -45,9 +45,9 @@
 /// Interval at which the metrics show the accounts of organisations anew.
 const ACCOUNTS_INTERVAL: Duration = Duration::from_secs(2);
 /// Age of an unanswered append after which submissions are refused at once, if the store is fast.
-const LEDGER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const LEDGER_TIMEOUT: Duration = Duration::from_millis(700);
 /// The same as a multiple of the time that recent answers of a slow store have taken.
-const LEDGER_TIMEOUT_FACTOR: u32 = 2;
+pub(super) const LEDGER_TIMEOUT_FACTOR: u32 = 2;
 /// Reason given for these refusals.
 pub(super) const LEDGER_UNRESPONSIVE: &str = "the ledger does not answer";
 /// Largest append in bytes, unless the store's own limit is lower.
@@ -112,10 +112,10 @@
     pub(super) shared: Rc<Shared>,
     store: Rc<Store>,
     pub(super) cell: Cell,
-    epoch: Epoch,
+    pub(super) epoch: Epoch,
     suspension: Detector,
     /// When the takeover began.
-    started: Instant,
+    pub(super) started: Instant,
     /// Sequence number of the last append to the ledger in this epoch.
     last_sequence: u64,
     /// When the append in progress began.
@@ -141,7 +141,9 @@
         let mut ticked = clock::now();
         let mut shown = ticked;
         loop {
-            let first = timeout(TICK_INTERVAL, receiver.recv()).await;
+            let placement = self.cell.next_placement(clock::now()).unwrap_or(TICK_INTERVAL);
+            let wait = placement.min(TICK_INTERVAL);
+            let first = timeout(wait, receiver.recv()).await;
             self.notice_suspension();
             if let Ok(Some(event)) = first {
                 self.handle(event);
@@ -160,9 +162,11 @@
             } else {
                 self.cell.handle_changes(now);
             }
+            self.cell.end_turn(clock::now());
             if now.saturating_duration_since(shown) >= ACCOUNTS_INTERVAL {
                 shown = now;
                 self.show_accounts();
+                self.hand_over_if_due(now);
             }
             if self.cell.is_superseded() {
                 warn!("owner: epoch={} lost=true why=\"a newer owner has written\"", self.epoch);
@@ -225,7 +229,7 @@
     }
 
     /// Returns for how long the append in progress has been unanswered; zero if there is none.
-    fn append_age(&self, now: Instant) -> Duration {
+    pub(super) fn append_age(&self, now: Instant) -> Duration {
         self.append_started.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
