Move other VMs to a pool that refuses one

What callers see: a pool that is short gets no VM although others are free. Cause: a move that the platform refuses for good (400: the VM can't join that pool; or 409 busy for 4 s) was planned again at the next balance, 150 ms later, for the same VM, as the order of the VMs doesn't change. Those behind it were never tried, and a VM with a plan counts in the pool that it is to join.

A VM is now not moved for 30 s to a pool that has refused it. Maintenance that stays busy is as before.

The test (two spare VMs, the first of which is refused) fails with the time set to 0, which is the code before: s1 stays spare.

--- a/src/job/cell/balance.rs
+++ b/src/job/cell/balance.rs
@@ -162,14 +162,13 @@
         let mut moves = Vec::new();
         for (service, missing) in short {
             for _ in 0..missing {
-                let Some(position) = movable.iter().position(|vm| vm.pool != *service) else {
-                    break;
-                };
+                let joins = |vm: &Movable| self.may_join(now, &vm.id, service);
+                let Some(position) = movable.iter().position(joins) else { break };
                 let vm = movable.remove(position).id;
                 moves.push(Action::Move { vm, pool: service.clone() });
             }
         }
-        for vm in movable.into_iter().filter(|vm| vm.pool != spare) {
+        for vm in movable.into_iter().filter(|vm| self.may_join(now, &vm.id, spare)) {
             let share = shares.get(&vm.pool).copied().unwrap_or_default();
             let given = moves.iter().filter(|action| self.pool_of(action.vm()) == vm.pool).count();
             let over = share.has.saturating_sub(given) > share.target + RESERVE;
@@ -232,6 +231,11 @@
             .collect()
     }
 
+    /// Whether a VM may move to a pool, as far as is known.
+    fn may_join(&self, now: Instant, vm: &str, pool: &str) -> bool {
+        self.pools.vms.get(vm).is_some_and(|record| record.may_join(now, pool))
+    }
+
     fn pool_of(&self, vm: &str) -> &str {
         self.pools.vms.get(vm).map_or("", |record| record.listed.pool.as_str())
     }
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -343,6 +343,12 @@
             {
                 self.pools.mark_upkeep_done(*wave, vm);
             }
+            if let (Action::Move { pool, .. }, Err(Refusal::Busy | Refusal::Impossible)) =
+                (action, &outcome)
+                && let Some(record) = self.pools.vms.get_mut(vm)
+            {
+                record.refuse_pool(now, pool);
+            }
             return self.abandon_plan(vm);
         }
         info!("vm: id={vm} again={action:?} why={outcome:?}");
--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -11,7 +11,7 @@
         runner::{Incarnation, Registration},
         upkeep::{Action, State, Vm},
     },
-    indexmap::IndexSet,
+    indexmap::{IndexMap, IndexSet},
     log::info,
     std::{
         rc::Rc,
@@ -25,6 +25,8 @@
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after an action for which a VM without a runner counts as down.
 const SWITCH_TIME: Duration = Duration::from_millis(2_400);
+/// Time for which a VM is not moved to a pool that the platform has refused.
+const REFUSED_POOL_TIME: Duration = Duration::from_secs(30);
 
 /// The owner's record of one VM.
 #[derive(Clone, Debug)]
@@ -35,6 +37,8 @@
     pub(super) plan: Option<Plan>,
     /// Last action that was carried out, until the VM's new runner is known.
     pub(super) last_action: Option<Completion>,
+    /// Pools that the platform does not let the VM join, and until when that counts.
+    refused_pools: IndexMap<String, Instant>,
 }
 
 /// An action that was carried out.
@@ -125,7 +129,17 @@
 impl Record {
     /// Record of a VM that the platform lists.
     pub(super) fn new(listed: Vm) -> Self {
-        Self { listed, plan: None, last_action: None }
+        Self { listed, plan: None, last_action: None, refused_pools: IndexMap::new() }
+    }
+
+    /// Takes note that the platform has refused a move to a pool, so that other VMs are tried.
+    pub(super) fn refuse_pool(&mut self, now: Instant, pool: &str) {
+        self.refused_pools.insert(String::from(pool), now + REFUSED_POOL_TIME);
+    }
+
+    /// Whether the VM may join a pool, as far as is known.
+    pub(super) fn may_join(&self, now: Instant, pool: &str) -> bool {
+        self.listed.pool != pool && self.refused_pools.get(pool).is_none_or(|until| *until <= now)
     }
 
     /// Sets the state that the platform lists, unless it is from before the last action.
--- a/tests/job_rejected.rs
+++ b/tests/job_rejected.rs
@@ -11,6 +11,7 @@
         ledger::Outcome,
         manifest::Advice,
         runner::{self, Rejection},
+        settings::Bounds,
         spec::{Spec, Step},
     },
     simulation::{MILLICORES, Simulation, manifest, spec, step},
@@ -116,3 +117,18 @@
     sim.run(SECOND * 4);
     assert!(is_complete(&mut sim, JOB));
 }
+
+#[test]
+fn a_job_whose_records_are_larger_than_the_store_accepts_is_kept_by_a_new_owner() {
+    let bounds = Bounds { record_bytes: 2_000, ..Bounds::default() };
+    let mut sim = Simulation::with_bounds(3, bounds);
+    let step = Step { image: "x".repeat(10_000), ..step(1_000, 40) };
+    sim.submit(JOB, spec(vec![step]));
+    sim.run(SECOND / 2);
+    let stored = sim.ledger.values().map(Vec::len).sum::<usize>();
+    assert!(stored > 14_000, "{stored} bytes are stored");
+    sim.take_over();
+    sim.run(SECOND * 10);
+    assert!(is_complete(&mut sim, JOB));
+    assert_eq!(sim.done.len(), 1_000);
+}
--- a/tests/job_vms.rs
+++ b/tests/job_vms.rs
@@ -154,6 +154,22 @@
     assert!(back >= 2, "{back} VMs went back");
 }
 
+#[test]
+fn a_vm_that_the_pool_refuses_keeps_no_other_vm_from_joining() {
+    let mut sim = Simulation::new(1);
+    for vm in ["s0", "s1"] {
+        sim.add_spare(vm);
+    }
+    sim.refused_vms.insert("s0".into());
+    sim.update_vms();
+    sim.run(seconds(0.5));
+    sim.submit(1, spec(vec![Step { endless: true, ..step(11, 1_600) }]));
+    sim.run(seconds(5.0));
+    assert_eq!(sim.vms["s1"].pool, "desk");
+    let tries = moves(&sim).iter().filter(|(vm, _)| vm == "s0").count();
+    assert_eq!(tries, 1, "the platform would refuse it again");
+}
+
 #[test]
 fn a_vm_that_has_moved_counts_in_its_new_pool_before_the_list_says_so() {
     let mut sim = Simulation::new(9);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -117,6 +117,8 @@
     /// Whether actions on VMs are carried out without an answer and without a change in the list of
     /// VMs.
     pub vm_answers_lost: bool,
+    /// VMs for which the platform refuses all actions as impossible.
+    pub refused_vms: IndexSet<String>,
     /// Time after which actions on VMs are answered, if not at once. A call that gets no answer in
     /// [`TIMEOUT`] is reported to the cell as unanswered.
     pub vm_answer_delay: Duration,
@@ -205,6 +207,7 @@
             runs_fail: false,
             tail_ms: 0,
             vm_answers_lost: false,
+            refused_vms: IndexSet::new(),
             vm_answer_delay: Duration::ZERO,
             vm_answers: Vec::new(),
             maintained: IndexSet::new(),
@@ -625,6 +628,10 @@
             runner.into_iter().for_each(|runner| runner.unresponsive = true);
             return;
         }
+        if self.refused_vms.contains(action.vm()) {
+            let now = self.instant();
+            return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Impossible));
+        }
         let is_done = match action {
             upkeep::Action::Move { vm, pool } => self.vms[vm].pool == *pool,
             upkeep::Action::Upkeep { vm, wave } => !self.maintained.insert((*wave, vm.clone())),
