Let a call's later attempts replace its oldest one

What callers saw: while 40 % of the store's answers were lost, the owner lost the cell and 'the ledger does not answer'. Cause: after four attempts without an answer a call waited for its deadline of 4 s, which every 40th call met; and a repeated call's whole time entered the average that sets the time after which appends are repeated.

Now a further attempt ends the oldest; only the attempt that is answered enters the average; and only answered calls, not the age of outstanding ones, delay a repetition.

--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -26,12 +26,13 @@
     log::info,
     std::{
         cell::{Cell, RefCell},
+        collections::VecDeque,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
     tokio::{
-        task::JoinSet,
+        task::{AbortHandle, JoinSet},
         time::{sleep, sleep_until},
     },
 };
@@ -45,7 +46,7 @@
     (Duration::from_millis(120), Duration::from_millis(1_000));
 /// Time after which a call is sent again as a multiple of the store's present delay, at least.
 const REPEAT_FACTOR: f64 = 1.5;
-/// Maximum number of attempts of a call that are outstanding at once.
+/// Maximum number of attempts of a call that are outstanding at once; a further one ends the oldest.
 const MAX_ATTEMPTS: usize = 4;
 /// Maximum number of concurrent calls to the store.
 const MAX_CALLS: usize = 12;
@@ -153,52 +154,74 @@
 
     /// Sends an append, again after a time that adapts to how long recent appends took.
     async fn call_append(&self, name: &str, call: Call) -> Result<Reply> {
-        let repeat = self.append_repeat.get().max(self.delay().mul_f64(REPEAT_FACTOR));
+        let repeat = self.append_repeat.get().max(self.answered_in().mul_f64(REPEAT_FACTOR));
         let begun = Instant::now();
-        let outcome = self.call(name, call, Duration::ZERO, repeat).await;
-        self.append_repeat.record(begun, outcome.is_ok());
-        outcome
+        let outcome = self.call_timed(name, call, Duration::ZERO, repeat).await;
+        let sent = outcome.as_ref().map_or(begun, |(_, sent)| *sent);
+        self.append_repeat.record(sent, outcome.is_ok());
+        outcome.map(|(reply, _)| reply)
     }
 
     /// Sends a call that changes nothing if it is repeated, and which the store may hold back for
     /// `wait`.
     async fn call_read(&self, name: &str, call: Call, wait: Duration) -> Result<Reply> {
-        let repeat = wait + READ_REPEAT.max(self.delay().mul_f64(REPEAT_FACTOR));
+        let repeat = wait + READ_REPEAT.max(self.answered_in().mul_f64(REPEAT_FACTOR));
         self.call(name, call, wait, repeat).await
     }
 
-    /// Sends a call and waits for its reply. While it is unanswered, it is sent again over a new
-    /// connection after `repeat`, and again after longer times; the first reply counts.
+    /// Sends a call and waits for its reply, see [`Self::call_timed`].
     async fn call(
         &self,
         name: &str,
         call: Call,
         wait: Duration,
-        mut repeat: Duration,
+        repeat: Duration,
     ) -> Result<Reply> {
+        self.call_timed(name, call, wait, repeat).await.map(|(reply, _)| reply)
+    }
+
+    /// Sends a call and waits for its reply; returns also when the attempt was sent that is answered.
+    /// While it is unanswered, it is sent again over a new
+    /// connection after `repeat`, and again after longer times; the first reply counts.
+    async fn call_timed(
+        &self,
+        name: &str,
+        call: Call,
+        wait: Duration,
+        mut repeat: Duration,
+    ) -> Result<(Reply, Instant)> {
         let begun = Instant::now();
         let deadline = begun + wait + MAX_ANSWER_TIME;
         let mut attempts = JoinSet::new();
-        self.spawn_attempt(&mut attempts, call.clone(), wait);
+        let mut handles = VecDeque::from([self.spawn_attempt(&mut attempts, call.clone(), wait)]);
         let outcome = loop {
             tokio::select! {
                 Some(outcome) = attempts.join_next() => match outcome {
                     Ok(Err(_)) if !attempts.is_empty() => {}
                     Ok(outcome) => break outcome.map_err(|e| e.to_string()),
+                    Err(e) if e.is_cancelled() => {}
                     Err(e) => break Err(e.to_string()),
                 },
-                () = sleep(repeat), if attempts.len() < MAX_ATTEMPTS => {
+                () = sleep(repeat) => {
                     self.meter.count_event("store_call_repeated");
                     self.channel.close_idle();
-                    self.spawn_attempt(&mut attempts, call.clone(), wait);
-                    repeat = (repeat * 2).min(repeat.max(READ_REPEAT));
+                    handles.push_back(self.spawn_attempt(&mut attempts, call.clone(), wait));
+                    if handles.len() > MAX_ATTEMPTS && let Some(oldest) = handles.pop_front() {
+                        oldest.abort();
+                    }
+                    // A single lost answer changes nothing.
+                    if attempts.len() > 2 {
+                        repeat = (repeat * 2).min(repeat.max(READ_REPEAT));
+                    }
                 }
                 () = sleep_until(deadline.into()) => {
                     break Err(format!("gave up after {:?}", begun.elapsed()));
                 }
             }
         };
-        let label = outcome.as_ref().map_or(String::from("none"), |reply| reply.status.to_string());
+        let label = outcome
+            .as_ref()
+            .map_or(String::from("none"), |(reply, _): &(Reply, Instant)| reply.status.to_string());
         self.meter.count_call(name, &label, begun.elapsed());
         self.show_delay();
         outcome.map_err(Error::NoAnswer)
@@ -207,13 +230,14 @@
     /// Spawns one attempt of a call.
     fn spawn_attempt(
         &self,
-        attempts: &mut JoinSet<channel::Result<Reply>>,
+        attempts: &mut JoinSet<channel::Result<(Reply, Instant)>>,
         call: Call,
         wait: Duration,
-    ) {
+    ) -> AbortHandle {
         let (channel, latency) = (Rc::clone(&self.channel), Rc::clone(&self.latency));
         attempts.spawn_local(async move {
-            let number = latency.borrow_mut().sent(Instant::now(), wait);
+            let sent = Instant::now();
+            let number = latency.borrow_mut().sent(sent, wait);
             let attempt = Attempt { latency, number };
             let outcome = channel.call(call, wait + MAX_ANSWER_TIME).await;
             let mut latency = attempt.latency.borrow_mut();
@@ -223,8 +247,8 @@
                 Err(_) => {}
             }
             drop(latency);
-            outcome
-        });
+            outcome.map(|reply| (reply, sent))
+        })
     }
 
     /// Shows the store's delay in the metrics, and logs a large change of it.
