--- a/src/job/cell/advice.rs
+++ b/src/job/cell/advice.rs
@@ -6,7 +6,7 @@
 //! runner is not asked about again, and an expired ticket is requested again.
 
 use {
-    super::{Action, Cell, RunnerId, place::Candidates},
+    super::{Action, Cell, RunnerId, candidates::Candidates},
     crate::job::spec::{self, Step, Task},
     displaydoc::Display,
     indexmap::{IndexMap, IndexSet},
--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -3,7 +3,7 @@
 //! Of the runners with room, the task goes to the one that suits it best (see [`Fit`]).
 
 use {
-    super::{Cell, Worker, place::Candidates},
+    super::{Cell, Worker, candidates::Candidates},
     crate::job::spec::{Resources, Step, Task},
     std::time::Instant,
 };
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -9,9 +9,9 @@
 use {
     super::{
         Cell, Worker,
+        candidates::Candidates,
         choose::may_run_on,
         job::{State, Status},
-        place::Candidates,
         suspect::SUSPECTS_RETRY_DELAY,
     },
     crate::job::spec::{Resources, Step, Task},
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -16,6 +16,7 @@
 mod advice;
 mod availability;
 mod balance;
+mod candidates;
 mod choose;
 mod commit;
 mod crash;
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -9,14 +9,15 @@
 use {
     super::{
         Cell, Effect,
+        candidates::Candidates,
         choose::Choice,
         job::{Job, Phase, Placement, State, Status},
         occurrence::Occurrence,
         rank::Rank,
         suspect::SUSPECTS_RETRY_DELAY,
     },
-    crate::job::spec::{self, Resources, Step, Task},
-    indexmap::{IndexMap, IndexSet},
+    crate::job::spec::{self, Step, Task},
+    indexmap::IndexMap,
     log::info,
     std::{cmp::Reverse, rc::Rc, time::Instant},
 };
@@ -78,43 +79,6 @@
         order
     }
 
-    /// Runners of each service on which tasks may be placed now. Those in suspected failure domains
-    /// are used only if there are no others.
-    fn candidates(&self, now: Instant) -> IndexMap<Rc<str>, Candidates> {
-        let mut services: IndexMap<Rc<str>, Candidates> = IndexMap::new();
-        let suspected = self.suspected_domains();
-        for (index, worker) in self.workers.values().enumerate() {
-            let Some(registration) =
-                worker.registration.as_ref().filter(|_| worker.accepts_tasks(now))
-            else {
-                continue;
-            };
-            let candidates = match services.get_mut(registration.service.as_str()) {
-                Some(candidates) => candidates,
-                None => {
-                    let first = Candidates { fewest_crashes: usize::MAX, ..Candidates::default() };
-                    services.entry(Rc::from(registration.service.as_str())).or_insert(first)
-                }
-            };
-            if !self.suspects.is_empty() {
-                let crashes = self.recent_crashes(now, worker);
-                candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
-            }
-            if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
-                continue;
-            }
-            if worker.is_in(&suspected) {
-                candidates.suspected.push(index);
-            } else {
-                candidates.runners.push(index);
-            }
-        }
-        for candidates in services.values_mut().filter(|candidates| candidates.runners.is_empty()) {
-            candidates.runners = std::mem::take(&mut candidates.suspected);
-        }
-        services
-    }
-
     /// Ranks one late job of each service as timely and started if its tasks need more than half of a
     /// runner, and as many as may run in isolation if they are suspected of crashing runners: on a busy
     /// pool they would otherwise never find a runner that is empty enough.
@@ -214,7 +178,7 @@
         };
         let runners = candidates.runners.iter().copied().filter(has_ticket).collect();
         let fewest_crashes = candidates.fewest_crashes;
-        let mut advised = Candidates { runners, fewest_crashes, ..Candidates::default() };
+        let mut advised = Candidates::new(runners, fewest_crashes);
         let placed = self.place_step(now, waiting, step, &mut advised);
         if placed.len() < waiting.len() {
             self.ask_advisor(now, first, step, candidates);
@@ -372,46 +336,3 @@
     /// Index of its service among those with candidates.
     service: usize,
 }
-
-/// Runners of a service on which tasks may be placed now, as indices into `Cell::workers`.
-#[derive(Default)]
-pub(super) struct Candidates {
-    /// Runners with room, without those reserved for a task that fits nowhere.
-    pub(super) runners: Vec<usize>,
-    /// Runners with room in a suspected failure domain.
-    suspected: Vec<usize>,
-    /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
-    pub(super) fewest_crashes: usize,
-    /// Number of tasks and gangs that fitted nowhere now, and for which runners are reserved.
-    reservations: usize,
-    /// Labels and room of steps that none of the runners could ever hold.
-    unfit: IndexSet<(String, Resources)>,
-}
-
-/// Number of tasks and gangs with reserved runners from which on the other jobs of a service are not
-/// tried in this pass.
-const MAX_RESERVATIONS: usize = 16;
-
-impl Candidates {
-    /// Whether a further job may be placed on the runners. Suspects are tried in any case, as that has
-    /// them tried again later.
-    fn may_hold(&self, is_suspect: bool) -> bool {
-        self.reservations < MAX_RESERVATIONS && (is_suspect || !self.runners.is_empty())
-    }
-
-    /// Reserves runners for a task or gang that fits nowhere now.
-    pub(super) fn reserve(&mut self, runners: impl IntoIterator<Item = usize>) {
-        self.reservations += 1;
-        let reserved: IndexSet<usize> = runners.into_iter().collect();
-        self.runners.retain(|runner| !reserved.contains(runner));
-    }
-
-    /// Whether a like step is known to fit none of the runners.
-    fn is_unfit_for(&self, step: &Step) -> bool {
-        !self.unfit.is_empty() && self.unfit.contains(&(step.label.clone(), step.reserved()))
-    }
-
-    fn mark_unfit_for(&mut self, step: &Step) {
-        self.unfit.insert((step.label.clone(), step.reserved()));
-    }
-}
