--- a/src/job/daemon/append.rs
+++ b/src/job/daemon/append.rs
@@ -9,7 +9,7 @@
         adapter::store::{Error, JOBS, Sequence},
         job::ledger::Record,
     },
-    log::{debug, error},
+    log::{debug, error, warn},
     std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc::UnboundedSender, time::sleep},
 };
@@ -19,18 +19,18 @@
 /// Delay before an append is retried that the store has rejected for good.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Appends the parts of a batch in order. Each is retried as long as the store refuses it or does
+/// Appends the groups of a batch in order. Each is retried as long as the store refuses it or does
 /// not answer.
 pub(super) async fn run(
     shared: Rc<Shared>,
     store: Rc<Store>,
     events: UnboundedSender<Event>,
-    parts: Vec<Vec<Record>>,
+    groups: Vec<Vec<Record>>,
     first: Sequence,
 ) {
     let mut outcome = Ok(());
-    for (records, number) in parts.iter().zip(first.number..) {
-        outcome = append_part(&shared, &store, records, Sequence { number, ..first }).await;
+    for (records, number) in groups.iter().zip(first.number..) {
+        outcome = append_group(&shared, &store, records, Sequence { number, ..first }).await;
         if outcome.is_err() {
             break;
         }
@@ -40,7 +40,7 @@
     }
 }
 
-async fn append_part(
+async fn append_group(
     shared: &Shared,
     store: &Store,
     records: &[Record],
@@ -49,7 +49,11 @@
     loop {
         match store.append(JOBS, records, at).await {
             Ok(_) => return Ok(()),
-            Err(Error::Refused(_) | Error::NoAnswer(_)) => sleep(RETRY_DELAY).await,
+            Err(Error::Refused(_)) => sleep(RETRY_DELAY).await,
+            Err(Error::NoAnswer(why)) => {
+                warn!("owner: epoch={} append={} answer=none why={why:?}", at.epoch, at.number);
+                sleep(RETRY_DELAY).await;
+            }
             Err(Error::Rejected(status)) => {
                 shared.meter.count_event("append_rejected");
                 log_rejection(status, records, at);
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -249,11 +249,11 @@
         let Some(batch) = self.cell.next_batch(now) else { return };
         self.append_started = Some(now);
         let max_bytes = self.shared.settings.bounds.append_bytes.min(MAX_APPEND_BYTES);
-        let parts = ledger::split(batch.records, max_bytes);
+        let groups = ledger::split(batch.records, max_bytes);
         let first = Sequence { epoch: self.epoch, number: self.last_sequence + 1 };
-        self.last_sequence += parts.len() as u64;
+        self.last_sequence += groups.len() as u64;
         let (shared, store) = (Rc::clone(&self.shared), Rc::clone(&self.store));
-        self.tasks.spawn_local(append::run(shared, store, self.events.clone(), parts, first));
+        self.tasks.spawn_local(append::run(shared, store, self.events.clone(), groups, first));
     }
 
     fn appended(&mut self, now: Instant, outcome: Result<(), Error>) {
--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -178,8 +178,8 @@
     }
 
     /// Sends a call and waits for its reply; returns also when the attempt was sent that is answered.
-    /// While it is unanswered, it is sent again over a new
-    /// connection after `repeat`, and again after longer times; the first reply counts.
+    /// While it is unanswered, it is sent again over a new connection after `repeat`, and again after
+    /// longer times; the first reply counts.
     async fn call_timed(
         &self,
         name: &str,
