--- a/src/job/daemon/claimant.rs
+++ b/src/job/daemon/claimant.rs
@@ -1,8 +1,8 @@
 //! Claims the cell for this entry and sends heartbeats while it owns the cell.
 //!
 //! Every entry follows the claim records in the log. It claims the cell when it has read no record
-//! for the claim timeout ([`Silence`]), and at once if the owner has released the cell or is known to have ended.
-//! [`crate::job::claim`] describes the protocol.
+//! for the claim timeout ([`Silence`]), and at once if the owner has released the cell or is known
+//! to have ended. [`crate::job::claim`] describes the protocol.
 
 use {
     super::{owner, shared::Shared, store::Store},
