--- a/src/fleet/controller.rs
+++ b/src/fleet/controller.rs
@@ -12,14 +12,17 @@
 //! clock shows that the lease has expired, and the controller does nothing before it has acquired
 //! the lease again.
 
+mod order;
+
 use {
+    self::order::{first_within_budget, take_order},
     crate::{
-        fleet::{Vm, Wave},
+        fleet::Wave,
         id::{EntryId, Incarnation, OperationId, VmId, WaveId},
         lease::CONTROL,
         platform::{self, Health, List, Progress},
         record::{Body, Record, Step},
-        state::{Reason, State, Verdict},
+        state::{State, Verdict},
         wave::{self, Run, Taken},
     },
     indexmap::{IndexMap, IndexSet},
@@ -360,33 +363,6 @@
     }
 }
 
-/// First VM that the budgets allow to be drained. If the budget of an availability zone is spent,
-/// the VMs of that zone are passed over; any other spent budget forbids the whole pool.
-fn first_within_budget<'a>(
-    state: &State,
-    ready: &[(&'a VmId, &'a Vm, &'a platform::Vm)],
-) -> Option<(&'a VmId, &'a platform::Vm)> {
-    let mut spent = None;
-    for (id, vm, listed) in ready {
-        if spent.as_ref() == Some(&vm.zone) {
-            continue;
-        }
-        match state.check_budget(id, vm) {
-            Ok(()) => return Some((id, listed)),
-            Err(Reason::ZoneBudget { zone, .. }) => spent = Some(zone),
-            Err(_) => return None,
-        }
-    }
-    None
-}
-
-/// Sort key of the VMs that a wave may take: drained and empty ones first, then by availability
-/// zone and rack.
-fn take_order<'a>(state: &State, id: &'a VmId, vm: &'a Vm) -> (bool, &'a str, &'a str, &'a str) {
-    let empty = state.drains.get(id).is_some_and(|drain| drain.waiting.is_empty());
-    (!empty, &vm.zone, &vm.rack, id)
-}
-
 /// Final step for a VM whose reboot has ended; `None` while it may still become live.
 fn final_step(view: View<'_>, plan: &Plan<'_>, vm: &VmId, taken: &Taken) -> Option<Step> {
     let live = plan.listed.get(vm.as_str()).filter(|l| l.health == Health::Live);
--- a/src/request/order/coordinator.rs
+++ b/src/request/order/coordinator.rs
@@ -6,7 +6,10 @@
 //! every request with the key: it is then reported only for an order whose claim this entry has
 //! won; otherwise the outcome is unknown.
 
+mod finish;
+
 use {
+    self::finish::{mismatch, unknown},
     super::{Arrival, Batcher, Ending, Key, Ledger, Owner, Retention, Step, Verdict},
     crate::{
         event::{Finish, RequestId},
@@ -279,28 +282,6 @@
         self.answer_waiters(id, &ending);
     }
 
-    /// Answers the waiters of an order that has ended; after a release they continue to wait and
-    /// claim it again.
-    fn answer_waiters(&mut self, id: OrderId, ending: &Ending) {
-        let finish = match ending {
-            Ending::Done(answer) => Finish::Stored(answer.clone()),
-            Ending::Unknown => unknown("the order may have run"),
-            Ending::NotRun => return,
-        };
-        let Some(order) = self.orders.get_mut(&id) else { return };
-        for waiter in std::mem::take(&mut order.waiters) {
-            self.finish(waiter.arrival.id, finish.clone());
-        }
-    }
-
-    /// Answers all waiters of an order and removes it.
-    fn answer_all(&mut self, id: OrderId, finish: &Finish) {
-        let Some(order) = self.orders.swap_remove(&id) else { return };
-        for waiter in order.waiters {
-            self.finish(waiter.arrival.id, finish.clone());
-        }
-    }
-
     /// After records were missed: writes outcomes again and gives up sent claims, since they may be
     /// among the missed records.
     fn rewrite_outcomes(&mut self) {
@@ -318,14 +299,6 @@
         }
     }
 
-    /// Refuses all waiters of an order.
-    fn refuse_all(&mut self, id: OrderId, reason: &str) {
-        let Some(order) = self.orders.get_mut(&id) else { return };
-        for waiter in std::mem::take(&mut order.waiters) {
-            self.refuse(&waiter.arrival, reason, RETRY_AFTER);
-        }
-    }
-
     fn orders_in(&self, is_in: impl Fn(&Phase) -> bool) -> Vec<OrderId> {
         self.orders.iter().filter(|(_, o)| is_in(&o.phase)).map(|(id, _)| *id).collect()
     }
@@ -383,28 +356,4 @@
             !(is_unwanted && batcher.remove_unsent(*id))
         });
     }
-
-    /// Answers a request that did not run here: `not-run`, or unknown if the caller has sent the
-    /// key before.
-    fn refuse(&mut self, arrival: &Arrival, reason: &str, retry_after: Duration) {
-        let reason = String::from(reason);
-        let finish = if arrival.is_repeat {
-            Finish::Unknown { reason, retry_after }
-        } else {
-            Finish::NotRun { reason, retry_after }
-        };
-        self.finish(arrival.id, finish);
-    }
-
-    fn finish(&mut self, request: RequestId, finish: Finish) {
-        self.steps.push(Step::Finish(request, finish));
-    }
-}
-
-fn unknown(reason: &str) -> Finish {
-    Finish::Unknown { reason: String::from(reason), retry_after: RETRY_AFTER }
-}
-
-fn mismatch() -> Finish {
-    Finish::Failed { reason: String::from("the key was used for a different request") }
 }
