--- a/standin/src/job/runner.rs
+++ b/standin/src/job/runner.rs
@@ -25,7 +25,7 @@
 /// Text of a job whose tasks crash the runners that start them.
 pub const CRASH: &str = "crash";
 /// Text of a job whose tasks run until they are stopped.
-pub const LASTING: &str = "lasting";
+pub const ENDLESS: &str = "endless";
 /// Capacity of a runner in thousandths of a core.
 const MILLICORES: u64 = 16_000;
 
@@ -60,7 +60,7 @@
     /// Number and start of the current run of each task.
     running: IndexMap<String, (u64, Instant)>,
     /// Running tasks that end only when they are stopped.
-    lasting: IndexSet<String>,
+    endless: IndexSet<String>,
     /// Highest run of each task that was started or stopped.
     latest_runs: IndexMap<String, u64>,
     /// Ended runs that the owner has not confirmed: number of the end, task, run and how it ended.
@@ -189,8 +189,8 @@
         }
         state.latest_runs.insert(String::from(task), run);
         state.running.insert(String::from(task), (run, Instant::now()));
-        if body["spec"] == LASTING {
-            state.lasting.insert(String::from(task));
+        if body["spec"] == ENDLESS {
+            state.endless.insert(String::from(task));
         }
         if state.running.len() as u64 * self.config.millicores > MILLICORES {
             self.checker.violation(format!("{} has no room for {task}", self.config.id));
@@ -269,7 +269,7 @@
             .iter()
             .filter(|(task, (_, started))| {
                 let is_done = started.elapsed() >= self.config.run_time;
-                expired || is_done && !state.lasting.contains(*task)
+                expired || is_done && !state.endless.contains(*task)
             })
             .map(|(task, _)| task.clone())
             .collect();
@@ -280,7 +280,7 @@
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
         let Some((run, _)) = state.running.swap_remove(task) else { return };
-        state.lasting.swap_remove(task);
+        state.endless.swap_remove(task);
         state.end_count += 1;
         let number = state.end_count;
         state.ended.push((number, String::from(task), run, how));
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -349,9 +349,9 @@
 }
 
 #[test]
-fn a_slow_store_changes_no_owner_and_stops_no_lasting_task() {
+fn a_slow_store_changes_no_owner_and_stops_no_endless_task() {
     let site = Site::start("slow", 3, 3);
-    site.submit_lasting(0x900, 6);
+    site.submit_endless(0x900, 6);
     let starts = site.checker.starts();
     site.store.delay_answers(Duration::from_millis(800), Duration::from_secs(8));
     for _ in 0..16 {
@@ -362,7 +362,7 @@
     site.wait_complete([0x901]);
     let logs: String = (0..3).map(|entry| site.log(&format!("front-{entry}"))).collect();
     assert_eq!(logs.matches("taking_over=true").count(), 1, "the owner has changed:\n{logs}");
-    assert_eq!(site.checker.starts(), starts + 2, "a lasting task has started again");
+    assert_eq!(site.checker.starts(), starts + 2, "a endless task has started again");
 }
 
 #[test]
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -175,8 +175,8 @@
 }
 
 /// Specification of a job of one step whose tasks run until they are stopped.
-pub fn lasting_job(tasks: u32) -> Value {
-    json!({ "spec": runner::LASTING, "steps": [
+pub fn endless_job(tasks: u32) -> Value {
+    json!({ "spec": runner::ENDLESS, "steps": [
         { "count": tasks, "cpu": 2000, "memMb": 64, "daemon": true },
     ] })
 }
@@ -379,14 +379,14 @@
     }
 
     /// Submits a job whose tasks run until they are stopped, and waits until they run.
-    pub fn submit_lasting(&self, id: u64, tasks: u32) {
+    pub fn submit_endless(&self, id: u64, tasks: u32) {
         let starts = self.checker.starts();
         let name = format!("{id:016x}");
-        wait("a lasting job to be accepted", || {
-            let response = self.call(0, "POST", &name, Some(&lasting_job(tasks)));
+        wait("a endless job to be accepted", || {
+            let response = self.call(0, "POST", &name, Some(&endless_job(tasks)));
             response.is_some_and(|response| response.status == 200)
         });
-        wait("lasting tasks to run", || self.checker.starts() >= starts + tasks as usize);
+        wait("endless tasks to run", || self.checker.starts() >= starts + tasks as usize);
     }
 
     /// Submits a job whose tasks crash runners, until it is accepted.
