--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -1,11 +1,16 @@
 //! The cases, one function each: it plays the case and returns how the rule was broken, if it was.
 
 use crate::{
-    record::Record,
+    http::{Reply, Server},
+    record::{Event, Record},
     runner::{Config, Runner},
     site::{Result, Site},
 };
-use std::{thread::sleep, time::Duration};
+use std::{
+    net::SocketAddr,
+    thread::sleep,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 const HOST: &str = "desk.example";
 
@@ -16,6 +21,7 @@
         "large" => large(record, trouble),
         "filler" => filler(record, trouble),
         "reborn" => reborn(record, trouble),
+        "foreign" => foreign(record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
@@ -93,7 +99,7 @@
     }
     let events = site.record.events();
     let failed = events.iter().filter(|(_, event)| {
-        matches!(event, crate::record::Event::End { how, .. } if *how == "failed")
+        matches!(event, Event::End { how, .. } if *how == "failed")
     });
     let failed = failed.count();
     if failed == 0 {
@@ -233,7 +239,7 @@
     if trouble {
         let starts = site.record.events();
         let host = starts.iter().find_map(|(_, event)| match event {
-            crate::record::Event::Start { task, runner, .. } if task.starts_with(filling) => {
+            Event::Start { task, runner, .. } if task.starts_with(filling) => {
                 runners.iter().find(|r| r.config().id == *runner)
             }
             _ => None,
@@ -292,7 +298,7 @@
     if trouble {
         let events = site.record.events();
         let on_first = events.iter().any(|(_, event)| {
-            matches!(event, crate::record::Event::Start { runner, task, .. }
+            matches!(event, Event::Start { runner, task, .. }
                 if *runner == runners[0].config().id && task.starts_with(job))
         });
         if !on_first {
@@ -306,3 +312,44 @@
     sleep(seconds(8.0));
     Ok(overlap(&site.record, job).map(|what| format!("TWICE: {what} at the same time")))
 }
+
+/// TWICE: an entry of another writer, with a service that no manifest names, makes the owner take a runner on
+/// the same machine for ended.
+fn foreign(record: Record, trouble: bool) -> Result<Option<String>> {
+    let quotes = ("r-quotes", "/quotes/", 0, 2);
+    let site = Site::start(record, &manifest(3, &[quotes]), 3)?;
+    let runners = runners(&site, 7, 0)?;
+    // The other program answers every call with 404.
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let other = Server::start(any, |_| Reply::json(404, "{}")).map_err(|e| e.to_string())?;
+    let job = "00000000000000f1";
+    let body = "{\"spec\":\"work=5000\",\"steps\":[{\"count\":2,\"cpu\":2000,\"memMb\":1024,\
+                \"estMs\":5000}]}";
+    site.submit(HOST, &format!("/quotes/{job}"), body)?;
+    site.wait("the work items run", seconds(3.0), |site| site.record.spans(job).len() == 2)?;
+    sleep(seconds(1.0));
+    let events = site.record.events();
+    let host = events.iter().find_map(|(_, event)| match event {
+        Event::Start { runner, task, .. } if task.starts_with(job) => {
+            runners.iter().find(|r| r.config().id == *runner)
+        }
+        _ => None,
+    });
+    let machine = host.ok_or("the runner is not known")?.config().machine.clone();
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    for sequence in 1..=6 {
+        if trouble {
+            let entry = format!(
+                "{{\"service\":\"agent\",\"addr\":\"{}\",\"zone\":\"zone-a\",\"machine\":\"{machine}\",\
+                 \"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"coldLeftMs\":0,\"born\":{born},\
+                 \"seq\":{sequence},\"labels\":[],\"headroom\":{{\"cpu\":0,\"memMb\":0,\"gpu\":0}}}}",
+                other.address
+            );
+            site.store.put("keyed.servers", "agent-1", entry.as_bytes());
+            site.record.note(&format!("other writer: servers/agent-1 {entry}"));
+        }
+        sleep(crate::runner::HEARTBEAT);
+    }
+    other.stop();
+    Ok(overlap(&site.record, job).map(|what| format!("TWICE: {what} at the same time")))
+}
