--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -13,6 +13,7 @@
 };
 
 pub struct Request {
+    #[allow(dead_code)]
     pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
--- a/review/rig/site.rs
+++ b/review/rig/site.rs
@@ -97,13 +97,13 @@
         while TcpListener::bind(SocketAddr::from((host, METRICS_PORT))).is_err() {
             host[1] = host[1].checked_add(10).ok_or("no free address for the metrics")?;
         }
-        let port = || -> Result<u16> {
-            let listener = TcpListener::bind(SocketAddr::from((host, 0)));
-            let listener = listener.map_err(|e| format!("find a free port: {e}"))?;
-            Ok(listener.local_addr().map_err(|e| e.to_string())?.port())
-        };
-        let (front, ready) = (SocketAddr::from((host, port()?)), SocketAddr::from((host, port()?)));
-        let peer = port()?;
+        // All listeners are held until every port is chosen, so that no port is given twice.
+        let listeners: std::io::Result<Vec<TcpListener>> =
+            (0..3).map(|_| TcpListener::bind(SocketAddr::from((host, 0)))).collect();
+        let listeners = listeners.map_err(|e| format!("find a free port: {e}"))?;
+        let port = |at: usize| listeners[at].local_addr().map_err(|e| e.to_string());
+        let (front, ready, peer) = (port(0)?, port(1)?, port(2)?.port());
+        drop(listeners);
         let [a, b, c, d] = host;
         let settings = format!(
             "node=front-{number}\nrole=entry\nclass=front\nserves=front\nip={a}.{b}.{c}.{d}\n\
