--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -305,9 +305,9 @@
             return Err(String::from("the work item runs on another runner"));
         }
         runners[0].cut_off(true);
-        sleep(seconds(7.0));
-        runners[0].cut_off(false);
         runners[0].cut_from_store(false);
+        sleep(seconds(5.4));
+        runners[0].cut_off(false);
     }
     sleep(seconds(8.0));
     Ok(overlap(&site.record, job).map(|what| format!("TWICE: {what} at the same time")))
