--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -22,6 +22,7 @@
         "filler" => filler(record, trouble),
         "reborn" => reborn(record, trouble),
         "foreign" => foreign(record, trouble),
+        "service" => service(record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
@@ -353,3 +354,55 @@
     other.stop();
     Ok(overlap(&site.record, job).map(|what| format!("TWICE: {what} at the same time")))
 }
+
+/// LOST: a work item that lasts runs nowhere after its queue was given to another service, which has room, and
+/// the runner of the former one has left.
+fn service(record: Record, trouble: bool) -> Result<Option<String>> {
+    let watch = ("r-watch", "/watch/", 0, 3);
+    let other = ("r-other", "/other/", 0, 3);
+    let before = manifest(3, &[watch, other]).replace(
+        "\"service\":\"desk\",\"attempts\":3,\"stretch\":1.6}]",
+        "\"service\":\"new-desk\",\"attempts\":3,\"stretch\":1.6}]",
+    );
+    let services = "\"services\":[{\"name\":\"new-desk\",\"enforcesCapacity\":false,\"spare\":false},";
+    let before = before.replace("\"services\":[", services);
+    let without = manifest(5, &[other]).replace("\"service\":\"desk\"", "\"service\":\"new-desk\"");
+    let without = without.replace("\"services\":[", services);
+    let after = manifest(8, &[watch, other]).replace("\"service\":\"desk\"", "\"service\":\"new-desk\"");
+    let after = after.replace("\"services\":[", services);
+    let site = Site::start(record, &before, 3)?;
+    let config = |number: usize| Config {
+        id: format!("i-{number}"),
+        service: String::from(if number == 0 { "desk" } else { "new-desk" }),
+        machine: format!("m-{number}"),
+        zone: String::from("zone-a"),
+        labels: vec![String::from("a"), format!("r1-{}", number / 4)],
+        cpu: 16_000,
+        mem_mb: 65_536,
+    };
+    let runners: Result<Vec<Runner>> = (0..7).map(|number| site.add_runner(config(number))).collect();
+    let runners = runners?;
+    sleep(seconds(2.0));
+    let job = "00000000000000a5";
+    let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":2000,\"memMb\":1024,\"estMs\":700,\
+                \"daemon\":true}]}";
+    site.submit(HOST, &format!("/watch/{job}"), body)?;
+    site.wait("the work items run", seconds(5.0), |site| site.record.spans(job).len() == 2)?;
+    sleep(seconds(2.0));
+    let begun = site.record.now();
+    if trouble {
+        site.put_manifest("version 5 removes the route /watch/", &without);
+        sleep(seconds(2.0));
+        site.put_manifest("version 8 adds the route /watch/, to the service new-desk", &after);
+        sleep(seconds(3.0));
+        runners[0].drain();
+        sleep(seconds(4.0));
+        runners[0].leave();
+    }
+    sleep(seconds(15.0));
+    site.state(HOST, &format!("/watch/{job}"));
+    let from = begun + seconds(if trouble { 15.0 } else { 6.0 });
+    let gap = longest_gap(&site.record, job, from, site.record.now());
+    let text = format!("LOST: the work items that last have not run for {gap:.1?}");
+    Ok((gap >= seconds(3.0)).then_some(text))
+}
