Keep the terms of a queue that goes while it has open jobs

Cause: attempts were looked up in the manifest in force, and a queue that was not there had one attempt. The outcome is stored, so the return of the route changed nothing.

Ruled out: a second failure (the log and the runner show one), a restore (one owner).

Change: cell/former.rs keeps the terms of queues without a place in the manifest as long as they have open jobs; the ledger stores them before that manifest. Restores, priorities, deadlines and tickets of such jobs used the same look-up and follow.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -13,7 +13,6 @@
         runner::{EndNumber, Incarnation},
         spec::{self, Task},
     },
-    indexmap::IndexMap,
     log::{error, info},
     std::{
         rc::Rc,
@@ -31,7 +30,15 @@
             return None;
         }
         let mut records = Vec::new();
-        if let Some(manifest) = self.next_manifest.take() {
+        let next = self.next_manifest.take();
+        let former = match &next {
+            Some(manifest) => self.former.take_changed_to(self.former_queues(manifest)),
+            None => self.former.take_changed(),
+        };
+        if let Some(queues) = former {
+            push_encoded(&mut records, ledger::former_queues(&queues));
+        }
+        if let Some(manifest) = next {
             push_encoded(&mut records, ledger::manifest(&manifest));
             self.effects.push(Effect::ActivateManifest(Box::new(manifest)));
         }
@@ -161,13 +168,13 @@
     /// Puts a manifest into force that the ledger has stored, and lets placement go by it.
     fn activate_manifest(&mut self, manifest: Manifest) {
         info!("manifest: version={} before={}", manifest.version, self.manifest.version);
+        self.former.set(self.former_queues(&manifest));
         self.put_in_force(manifest);
-        let names =
-            self.queues.iter().map(|(name, at)| (name.as_str(), &self.manifest.queues[*at]));
-        let advised = names.filter_map(|(name, queue)| Some((name, queue.advice?.valid)));
-        let advised: IndexMap<&str, Duration> = advised.collect();
         for job in self.jobs.values_mut() {
-            job.tickets_valid = advised.get(&*job.queue).copied();
+            if let Some(at) = self.queues.get(&*job.queue) {
+                let advice = self.manifest.queues.get(*at).and_then(|queue| queue.advice);
+                job.tickets_valid = advice.map(|advice| advice.valid);
+            }
         }
         self.place_due = true;
     }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -22,6 +22,7 @@
 mod crash;
 mod detector;
 mod forecast;
+mod former;
 mod gang;
 mod job;
 mod lease;
@@ -62,7 +63,7 @@
 };
 
 use {
-    self::{advice::Advisor, detector::Detector, job::State, overload::Backlogs},
+    self::{advice::Advisor, detector::Detector, former::Former, job::State, overload::Backlogs},
     super::{
         access::Gate,
         answer::Answer,
@@ -140,6 +141,7 @@
     routes: Table,
     /// Positions of the manifest's queues by name.
     queues: IndexMap<String, usize>,
+    former: Former,
     /// Keys of the manifest.
     gate: Gate,
     /// Queues and keys of the newest manifest, if the ledger has not stored it yet.
@@ -213,6 +215,7 @@
             newest_version: 0,
             routes: Table::default(),
             queues: IndexMap::new(),
+            former: Former::default(),
             gate: Gate::default(),
             next_access: None,
             records_read_at: None,
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         CLOCK_ERROR, Cell, Job, LEASE, RENEWAL_WINDOW, Worker,
+        former::Former,
         job::{Phase, Placement, Status},
         lease::Lease,
     },
@@ -42,7 +43,7 @@
             }
         }
         contents.sort_by_key(|content| match content {
-            Content::Manifest(_) | Content::Upkeep(_) | Content::Barrier => 0,
+            Content::Manifest(_) | Content::Former(_) | Content::Upkeep(_) | Content::Barrier => 0,
             Content::Accepted(..) => 1,
             Content::Progress(..) => 2,
         });
@@ -58,6 +59,7 @@
             Content::Accepted(id, accepted) => self.restore_job(now, wall_ms, id, accepted),
             Content::Progress(id, progress) => self.restore_progress(now, id, progress),
             Content::Manifest(manifest) => self.restore_manifest(manifest),
+            Content::Former(queues) => self.former = Former::restore(queues),
             Content::Upkeep(upkeep) => self.pools.restore(upkeep),
             Content::Barrier => {}
         }
@@ -69,13 +71,12 @@
         }
     }
 
-    /// Restores an accepted job. If its queue no longer exists, its tasks have one attempt.
+    /// Restores an accepted job.
     fn restore_job(&mut self, now: Instant, wall_ms: u64, id: spec::Id, accepted: Accepted) {
-        let mut queue = self.queue(&accepted.queue).cloned().unwrap_or_else(|| Queue {
-            name: accepted.queue.clone(),
-            attempts: 1,
-            ..Queue::default()
-        });
+        let mut queue = self
+            .terms(&accepted.queue)
+            .cloned()
+            .unwrap_or_else(|| Queue { name: accepted.queue.clone(), ..Queue::default() });
         queue.service.clone_from(&accepted.service);
         let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
         if let Some(origin) = accepted.origin.as_ref().filter(|origin| origin.within_rate) {
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -221,12 +221,13 @@
         self.count_done(now, task);
     }
 
-    /// Retries a task after a failed run, or fails its job if all attempts are used up.
+    /// Retries a task after a failed run, or fails its job if all attempts of its queue are used up. A
+    /// job whose queue is not known is not failed.
     fn run_failed(&mut self, now: Instant, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
-        let attempts = self.queue(&job.queue).map_or(1, |queue| queue.attempts);
         let failures = job.failures(&task);
-        if failures < attempts || job.outcome != Outcome::Open {
+        let used_up = self.terms(&job.queue).is_some_and(|queue| failures >= queue.attempts);
+        if !used_up || job.outcome != Outcome::Open {
             return self.requeue(task.job);
         }
         info!("fail: job={:016x} task={task} failures={failures}", task.job);
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -8,7 +8,13 @@
 pub mod fragment;
 
 use {
-    super::{extension, manifest::Manifest, spec, suspicion::History, upkeep},
+    super::{
+        extension,
+        manifest::{Manifest, Queue},
+        spec,
+        suspicion::History,
+        upkeep,
+    },
     crate::id::VmId,
     bincode::error::{DecodeError, EncodeError},
     displaydoc::Display,
@@ -18,6 +24,8 @@
 
 /// Key of the copy of the manifest in force.
 const MANIFEST: &str = "manifest";
+/// Key of the queues that the manifest in force no longer has and that open jobs belong to.
+const FORMER_QUEUES: &str = "former-queues";
 /// Key of the record of waves and pools.
 const UPKEEP: &str = "upkeep";
 /// Key of a record that only shows that its writer still owns the cell.
@@ -162,6 +170,8 @@
     Progress(spec::Id, Progress),
     /// The manifest in force.
     Manifest(Manifest),
+    /// Queues that the manifest in force no longer has and that open jobs belong to.
+    Former(Vec<Queue>),
     /// State of waves and pools.
     Upkeep(Upkeep),
     /// A barrier, which has no content.
@@ -191,6 +201,11 @@
     encode_extended(String::from(MANIFEST), content, content.access.as_ref())
 }
 
+/// Encodes the record of former queues.
+pub fn former_queues(content: &[Queue]) -> Result<Record> {
+    encode(String::from(FORMER_QUEUES), &content)
+}
+
 /// Encodes the record of waves and pools.
 pub fn upkeep(content: &Upkeep) -> Result<Record> {
     encode(String::from(UPKEEP), content)
@@ -219,6 +234,9 @@
         let (manifest, access) = decode_extended(record)?;
         return Ok(Content::Manifest(Manifest { access, ..manifest }));
     }
+    if record.key == FORMER_QUEUES {
+        return decode(record).map(Content::Former);
+    }
     if record.key == UPKEEP {
         return decode(record).map(Content::Upkeep);
     }
