Limit what tasks that fit nowhere may keep free

Cause: each task that fits nowhere reserved a runner that could hold it when empty, also where endless tasks stay on it, and for as long as what is there takes. A few of them reserved all runners in each pass; what was late by then ranked behind them for good.

Ruled out: the bound of 16 reservations (8 here), priority alone, late jobs that are not tried.

Change: room that endless tasks take is not reserved.

--- a/src/job/cell/candidates.rs
+++ b/src/job/cell/candidates.rs
@@ -1,11 +1,18 @@
 //! Candidates of a placement pass: the runners on which tasks may be placed, and which of them are
 //! reserved for tasks that fit nowhere now.
+//!
+//! A reservation lasts as long as the tasks that are on the runner, which may be much longer than they were
+//! expected to take. It therefore doesn't keep a job from all runners for more than [`MAX_HOLD`] while
+//! most of the service's cores are idle.
 
 use {
     super::Cell,
     crate::job::spec::{Resources, Step},
     indexmap::{IndexMap, IndexSet},
-    std::{rc::Rc, time::Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Runners of a service on which tasks may be placed now, as indices into `Cell::workers`.
@@ -13,6 +20,10 @@
 pub(super) struct Candidates {
     /// Runners with room, without those reserved for a task that fits nowhere.
     pub(super) runners: Vec<usize>,
+    /// Runners that are reserved.
+    reserved: Vec<usize>,
+    /// Thousandths of a core of all runners that accept tasks, and how many of them are in use.
+    millicores: (u64, u64),
     /// Runners with room in a suspected failure domain.
     suspected: Vec<usize>,
     /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
@@ -23,6 +34,9 @@
     unfit: IndexSet<(String, Resources)>,
 }
 
+/// Time for which reservations may keep an idle job waiting while less than half of its service's cores
+/// are in use.
+pub(super) const MAX_HOLD: Duration = Duration::from_millis(2_000);
 /// Number of tasks and gangs with reserved runners from which on the other jobs of a service are not
 /// tried in this pass.
 const MAX_RESERVATIONS: usize = 16;
@@ -44,6 +58,20 @@
         self.reservations += 1;
         let reserved: IndexSet<usize> = runners.into_iter().collect();
         self.runners.retain(|runner| !reserved.contains(runner));
+        self.reserved.extend(reserved);
+    }
+
+    /// Whether runners are reserved though less than half of the service's cores are in use, so that
+    /// tasks may be kept from room that nobody uses.
+    pub(super) fn holds_idle_room(&self) -> bool {
+        let (all, used) = self.millicores;
+        !self.reserved.is_empty() && 2 * used < all
+    }
+
+    /// The same candidates without any reservation.
+    pub(super) fn without_reservations(&self) -> Self {
+        let runners = self.runners.iter().chain(&self.reserved).copied().collect();
+        Self::new(runners, self.fewest_crashes)
     }
 
     /// Whether a like step is known to fit none of the runners.
@@ -79,6 +107,9 @@
                 let crashes = self.recent_crashes(now, worker);
                 candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
             }
+            let (all, used) = &mut candidates.millicores;
+            *all += u64::from(worker.room().millicores);
+            *used += u64::from(worker.used.millicores);
             if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
                 continue;
             }
--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -16,8 +16,8 @@
 pub(super) enum Choice {
     /// The task goes to this one.
     Runner(usize),
-    /// The task fits nowhere now; the runner that will suit it soonest, if any could ever hold it, is
-    /// reserved for it.
+    /// The task fits nowhere now; the runner that will suit it soonest, if any will hold it once finite
+    /// tasks have ended, is reserved for it.
     Nowhere(Option<usize>),
 }
 
@@ -145,9 +145,10 @@
     }
 }
 
-/// Whether a runner has room for a task of a step once others there have ended.
+/// Whether a runner has room for a task of a step once others there have ended. Endless ones are not
+/// expected to: a runner that is kept free for the task would be kept for good.
 fn could_hold(worker: &Worker, step: &Step, task: &Task) -> bool {
-    worker.room().holds(&step.reserved()) && may_run_on(worker, step, task)
+    worker.reservable().holds(&step.reserved()) && may_run_on(worker, step, task)
 }
 
 /// Whether the label that a step demands and its limit of tasks on one runner allow a task there.
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -196,11 +196,11 @@
     }
 }
 
-/// Largest number of members of a gang that a runner could hold once its other tasks have ended.
+/// Largest number of members of a gang that a runner could hold once its finite tasks have ended.
 fn max_members(worker: &Worker, first: &Task, step: &Step) -> usize {
     if !may_run_on(worker, step, first) {
         return 0;
     }
-    let fits = worker.room().count(&step.reserved());
+    let fits = worker.reservable().count(&step.reserved());
     if step.per_runner == 0 { fits } else { fits.min(step.per_runner as usize) }
 }
--- a/src/job/cell/occurrence.rs
+++ b/src/job/cell/occurrence.rs
@@ -20,6 +20,8 @@
     pub steps: Vec<Vec<State>>,
     /// Number of tasks of each step that are not done.
     pub unfinished: Vec<u32>,
+    /// Since when reservations for others have kept it from having a task on a runner.
+    pub held_back_since: Option<Instant>,
 }
 
 impl Occurrence {
@@ -30,6 +32,7 @@
             remaining: spec.critical_path(),
             steps: steps.collect(),
             unfinished: spec.steps.iter().map(|step| step.tasks).collect(),
+            held_back_since: None,
         }
     }
 
@@ -43,6 +46,12 @@
         self.unfinished.iter().all(|&count| count == 0)
     }
 
+    /// Whether none of its tasks is on a runner.
+    pub fn is_idle(&self) -> bool {
+        let mut states = self.steps.iter().flatten();
+        !states.any(|state| matches!(state.status, Status::Placed(_)))
+    }
+
     /// Whether it can no longer complete in time.
     pub fn is_late(&self, now: Instant) -> bool {
         now + self.remaining + OVERHEAD > self.due
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -3,13 +3,14 @@
 //! Endless jobs come first, then jobs that can still complete in time, then late ones; within each
 //! group those of higher priority, then those that have started already, then those due first (see
 //! [`Rank`]). A task goes to the runner on which it leaves the least room, so that other runners
-//! stay empty (see [`Fit`]). A task that fits nowhere reserves, of the runners that could ever hold
-//! it, the one with the most free cores, so that small tasks behind it do not starve large ones.
+//! stay empty (see [`Fit`]). A task that fits nowhere reserves, of the runners that will hold it once
+//! finite tasks have ended, the one with the most free cores, so that small tasks behind it do not starve
+//! large ones.
 
 use {
     super::{
         Cell, Effect,
-        candidates::Candidates,
+        candidates::{Candidates, MAX_HOLD},
         choose::Choice,
         job::{Job, Phase, Placement, State, Status},
         occurrence::Occurrence,
@@ -35,11 +36,19 @@
         let mut placed: IndexMap<spec::Id, usize> = IndexMap::new();
         for Entry { job, occurrence, service, .. } in order {
             let is_suspect = self.suspects.contains(&job);
-            let candidates = services.get_index_mut(service).map(|(_, candidates)| candidates);
-            let candidates = candidates.filter(|candidates| candidates.may_hold(is_suspect));
-            if candidates
-                .is_some_and(|candidates| self.place_occurrence(now, job, occurrence, candidates))
-            {
+            let Some((_, candidates)) = services.get_index_mut(service) else { continue };
+            let holds_idle_room = candidates.holds_idle_room();
+            let mut all_placed = candidates.may_hold(is_suspect)
+                && self.place_occurrence(now, job, occurrence, candidates);
+            let waits = !all_placed && holds_idle_room;
+            if self.is_held_back(now, job, occurrence, waits) {
+                let mut candidates = candidates.without_reservations();
+                all_placed = self.place_occurrence(now, job, occurrence, &mut candidates);
+                if all_placed {
+                    info!("place: job={job:016x} occurrence={occurrence} despite=reservations");
+                }
+            }
+            if all_placed {
                 *placed.entry(job).or_default() += 1;
             }
         }
@@ -50,6 +59,24 @@
         }
     }
 
+    /// Whether an occurrence has waited for too long for room that is reserved for others. `waits` tells
+    /// whether it does so now.
+    fn is_held_back(&mut self, now: Instant, id: spec::Id, number: u32, waits: bool) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let endless = job.spec.endless();
+        let Some(occurrence) = job.occurrences.get_mut(number as usize) else { return false };
+        if !waits || !(endless || occurrence.is_idle()) {
+            occurrence.held_back_since = None;
+            return false;
+        }
+        let until = *occurrence.held_back_since.get_or_insert(now) + MAX_HOLD;
+        if until > now {
+            self.retry_placement(until);
+            return false;
+        }
+        true
+    }
+
     /// Unfinished opened occurrences of a job.
     fn unfinished_occurrences(&self, id: &spec::Id) -> impl Iterator<Item = (u32, &Occurrence)> {
         let opened = self.jobs.get(id).into_iter().flat_map(Job::opened_occurrences);
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -35,6 +35,8 @@
     pub incarnation: Option<Incarnation>,
     /// Room that its tasks take.
     pub used: Resources,
+    /// The part of it that endless tasks take, which are not expected to end.
+    pub used_by_endless: Resources,
     /// Tasks that are on it or may be.
     pub tasks: IndexMap<Task, Reservation>,
     /// Number of tasks on it with a latency objective.
@@ -102,6 +104,7 @@
     need: Resources,
     has_objective: bool,
     is_filler: bool,
+    is_endless: bool,
     /// Whether the task runs in isolation.
     isolated: bool,
     /// What is charged to which organisation for it.
@@ -120,21 +123,29 @@
         let (need, is_filler) = (step.reserved(), step.filler);
         let has_objective = !is_filler && !step.latency_target.is_zero();
         self.used = self.used.plus(&need);
+        if step.endless {
+            self.used_by_endless = self.used_by_endless.plus(&need);
+        }
         self.objective_tasks += u32::from(has_objective);
         self.fillers += u32::from(is_filler);
         if isolated {
             self.isolated_for = Some(task.job);
         }
-        let reservation = Reservation { need, has_objective, is_filler, isolated, charge };
+        let is_endless = step.endless;
+        let reservation =
+            Reservation { need, has_objective, is_filler, is_endless, isolated, charge };
         self.tasks.insert(task, reservation);
     }
 
     /// Frees the room of a task; returns what was charged to which organisation for it.
     pub(super) fn remove(&mut self, now: Instant, task: &Task) -> Option<(Name, Amount)> {
         self.end_isolation(task);
-        let Reservation { need, has_objective, is_filler, charge, .. } =
+        let Reservation { need, has_objective, is_filler, is_endless, charge, .. } =
             self.tasks.swap_remove(task)?;
         self.used = self.used.minus(&need);
+        if is_endless {
+            self.used_by_endless = self.used_by_endless.minus(&need);
+        }
         self.objective_tasks -= u32::from(has_objective);
         self.fillers -= u32::from(is_filler);
         if self.tasks.is_empty() {
@@ -162,6 +173,7 @@
             incarnation: registration.as_ref().and_then(|registration| registration.incarnation),
             registration,
             used: Resources::default(),
+            used_by_endless: Resources::default(),
             tasks: IndexMap::new(),
             objective_tasks: 0,
             fillers: 0,
@@ -247,6 +259,11 @@
         self.registration.as_ref().map(|registration| registration.room).unwrap_or_default()
     }
 
+    /// Room that is free once all tasks on it have ended that are expected to.
+    pub fn reservable(&self) -> Resources {
+        self.room().minus(&self.used_by_endless)
+    }
+
     /// Free room.
     pub fn free(&self) -> Resources {
         self.room().minus(&self.used)
