Stop a start that a restarted runner may still carry out

An endless task whose start got no answer, and that its step can't miss, was given up once the lease of the start was over. The lease was reckoned for the incarnation that the start was meant for.

Such a start is stopped now, at the cost of one task that its step can't miss. On a runner that has not restarted, the clock in its report decides in place of the owner's reckoning.

--- a/src/job/cell/availability.rs
+++ b/src/job/cell/availability.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        CLOCK_ERROR, Cell, LEASE, RunnerId,
+        Cell, RunnerId,
         job::{Phase, Placement, Status},
     },
     crate::job::spec::Task,
@@ -19,8 +19,6 @@
 const STEADY_MARGIN: Duration = Duration::from_millis(600);
 /// Time after an unanswered call for which endless tasks are not moved off a runner.
 const LOSSY_PERIOD: Duration = Duration::from_secs(3);
-/// Margin for the time between the check of a start's lease by the runner and its report.
-const START_MARGIN: Duration = Duration::from_millis(150);
 
 impl Cell {
     /// Stops the endless tasks on a runner that their steps may miss now, so that its VM is drained.
@@ -39,28 +37,31 @@
         }
     }
 
-    /// Handles a run whose start got no answer and that its runner did not list in the report to a
-    /// poll sent at `sent`. The start is sent again; once it was sent often enough, the run is stopped,
-    /// as a start may still be carried out until the lease that it carries has expired. An endless task that its step can't miss is not: its stop could
-    /// end the task once it is at work. It waits until the start can no longer be carried out.
+    /// Handles a run whose start got no answer and that its runner did not list in a report, in which its
+    /// clock showed `clock_ms`. The start is sent again; once it was sent often enough, the run is stopped,
+    /// as a start may still be carried out until the lease that it carries has expired. An endless task
+    /// that its step can't miss is not: its stop could end the task once it is at work. It waits until the
+    /// start can no longer be carried out, unless the runner has restarted, as its clock began anew.
     pub(super) fn resolve_unconfirmed(
         &mut self,
         now: Instant,
         task: &Task,
         runner: &RunnerId,
-        sent: Instant,
+        clock_ms: u64,
     ) {
         if self.resend_start(now, runner, task) {
             return;
         }
         let Some(state) = self.task(task) else { return };
-        let Some(since) = state.phase_since() else { return };
-        let run = state.run;
+        let Status::Placed(placement) = &state.status else { return };
+        let (run, is_over) = (state.run, placement.until_ms <= clock_ms);
+        let known = self.workers.get(runner).and_then(|worker| worker.incarnation);
+        let restarted = placement.sent_to != known;
         let endless = self.step(task).is_some_and(|step| step.endless);
-        if !endless || self.may_be_unavailable(now, task) {
+        if !endless || restarted || self.may_be_unavailable(now, task) {
             return self.stop_run(now, task, runner, run);
         }
-        if since + LEASE.mul_f64(1.0 + 2.0 * CLOCK_ERROR) + START_MARGIN < sent {
+        if is_over {
             self.cancel_start(now, task, "its start can no longer be carried out");
         }
     }
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -6,6 +6,7 @@
         access,
         ledger::{self, Outcome},
         manifest::Queue,
+        runner::Incarnation,
         spec::{self, Spec, Step, Task},
         suspicion::History,
     },
@@ -133,6 +134,10 @@
     pub percent: u32,
     /// Number of times its start was sent.
     pub attempts: u32,
+    /// End of the lease that its start carries, on the runner's clock in milliseconds.
+    pub until_ms: u64,
+    /// Incarnation of the runner whose clock that is, if known.
+    pub sent_to: Option<Incarnation>,
     /// Whether an earlier owner placed it.
     pub restored: bool,
     /// Whether a runner has answered its start or reported the run.
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -330,6 +330,8 @@
             since: now,
             percent: 0,
             attempts: 0,
+            until_ms: 0,
+            sent_to: None,
             restored: false,
             confirmed: false,
         };
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -254,7 +254,9 @@
                 Phase::Running | Phase::Stopped if !runs && since < sent => {
                     self.lose_run(now, &task)
                 }
-                Phase::Unconfirmed if !runs => self.resolve_unconfirmed(now, &task, runner, sent),
+                Phase::Unconfirmed if !runs => {
+                    self.resolve_unconfirmed(now, &task, runner, report.clock_ms)
+                }
                 Phase::Stopping if now.saturating_duration_since(since) > STOP_RETRY_DELAY => {
                     self.actions.push(Action::Stop(Rc::clone(runner), task, run));
                 }
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -178,6 +178,8 @@
             since: now,
             percent: 0,
             attempts: 1,
+            until_ms: 0,
+            sent_to: None,
             restored: true,
             confirmed: false,
         });
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -92,11 +92,14 @@
             return Err("its runner's room has shrunk");
         }
         let until_ms = worker.lease.grant(now).ok_or(gone)?;
+        let sent_to = worker.incarnation;
         let state = job.task_mut(task).ok_or(gone)?;
         let Status::Placed(placement) = &mut state.status else { return Err(gone) };
         placement.phase = Phase::Sent;
         placement.since = now;
         placement.attempts += 1;
+        placement.until_ms = until_ms;
+        placement.sent_to = sent_to;
         let (task, run, ticket) = (*task, state.run, ticket.unwrap_or_default());
         let start = Start { task, run, text, until_ms, fence, checkpoint, ticket };
         self.record_start_sent(now, runner);
--- a/tests/job_lease.rs
+++ b/tests/job_lease.rs
@@ -210,3 +210,19 @@
         prop_assert!(lease.grant(now).is_some() && lease.expiry() >= now + LEASE);
     }
 }
+
+/// Guards against a second run of an endless task where a restarted runner carries a start out seconds
+/// later: the time until which it does is on its former clock.
+#[test]
+fn a_start_that_a_restarted_runner_carries_out_late_is_stopped() {
+    for delay in [3.0, 5.0, 9.0] {
+        let mut sim = restarted_unseen();
+        sim.runners["r0"].order_delay = Some(seconds(delay));
+        sim.submit(1, spec(vec![Step { endless: true, ..step(2, 2_000) }]));
+        sim.run(seconds(0.3));
+        sim.runners["r0"].order_delay = None;
+        sim.run(seconds(20.0));
+        let running: usize = sim.runners.values().map(|runner| runner.running.len()).sum();
+        assert_eq!(running, 2);
+    }
+}
