Place tasks that take no processors on full runners

Cause: the candidates of a placement pass left out each runner without free processors, for every step.

Ruled out: memory, a preference for the former runner, latency objectives.

Change: such runners are candidates for steps that need no processors; those with free ones come first. Gangs, the question to the advisor and the early checks of a pass follow. A runner whose room has shrunk below what is on it takes nothing.

--- a/src/job/cell/advice.rs
+++ b/src/job/cell/advice.rs
@@ -122,9 +122,8 @@
             !refused && self.ticket(now, task, id).is_none()
         };
         let mut runners: Vec<(u32, RunnerId)> = candidates
-            .runners
-            .iter()
-            .filter_map(|&at| self.workers.get_index(at))
+            .runners_for(step)
+            .filter_map(|at| self.workers.get_index(at))
             .filter(|(id, worker)| unknown(id) && worker.free().holds(&need))
             .map(|(id, worker)| (worker.free().millicores, RunnerId::clone(id)))
             .collect();
--- a/src/job/cell/candidates.rs
+++ b/src/job/cell/candidates.rs
@@ -6,8 +6,8 @@
 //! most of the service's cores are idle.
 
 use {
-    super::Cell,
-    crate::job::spec::{Resources, Step},
+    super::{Cell, Worker},
+    crate::job::spec::{Resources, Spec, Step},
     indexmap::{IndexMap, IndexSet},
     std::{
         rc::Rc,
@@ -18,13 +18,15 @@
 /// Runners of a service on which tasks may be placed now, as indices into `Cell::workers`.
 #[derive(Default)]
 pub(super) struct Candidates {
-    /// Runners with room, without those reserved for a task that fits nowhere.
-    pub(super) runners: Vec<usize>,
+    /// Runners with free cores, without those reserved for a task that fits nowhere.
+    runners: Vec<usize>,
+    /// Runners without free cores. Tasks that need none, such as fillers, may still be placed on them.
+    full: Vec<usize>,
     /// Runners that are reserved.
     reserved: Vec<usize>,
     /// Thousandths of a core of all runners that accept tasks, and how many of them are in use.
     millicores: (u64, u64),
-    /// Runners with room in a suspected failure domain.
+    /// Runners in a suspected failure domain.
     suspected: Vec<usize>,
     /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
     pub(super) fewest_crashes: usize,
@@ -42,15 +44,33 @@
 const MAX_RESERVATIONS: usize = 16;
 
 impl Candidates {
-    /// Candidates among which nothing is reserved yet.
-    pub(super) fn new(runners: Vec<usize>, fewest_crashes: usize) -> Self {
-        Self { runners, fewest_crashes, ..Self::default() }
+    /// Runners on which a task of a step may be placed if it fits.
+    pub(super) fn runners_for(&self, step: &Step) -> impl Iterator<Item = usize> {
+        let full = if step.needs_cores() { &[][..] } else { &self.full };
+        self.runners.iter().chain(full).copied()
+    }
+
+    /// Whether there is a runner for any step of a job.
+    pub(super) fn has_runner_for(&self, spec: &Spec) -> bool {
+        !self.runners.is_empty()
+            || !self.full.is_empty() && spec.steps.iter().any(|step| !step.needs_cores())
+    }
+
+    /// The candidates that `keeps` allows.
+    pub(super) fn filtered(&self, keeps: impl Fn(usize) -> bool) -> Self {
+        let kept = |runners: &[usize]| runners.iter().copied().filter(|at| keeps(*at)).collect();
+        Self {
+            runners: kept(&self.runners),
+            full: kept(&self.full),
+            fewest_crashes: self.fewest_crashes,
+            ..Self::default()
+        }
     }
 
     /// Whether a further job may be placed on the runners. Suspects are tried in any case, as that has
     /// them tried again later.
-    pub(super) fn may_hold(&self, is_suspect: bool) -> bool {
-        self.reservations < MAX_RESERVATIONS && (is_suspect || !self.runners.is_empty())
+    pub(super) fn may_hold(&self, spec: &Spec, is_suspect: bool) -> bool {
+        self.reservations < MAX_RESERVATIONS && (is_suspect || self.has_runner_for(spec))
     }
 
     /// Reserves runners for a task or gang that fits nowhere now.
@@ -58,6 +78,7 @@
         self.reservations += 1;
         let reserved: IndexSet<usize> = runners.into_iter().collect();
         self.runners.retain(|runner| !reserved.contains(runner));
+        self.full.retain(|runner| !reserved.contains(runner));
         self.reserved.extend(reserved);
     }
 
@@ -71,7 +92,14 @@
     /// The same candidates without any reservation.
     pub(super) fn without_reservations(&self) -> Self {
         let runners = self.runners.iter().chain(&self.reserved).copied().collect();
-        Self::new(runners, self.fewest_crashes)
+        let (full, fewest_crashes) = (self.full.clone(), self.fewest_crashes);
+        Self { runners, full, fewest_crashes, ..Self::default() }
+    }
+
+    /// Adds a runner that accepts tasks.
+    fn add(&mut self, index: usize, worker: &Worker) {
+        let list = if worker.free().millicores > 0 { &mut self.runners } else { &mut self.full };
+        list.push(index);
     }
 
     /// Whether a like step is known to fit none of the runners.
@@ -110,18 +138,33 @@
             let (all, used) = &mut candidates.millicores;
             *all += u64::from(worker.room().millicores);
             *used += u64::from(worker.used.millicores);
-            if worker.free().millicores == 0 || self.detector.is_suspected(worker) {
+            // A runner whose room has shrunk below what is on it takes nothing.
+            let overfull = !worker.room().holds(&worker.used);
+            if overfull || self.detector.is_suspected(worker) {
                 continue;
             }
             if worker.is_in(&suspected) {
                 candidates.suspected.push(index);
             } else {
-                candidates.runners.push(index);
+                candidates.add(index, worker);
             }
         }
-        for candidates in services.values_mut().filter(|candidates| candidates.runners.is_empty()) {
-            candidates.runners = std::mem::take(&mut candidates.suspected);
+        for candidates in services.values_mut() {
+            self.use_suspected(candidates);
         }
         services
     }
+
+    /// Uses the runners in suspected failure domains if there are no others with free cores, or none at
+    /// all.
+    fn use_suspected(&self, candidates: &mut Candidates) {
+        let (no_free, no_full) = (candidates.runners.is_empty(), candidates.full.is_empty());
+        for index in std::mem::take(&mut candidates.suspected) {
+            let Some((_, worker)) = self.workers.get_index(index) else { continue };
+            let has_free = worker.free().millicores > 0;
+            if no_free && (has_free || no_full) {
+                candidates.add(index, worker);
+            }
+        }
+    }
 }
--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -38,7 +38,7 @@
         let mut most_free: Option<(u32, usize)> = None;
         let mut fewest_new: Option<(usize, usize)> = None;
         let isolated = self.is_suspect(task);
-        for &index in &candidates.runners {
+        for index in candidates.runners_for(step) {
             let Some((id, worker)) = self.workers.get_index(index) else { continue };
             let free = worker.free();
             if worker.is_isolated_from(task) {
@@ -100,6 +100,7 @@
         far_from_data,
         recent_crashes: 0,
         work_at_risk: 0,
+        without_cores: free.millicores == 0,
         conflicts,
         first_endless,
         other_zone: false,
@@ -119,6 +120,8 @@
     /// Twice the number of tasks of other jobs that a crash would take down, if the task runs in
     /// isolation, and 1 more if none of its own job is there.
     work_at_risk: usize,
+    /// Whether all its processors are reserved, so that a filler gets only what their tasks leave.
+    without_cores: bool,
     /// Number of tasks on it that would slow the task, or that the task would slow: fillers beside
     /// tasks with a latency objective.
     conflicts: u32,
--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -40,11 +40,12 @@
         if limited || waiting.len() < step.tasks as usize {
             return Vec::new();
         }
-        let Some(runners) = self.assign_members(now, waiting, step, &candidates.runners) else {
+        let able: Vec<usize> = candidates.runners_for(step).collect();
+        let Some(runners) = self.assign_members(now, waiting, step, &able) else {
             if self.is_suspect(first) {
                 self.retry_placement(now + SUSPECTS_RETRY_DELAY);
             }
-            let reserved = self.runners_for_gang(first, step, waiting.len(), &candidates.runners);
+            let reserved = self.runners_for_gang(first, step, waiting.len(), &able);
             if !reserved.is_empty() {
                 candidates.reserve(reserved);
             }
@@ -101,7 +102,10 @@
         for _ in members {
             let fitting =
                 rooms.iter_mut().filter(|r| r.free.holds(&need) && r.members < max_members);
-            let best = fitting.min_by_key(|room| room.free.minus(&need).millicores)?;
+            // Members that take no processors still run best where some are free.
+            let rank =
+                |room: &&mut Room| (room.free.millicores == 0, room.free.minus(&need).millicores);
+            let best = fitting.min_by_key(rank)?;
             best.free = best.free.minus(&need);
             best.members += 1;
             found.push(best.runner);
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -37,8 +37,9 @@
         for Entry { job, occurrence, service, .. } in order {
             let is_suspect = self.suspects.contains(&job);
             let Some((_, candidates)) = services.get_index_mut(service) else { continue };
+            let Some(spec) = self.jobs.get(&job).map(|job| Rc::clone(&job.spec)) else { continue };
             let holds_idle_room = candidates.holds_idle_room();
-            let mut all_placed = candidates.may_hold(is_suspect)
+            let mut all_placed = candidates.may_hold(&spec, is_suspect)
                 && self.place_occurrence(now, job, occurrence, candidates);
             let waits = !all_placed && holds_idle_room;
             if self.is_held_back(now, job, occurrence, waits) {
@@ -91,7 +92,7 @@
         for id in &self.waiting {
             let Some(job) = self.jobs.get(id) else { continue };
             let Some((service, _, candidates)) = services.get_full(&job.service) else { continue };
-            if candidates.runners.is_empty() && !self.suspects.contains(id) {
+            if !candidates.has_runner_for(&job.spec) && !self.suspects.contains(id) {
                 continue;
             }
             let over_share =
@@ -199,13 +200,11 @@
         candidates: &mut Candidates,
     ) -> Vec<Task> {
         let Some(first) = waiting.first() else { return Vec::new() };
-        let has_ticket = |&at: &usize| {
+        let has_ticket = |at: usize| {
             let worker = self.workers.get_index(at);
             worker.is_some_and(|(id, _)| self.ticket(now, first, id).is_some())
         };
-        let runners = candidates.runners.iter().copied().filter(has_ticket).collect();
-        let fewest_crashes = candidates.fewest_crashes;
-        let mut advised = Candidates::new(runners, fewest_crashes);
+        let mut advised = candidates.filtered(has_ticket);
         let placed = self.place_step(now, waiting, step, &mut advised);
         if placed.len() < waiting.len() {
             self.ask_advisor(now, first, step, candidates);
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -162,6 +162,11 @@
 }
 
 impl Step {
+    /// Whether a task takes processors of a runner.
+    pub fn needs_cores(&self) -> bool {
+        self.reserved().millicores > 0
+    }
+
     /// Resources that placement reserves for a task. It reserves no processors for a filler, which
     /// uses only processor time that is left over.
     pub fn reserved(&self) -> Resources {
