--- a/src/job/suspicion.rs
+++ b/src/job/suspicion.rs
@@ -131,6 +131,7 @@
         let alone =
             self.crashes.iter().filter(|crash| crash.alone && is_prompt(crash.age_ms)).count();
         let min_alone = MIN_ALONE + usize::from(spontaneous);
-        crashes >= MIN_CRASHES && alone >= min_alone || crashes >= MAX_CRASHES
+        let min_crashes = MIN_CRASHES + usize::from(spontaneous);
+        crashes >= min_crashes && alone >= min_alone || crashes >= MAX_CRASHES
     }
 }
