Take no entry in the list of runners for proof

The operators' report of odd entries: a key that can't be decoded made the whole list unreadable, and an entry with 4,294,967 cores counted as the size of VMs.

Cause: an entry was taken for proof, and incarnations were told apart by the size of born.

Change: entries of unknown services are kept aside; a registration of another incarnation has the runner asked, whose answer decides; a later runner of a VM ends the record of an earlier one only once it has answered; VM sizes are those of runners that have answered. Polls that are answered at once are 20 ms apart.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -157,7 +157,7 @@
             }
             Effect::PublishOutcome(id) => self.publish_outcome(now, id),
             Effect::StopAll(id) => self.stop_all(now, id),
-            Effect::ActivateManifest(manifest) => self.activate_manifest(*manifest),
+            Effect::ActivateManifest(manifest) => self.activate_manifest(now, *manifest),
             Effect::ChangeVm(action) => self.actions.push(Action::ChangeVm(action)),
             Effect::ReportWave(number, complete) => {
                 self.actions.push(Action::ReportWave(number, complete))
@@ -166,7 +166,7 @@
     }
 
     /// Puts a manifest into force that the ledger has stored, and lets placement go by it.
-    fn activate_manifest(&mut self, manifest: Manifest) {
+    fn activate_manifest(&mut self, now: Instant, manifest: Manifest) {
         info!("manifest: version={} before={}", manifest.version, self.manifest.version);
         self.former.set(self.former_queues(&manifest));
         self.put_in_force(manifest);
@@ -176,6 +176,7 @@
                 job.tickets_valid = advice.map(|advice| advice.valid);
             }
         }
+        self.register_known_services(now);
         self.place_due = true;
     }
 
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -152,6 +152,8 @@
     backlogs: Backlogs,
     jobs: IndexMap<spec::Id, Job>,
     workers: IndexMap<RunnerId, Worker>,
+    /// Registrations whose services no manifest names, by key.
+    unknown_services: IndexMap<runner::Id, runner::Registration>,
     /// Jobs whose end is not visible to callers yet.
     open: IndexSet<spec::Id>,
     /// Open jobs that may have tasks to place.
@@ -223,6 +225,7 @@
             backlogs: Backlogs::default(),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
+            unknown_services: IndexMap::new(),
             open: IndexSet::new(),
             waiting: IndexSet::new(),
             scheduled: IndexSet::new(),
--- a/src/job/cell/need.rs
+++ b/src/job/cell/need.rs
@@ -143,11 +143,11 @@
         loads
     }
 
-    /// Cores of the largest runner.
+    /// Cores of the largest runner that has answered.
     pub(super) fn vm_cores(&self) -> f64 {
-        let rooms = self.workers.values().filter_map(|worker| worker.registration.as_ref());
+        let answered = self.workers.values().filter(|worker| worker.fence_accepted);
         let max_millicores =
-            rooms.map(|registration| f64::from(registration.room.millicores)).fold(0.0, f64::max);
+            answered.map(|worker| f64::from(worker.room().millicores)).fold(0.0, f64::max);
         (if max_millicores > 0.0 { max_millicores } else { DEFAULT_VM_MILLICORES }) / 1_000.0
     }
 }
--- a/src/job/cell/place.rs
+++ b/src/job/cell/place.rs
@@ -149,12 +149,12 @@
         }
     }
 
-    /// Whole room of the largest runner of each service, in thousandths of a core.
+    /// Whole room of the largest runner of each service that has answered, in thousandths of a core.
     fn largest_rooms(&self) -> IndexMap<&str, u32> {
         let mut largest: IndexMap<&str, u32> = IndexMap::new();
-        for registration in self.workers.values().filter_map(|w| w.registration.as_ref()) {
-            let room = largest.entry(&registration.service).or_default();
-            *room = registration.room.millicores.max(*room);
+        for worker in self.workers.values().filter(|worker| worker.fence_accepted) {
+            let room = largest.entry(worker.service()).or_default();
+            *room = worker.room().millicores.max(*room);
         }
         largest
     }
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -32,6 +32,8 @@
 const UNSTORED_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two polls of a runner that does not answer.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two polls of a runner that answers at once though nothing has ended.
+const EARLY_ANSWER_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum number of ends in one report. A report with as many may be incomplete, so it says
 /// nothing about runs that it does not list.
 const MAX_REPORTED_ENDS: usize = 500;
@@ -53,9 +55,12 @@
             }
             let busy = !worker.tasks.is_empty();
             let unacknowledged = worker.acknowledged_end < worker.stored_end;
-            let new_owner = !worker.fence_accepted && worker.listed;
+            let new_owner =
+                (!worker.fence_accepted || worker.restart_noticed.is_some()) && worker.listed;
             let stored = worker.unstored_reports == 0;
-            let due = worker.next_poll <= now || stored && worker.unresponsive_since.is_none();
+            let paused = worker.polls_paused_until.is_some_and(|until| now < until);
+            let follows = stored && worker.unresponsive_since.is_none() && !paused;
+            let due = worker.next_poll <= now || follows;
             let is_suspected = worker.is_in(&suspected);
             if !(due
                 && (busy
@@ -75,7 +80,7 @@
             let renews = if worker.unanswered_starts.is_empty() { renews } else { starts };
             let extends = busy && renews && worker.unresponsive_since.is_none();
             let until_ms = if extends { worker.lease.grant(now) } else { None };
-            worker.poll_sent = Some(SentPoll { at: now, extends: until_ms.is_some() });
+            worker.poll_sent = Some(SentPoll { at: now, wait, extends: until_ms.is_some() });
             // The next poll follows the answer to this one, so none is scheduled for some time.
             worker.next_poll = now + Duration::from_secs(3_600);
             let acknowledged = worker.stored_end;
@@ -100,7 +105,10 @@
             Answer::Done(_) | Answer::Rejected(_) => self.record_poll_answer(now, runner, sent.at),
         }
         match answer {
-            Answer::Done(report) => self.handle_report(now, runner, sent.at, acknowledged, &report),
+            Answer::Done(report) => {
+                self.pause_polls(now, runner, sent, &report);
+                self.handle_report(now, runner, sent.at, acknowledged, &report);
+            }
             Answer::Rejected(Rejection::Fence) => {
                 warn!("owner: runner={runner} has a newer fence than {}", self.fence);
                 self.superseded = true;
@@ -111,6 +119,15 @@
         }
     }
 
+    /// Has the next poll wait a little if the runner has answered this one at once and without any end:
+    /// nothing else would limit the number of polls.
+    fn pause_polls(&mut self, now: Instant, runner: &RunnerId, sent: SentPoll, report: &Report) {
+        let Some(worker) = self.workers.get_mut(runner) else { return };
+        let early = now.saturating_duration_since(sent.at) < sent.wait / 2;
+        let pauses = early && report.ended.iter().all(|end| end.number <= worker.processed_end);
+        worker.polls_paused_until = pauses.then_some(now + EARLY_ANSWER_PAUSE);
+    }
+
     /// Handles a poll without a usable answer.
     fn poll_failed(&mut self, now: Instant, runner: &RunnerId, why: &str) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
@@ -134,12 +151,16 @@
         report: &Report,
     ) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
-        if report.incarnation.is_some() && report.incarnation < worker.incarnation {
-            info!("runner: id={runner} report=ignored why=\"of an earlier incarnation\"");
+        // A poll that was sent before the restart was noticed may have been answered before it.
+        if worker.restart_noticed.is_some_and(|at| sent < at) {
+            info!("runner: id={runner} report=ignored why=\"it may be of an earlier incarnation\"");
             worker.next_poll = now;
             return;
         }
-        let restarted = report.incarnation.is_some()
+        worker.restart_noticed = None;
+        // Until it has answered, its incarnation is known by its registration only.
+        let restarted = worker.fence_accepted
+            && report.incarnation.is_some()
             && worker.incarnation.is_some()
             && report.incarnation != worker.incarnation;
         if restarted {
@@ -153,12 +174,15 @@
         if worker.unresponsive_since.take().is_some() {
             info!("runner: id={runner} answers=true");
         }
-        self.place_due |= !worker.fence_accepted;
-        worker.incarnation = worker.incarnation.or(report.incarnation);
+        let first = !worker.fence_accepted;
+        self.place_due |= first;
+        let vm = String::from(if first { worker.vm() } else { "" });
+        worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.observe_clock(now, runner, report.clock_ms);
         worker.fence_accepted = true;
         worker.acknowledged_end =
             if restarted { 0 } else { worker.acknowledged_end.max(acknowledged) };
+        self.remove_former_runners(now, runner, &vm);
         self.handle_ends(now, runner, report);
         self.handle_running(now, runner, report);
         self.handle_missing(now, runner, sent, report);
--- a/src/job/cell/registration.rs
+++ b/src/job/cell/registration.rs
@@ -29,50 +29,17 @@
         registration: Option<Registration>,
     ) {
         let Some(registration) = registration else {
-            if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.listed) {
-                info!("runner: id={id} listed=false tasks={}", worker.tasks.len());
-                worker.listed = false;
-                worker.absent_since = now;
-            }
-            return;
+            self.unknown_services.swap_remove(id);
+            return self.unlist(now, id);
         };
+        if !self.is_of_runner(id, &registration) {
+            return self.set_aside(id, registration);
+        }
+        self.unknown_services.swap_remove(id);
         let vm = registration.vm.clone();
-        match self.workers.get_mut(id) {
+        match self.workers.get(id) {
             Some(worker) if worker.is_stale(&registration) => {}
-            Some(worker) => {
-                let restarted = registration.incarnation.is_some()
-                    && worker
-                        .incarnation
-                        .is_some_and(|known| registration.incarnation > Some(known));
-                let starts_draining = registration.draining && !worker.is_draining();
-                let (is_back, unknown) = (!worker.listed, worker.registration.is_none());
-                worker.listed = true;
-                if starts_draining || is_back || restarted {
-                    let state = if registration.draining { "draining" } else { "ready" };
-                    info!(
-                        "runner: id={id} listed=true state={state} reborn={restarted} sequence={}",
-                        registration.sequence
-                    );
-                    self.place_due = true;
-                }
-                let room = registration.room;
-                if worker.registration.is_some() && worker.room() != room {
-                    info!(
-                        "runner: id={id} room={} memory_mib={}",
-                        room.millicores, room.memory_mib
-                    );
-                    self.place_due = true;
-                }
-                let incarnation = registration.incarnation;
-                worker.incarnation = worker.incarnation.or(incarnation);
-                worker.registration = Some(registration);
-                if restarted {
-                    self.handle_restart(now, id, incarnation);
-                }
-                if restarted || unknown {
-                    self.note_incarnation(now, id);
-                }
-            }
+            Some(_) => self.renew_registration(now, id, registration),
             None => {
                 info!(
                     "runner: id={id} new service={} sequence={}",
@@ -86,6 +53,73 @@
         self.remove_former_runners(now, id, &vm);
     }
 
+    /// Handles that the store no longer lists a runner.
+    fn unlist(&mut self, now: Instant, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.listed) {
+            info!("runner: id={id} listed=false tasks={}", worker.tasks.len());
+            worker.listed = false;
+            worker.absent_since = now;
+        }
+    }
+
+    /// Whether a registration is a runner's: the manifest names its service, or the runner is known
+    /// already, by the ledger or from an earlier manifest. Others may write to the store's list as well.
+    fn is_of_runner(&self, id: &str, registration: &Registration) -> bool {
+        let service = registration.service.as_str();
+        let same = |worker: &Worker| worker.registration.is_none() || worker.service() == service;
+        self.manifest.service(service).is_some() || self.workers.get(id).is_some_and(same)
+    }
+
+    /// Keeps a registration whose service no manifest names, in case a later one does.
+    fn set_aside(&mut self, id: &str, registration: Registration) {
+        let service = registration.service.clone();
+        if self.unknown_services.insert(String::from(id), registration).is_none() {
+            info!("runner: id={id} ignored service={service:?} why=\"not in the manifest\"");
+        }
+    }
+
+    /// Takes in the runners that have registered before the manifest in force named their services.
+    pub(super) fn register_known_services(&mut self, now: Instant) {
+        for (id, registration) in std::mem::take(&mut self.unknown_services) {
+            self.update_registration(now, &id, Some(registration));
+        }
+    }
+
+    /// Handles a registration of a known runner. One of another incarnation has the runner polled: only
+    /// its own answer shows which incarnation there is, as clocks may go back and others may write to the
+    /// list.
+    fn renew_registration(&mut self, now: Instant, id: &str, registration: Registration) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let incarnation = registration.incarnation;
+        let restarted = incarnation.is_some()
+            && worker.incarnation.is_some()
+            && incarnation != worker.incarnation;
+        let starts_draining = registration.draining && !worker.is_draining();
+        let (is_back, unknown) = (!worker.listed, worker.registration.is_none());
+        worker.listed = true;
+        if starts_draining || is_back || restarted {
+            let state = if registration.draining { "draining" } else { "ready" };
+            info!(
+                "runner: id={id} listed=true state={state} reborn={restarted} sequence={}",
+                registration.sequence
+            );
+            self.place_due = true;
+        }
+        let room = registration.room;
+        if worker.registration.is_some() && worker.room() != room {
+            info!("runner: id={id} room={} memory_mib={}", room.millicores, room.memory_mib);
+            self.place_due = true;
+        }
+        worker.incarnation = worker.incarnation.or(incarnation);
+        worker.registration = Some(registration);
+        if restarted {
+            worker.notice_restart(now);
+        }
+        if restarted || unknown {
+            self.note_incarnation(now, id);
+        }
+    }
+
     /// Notes an incarnation that has registered for the first time. It takes no tasks if its VM is
     /// being drained.
     fn note_incarnation(&mut self, now: Instant, id: &str) {
@@ -100,14 +134,13 @@
     }
 
     /// Removes runners of a VM that are older than its runner `id`: they have ended, since a VM has
-    /// one runner at a time.
-    fn remove_former_runners(&mut self, now: Instant, id: &str, vm: &str) {
+    /// one runner at a time. An entry in the list shows nothing by itself: `id` must have answered.
+    pub(super) fn remove_former_runners(&mut self, now: Instant, id: &str, vm: &str) {
         if vm.is_empty() {
             return;
         }
-        let Some(incarnation) = self.workers.get(id).and_then(|worker| worker.incarnation) else {
-            return;
-        };
+        let newer = self.workers.get(id).filter(|worker| worker.fence_accepted);
+        let Some(incarnation) = newer.and_then(|worker| worker.incarnation) else { return };
         let former = |(other, worker): (&RunnerId, &Worker)| {
             let registration = worker.registration.as_ref()?;
             let older =
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -31,7 +31,8 @@
     pub listed: bool,
     /// Since when the store has not listed it; only valid if it does not.
     pub absent_since: Instant,
-    /// Incarnation of the runner's process, if known.
+    /// Incarnation of the runner's process, if known: the one that answered last, or that registered if
+    /// none did.
     pub incarnation: Option<Incarnation>,
     /// Room that its tasks take.
     pub used: Resources,
@@ -53,11 +54,15 @@
     pub empty_since: Instant,
     /// Whether it has accepted this owner's fence by answering a poll.
     pub fence_accepted: bool,
+    /// When its registration has shown another incarnation, which its next report has to confirm.
+    pub restart_noticed: Option<Instant>,
     /// The outstanding poll.
     pub poll_sent: Option<SentPoll>,
     /// When a poll is due at the latest; most polls follow directly on the answer to the one
     /// before.
     pub next_poll: Instant,
+    /// Until when no poll follows directly on the answer to the one before.
+    pub polls_paused_until: Option<Instant>,
     /// Leases that it may hold.
     pub lease: Lease,
     /// Newest end that was processed.
@@ -82,8 +87,7 @@
     pub quarantined_until: Option<Instant>,
     /// Number of runs that have failed on it since one was done there.
     pub consecutive_failures: u32,
-    /// Incarnation that has certainly ended. Registrations of it, or of earlier ones, that still
-    /// arrive are ignored.
+    /// Incarnation that has certainly ended. Registrations of it that still arrive are ignored.
     pub ended_incarnation: Option<Incarnation>,
     /// Whether its VM is being drained for a move or for maintenance.
     pub vm_draining: bool,
@@ -94,6 +98,8 @@
 pub struct SentPoll {
     /// When it was sent.
     pub at: Instant,
+    /// Time for which the runner waits for an end.
+    pub wait: Duration,
     /// Whether it extends the lease.
     pub extends: bool,
 }
@@ -182,8 +188,10 @@
             pace_changed: now,
             empty_since: now,
             fence_accepted: false,
+            restart_noticed: None,
             poll_sent: None,
             next_poll: now,
+            polls_paused_until: None,
             lease,
             processed_end: 0,
             stored_end: 0,
@@ -210,7 +218,8 @@
     /// Whether a task that was placed on it may be started.
     pub fn can_start(&self) -> bool {
         let ready = self.registration.as_ref().is_some_and(|registration| !registration.draining);
-        ready && self.listed && self.fence_accepted && self.unresponsive_since.is_none()
+        let answers = self.fence_accepted && self.unresponsive_since.is_none();
+        ready && self.listed && answers && self.restart_noticed.is_none()
     }
 
     /// Whether tasks may be placed on it at `now`.
@@ -227,10 +236,17 @@
     /// Whether a registration is of an incarnation that has ended.
     pub(super) fn is_stale(&self, registration: &Registration) -> bool {
         self.ended_incarnation.is_some_and(|ended_incarnation| {
-            registration.incarnation.is_none_or(|incarnation| incarnation <= ended_incarnation)
+            registration.incarnation.is_none_or(|incarnation| incarnation == ended_incarnation)
         })
     }
 
+    /// Has the next report show whether the runner has restarted.
+    pub(super) fn notice_restart(&mut self, now: Instant) {
+        self.restart_noticed = Some(now);
+        self.lease.forget_clock();
+        self.next_poll = now;
+    }
+
     /// Marks the current incarnation as ended for certain.
     pub fn mark_ended(&mut self, now: Instant) {
         let incarnation = self
@@ -308,6 +324,7 @@
         self.incarnation = incarnation;
         self.lease.forget_clock();
         self.fence_accepted = false;
+        self.restart_noticed = None;
         self.next_poll = now;
         self.processed_end = 0;
         self.stored_end = 0;
--- a/standin/tests/jobs.rs
+++ b/standin/tests/jobs.rs
@@ -302,13 +302,51 @@
 
 #[test]
 fn foreign_and_malformed_registrations_are_ignored() {
-    let site = Site::start("foreign", 1, 1);
+    let mut site = Site::start("foreign", 2, 1);
     for (key, value) in [("x", &b"\xff\xfe"[..]), ("y", b"{}"), ("z", b"{\"state\":\"odd\"}")] {
         site.store.put("keyed.servers", key, value);
     }
+    for (number, value) in odd_registrations().iter().enumerate() {
+        site.store.put("keyed.servers", &format!("odd-{number}"), value.as_bytes());
+        site.store.put("keyed.op", &format!("odd-{number}"), value.as_bytes());
+        site.store.put("keyed.op", &format!("wave/9{number}"), value.as_bytes());
+    }
     sleep(Duration::from_millis(700));
     site.submit(1, 2);
     site.wait_complete([1]);
+    // A new owner reads the complete lists, with the odd entries in them.
+    let owner = site.owner();
+    site.kill(owner);
+    site.submit(2, 2);
+    site.wait_complete([2]);
+}
+
+/// Entries that are hard to read: nested deeply, with numbers that are too large, or with addresses that
+/// can't be called.
+fn odd_registrations() -> Vec<String> {
+    let sound = r#"{"service":"desk","addr":"127.0.0.1:9","zone":"zone-a","machine":"m-odd","state":"ready",
+        "born":5,"seq":1,"labels":["a","r1"],"headroom":{"cpu":1000,"memMb":1000,"gpu":0}}"#;
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let with = |from: &str, to: &str| sound.replace(from, to);
+    vec![
+        nested(100_000),
+        "[".repeat(100_000),
+        with(r#""seq":1"#, &format!(r#""seq":1,"extra":{}"#, nested(100_000))),
+        with(r#"["a","r1"]"#, &nested(100_000)),
+        with(r#""born":5"#, r#""born":18446744073709551615"#),
+        with(r#""born":5"#, r#""born":18446744073709551616"#),
+        with(r#""born":5"#, r#""born":1e999"#),
+        with(r#""seq":1"#, r#""seq":18446744073709551615"#),
+        with(r#""cpu":1000"#, r#""cpu":4294967295"#),
+        with(r#""cpu":1000"#, r#""cpu":99999999999999999999999"#),
+        with(r#""cpu":1000"#, r#""cpu":-1"#),
+        with("127.0.0.1:9", "127.0.0.1:70000"),
+        with("127.0.0.1:9", "127.0.0.1:0"),
+        with("127.0.0.1:9", "0.0.0.0:65535"),
+        with("127.0.0.1:9", "[::]:1"),
+        with("127.0.0.1:9", "255.255.255.255:9"),
+        with(r#""machine":"m-odd""#, &format!(r#""machine":"{}""#, "m".repeat(200_000))),
+    ]
 }
 
 /// The caller leaves while its request waits for the store.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -202,6 +202,33 @@
     assert_eq!(runner::registration(b"\xff\x00"), None);
 }
 
+/// Guards against a list of the store that is never followed again, as one of its entries can't be read.
+#[test]
+fn a_list_of_the_store_is_read_without_the_entries_that_are_unreadable() {
+    let deep = "[".repeat(10_000) + &"]".repeat(10_000);
+    let odd = [
+        r#"{"key":"\ud800","value":"eA=="}"#,
+        r#"{"key":7,"value":"eA=="}"#,
+        r#"{"value":"eA=="}"#,
+        r#"{"key":"b","value":"not base64"}"#,
+        r#"{"key":"b","value":{}}"#,
+        r#"{"key":"b","value":"eA==","offset":1e999}"#,
+        "7",
+        &format!(r#"{{"key":"b","value":"","more":{deep}}}"#),
+        "{\"key\":\"\u{ff}\",\"value\":\"eA==\"}",
+    ];
+    for entry in odd {
+        let mut body = br#"{"items":[{"key":"a","value":"eA=="},"#.to_vec();
+        // Bytes that are no UTF-8 stand for themselves.
+        body.extend(entry.chars().map(|byte| byte as u8));
+        body.extend(br#",{"key":"c","value":"eA=="}],"hasMore":true,"end":9}"#);
+        let newest = store::newest_page(&Reply { status: 200, body }).unwrap_or_default();
+        let keys: Vec<&str> = newest.records.iter().map(|record| record.key.as_str()).collect();
+        assert!(keys.starts_with(&["a"]) && keys.ends_with(&["c"]), "{entry:.40}: {keys:?}");
+        assert_eq!((newest.next.as_deref(), newest.end), (Some("c"), 9));
+    }
+}
+
 #[test]
 fn manifests_and_waves_are_decoded() {
     let body = br#"{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
