Use a VM that crashed repeatedly where no other could hold a task

Now only VMs that could hold it count; where there is none, the VM is used 2.5 s after its last crash. Using it at once was tried: the task was given up as the cause of the crashes that followed.

tests/job_crash.rs, a_task_that_only_one_runner_can_take...: failed before, passes.

--- a/src/job/cell/candidates.rs
+++ b/src/job/cell/candidates.rs
@@ -28,8 +28,6 @@
     millicores: (u64, u64),
     /// Runners in a suspected failure domain.
     suspected: Vec<usize>,
-    /// Number of recent crashes of the VM that has crashed least, of those with a runner here.
-    pub(super) fewest_crashes: usize,
     /// Number of tasks and gangs that fitted nowhere now, and for which runners are reserved.
     reservations: usize,
     /// Labels and room of steps that none of the runners could ever hold.
@@ -59,12 +57,7 @@
     /// The candidates that `keeps` allows.
     pub(super) fn filtered(&self, keeps: impl Fn(usize) -> bool) -> Self {
         let kept = |runners: &[usize]| runners.iter().copied().filter(|at| keeps(*at)).collect();
-        Self {
-            runners: kept(&self.runners),
-            full: kept(&self.full),
-            fewest_crashes: self.fewest_crashes,
-            ..Self::default()
-        }
+        Self { runners: kept(&self.runners), full: kept(&self.full), ..Self::default() }
     }
 
     /// Whether a further job may be placed on the runners. Suspects are tried in any case, as that has
@@ -92,8 +85,7 @@
     /// The same candidates without any reservation.
     pub(super) fn without_reservations(&self) -> Self {
         let runners = self.runners.iter().chain(&self.reserved).copied().collect();
-        let (full, fewest_crashes) = (self.full.clone(), self.fewest_crashes);
-        Self { runners, full, fewest_crashes, ..Self::default() }
+        Self { runners, full: self.full.clone(), ..Self::default() }
     }
 
     /// Adds a runner that accepts tasks.
@@ -126,15 +118,8 @@
             };
             let candidates = match services.get_mut(registration.service.as_str()) {
                 Some(candidates) => candidates,
-                None => {
-                    let first = Candidates { fewest_crashes: usize::MAX, ..Candidates::default() };
-                    services.entry(Rc::from(registration.service.as_str())).or_insert(first)
-                }
+                None => services.entry(Rc::from(registration.service.as_str())).or_default(),
             };
-            if !self.suspects.is_empty() {
-                let crashes = self.recent_crashes(now, worker);
-                candidates.fewest_crashes = candidates.fewest_crashes.min(crashes);
-            }
             let (all, used) = &mut candidates.millicores;
             *all += u64::from(worker.room().millicores);
             *used += u64::from(worker.used.millicores);
--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -5,12 +5,14 @@
 use {
     super::{Cell, Worker, candidates::Candidates},
     crate::job::spec::{Resources, Step, Task},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
-/// Number of recent crashes from which on a VM is not used for tasks in isolation while there are others:
-/// it may crash by itself again, and the task would be taken for the cause.
+/// Number of recent crashes from which on a VM is not used for a task in isolation while others could hold
+/// it: it may crash by itself again, and the task would be taken for the cause.
 const FLAPPING: usize = 2;
+/// Time after its last crash from which on such a VM is used if no other could hold the task.
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 
 /// Result of the choice of a runner for a task.
 pub(super) enum Choice {
@@ -38,6 +40,7 @@
         let mut most_free: Option<(u32, usize)> = None;
         let mut fewest_new: Option<(usize, usize)> = None;
         let isolated = self.is_suspect(task);
+        let mut steady = None;
         for index in candidates.runners_for(step) {
             let Some((id, worker)) = self.workers.get_index(index) else { continue };
             let free = worker.free();
@@ -47,7 +50,11 @@
             let mut crashes = 0;
             if isolated {
                 crashes = self.recent_crashes(now, worker);
-                if crashes >= FLAPPING && candidates.fewest_crashes < FLAPPING {
+                let flapping = crashes >= FLAPPING;
+                let unsettled = flapping && self.crashed_within(now, worker, SETTLING_TIME);
+                let mut has_steady =
+                    || *steady.get_or_insert_with(|| self.has_steady(now, step, task));
+                if unsettled || flapping && has_steady() {
                     continue;
                 }
                 let new = self.new_tasks_of_others(now, worker, task.job);
@@ -84,6 +91,19 @@
     }
 }
 
+impl Cell {
+    /// Whether a runner whose VM has not crashed repeatedly of late could hold a task.
+    fn has_steady(&self, now: Instant, step: &Step, task: &Task) -> bool {
+        let Some(service) = self.jobs.get(&task.job).map(|job| &*job.service) else { return false };
+        self.workers.values().any(|worker| {
+            worker.service() == service
+                && worker.accepts_tasks(now)
+                && could_hold(worker, step, task)
+                && self.recent_crashes(now, worker) < FLAPPING
+        })
+    }
+}
+
 /// How well a runner with the room `free` suits a task of a step, apart from its zone and failures.
 fn fit(worker: &Worker, step: &Step, free: Resources, need: &Resources) -> Fit {
     let far_from_data = !step.data_rack.is_empty() && !worker.labels().contains(&step.data_rack);
--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -212,6 +212,12 @@
         times.map_or(0, |times| times.iter().filter(|at| recent(at)).count())
     }
 
+    /// Whether the VM of a runner has crashed within `period`.
+    pub(super) fn crashed_within(&self, now: Instant, worker: &Worker, period: Duration) -> bool {
+        let last = self.crashed_vms.get(worker.vm()).and_then(|times| times.last());
+        last.is_some_and(|at| now.saturating_duration_since(*at) < period)
+    }
+
     /// Handles an answer of a runner whose runs were taken for lost.
     pub(super) fn runner_returned(&mut self, runner: &str) {
         let Some(worker) = self.workers.get_mut(runner) else { return };
--- a/tests/job_crash.rs
+++ b/tests/job_crash.rs
@@ -320,3 +320,24 @@
     assert_eq!(outcome(&sim, JOB), Some(Outcome::Failed));
     assert_others_complete(&sim, jobs);
 }
+
+/// Guards against a task that waits, as its only possible runner has crashed more often than others that
+/// can't take it.
+#[test]
+fn a_task_that_only_one_runner_can_take_starts_there_again_though_it_crashed_repeatedly() {
+    let mut sim = Simulation::new(7);
+    sim.runners["r0"].rack = "special".into();
+    let (now, registration) = (sim.instant(), sim.registration("r0"));
+    sim.cell.update_registration(now, "r0", Some(registration));
+    sim.crashes.keeps_name = true;
+    sim.crashes.restart_time = seconds(0.7);
+    sim.submit(JOB, spec(vec![Step { endless: true, label: "special".into(), ..step(1, 2_000) }]));
+    sim.run(seconds(1.0));
+    for _ in 0..4 {
+        sim.crash("r0");
+        sim.run(seconds(1.4));
+    }
+    sim.run(seconds(5.0));
+    assert_eq!(outcome(&sim, JOB), Some(Outcome::Open));
+    assert_eq!(sim.runners["r0"].running.len(), 1, "it waits though its runner is up");
+}
