End all members of a gang with the success of one

A gang stayed open for good if its owner was killed just before the members' ends were known and the runner of one member restarted before the next owner polled it: the success of another member ended only those that were placed, and the one that was taken for lost waited alone.

tests/job_gang.rs, a_gang_is_done_though...: failed before, passes.

--- a/src/job/cell/gang.rs
+++ b/src/job/cell/gang.rs
@@ -173,7 +173,8 @@
         }
     }
 
-    /// Marks the other members of a task's gang as done, since one member of that run is.
+    /// Marks the other members of a task's gang as done, since one member of that run is. This includes
+    /// members that were taken for lost.
     pub(super) fn finish_gang(&mut self, now: Instant, task: &Task, run: u32) {
         if !self.is_gang(task) {
             return;
@@ -184,6 +185,7 @@
                 self.task_done(now, member);
             }
         }
+        self.lost_run_done(now, *task);
     }
 
     /// The other members of a task's gang that are placed, with the runner and number of their
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -195,7 +195,7 @@
 
     /// Handles the success of a run that was taken for lost: its task is done, or all members of its
     /// gang are.
-    fn lost_run_done(&mut self, now: Instant, task: Task) {
+    pub(super) fn lost_run_done(&mut self, now: Instant, task: Task) {
         if !self.is_gang(&task) {
             return self.lost_task_done(now, task);
         }
--- a/tests/job_gang.rs
+++ b/tests/job_gang.rs
@@ -153,3 +153,21 @@
     assert_eq!(again.len(), 2, "{again:?}");
     assert!(again.iter().all(|(_, run)| *run == again[0].1 && *run > 1), "{again:?}");
 }
+
+/// Guards against a gang that stays open for good, as a member was taken for lost before another one's
+/// success was known.
+#[test]
+fn a_gang_is_done_though_the_runner_of_a_member_restarts_before_a_new_owner_polls_it() {
+    for restarted in ["r0", "r1"] {
+        let mut sim = Simulation::new(2);
+        sim.submit(JOB, spec(vec![gang(2, MILLICORES)]));
+        sim.run(seconds(0.8));
+        assert_eq!(running(&sim, JOB), 2);
+        sim.pause_owner(seconds(0.5));
+        sim.restart(restarted);
+        sim.take_over();
+        sim.run(seconds(5.0));
+        assert_eq!(sim.cell.jobs()[&JOB].stored_outcome, Outcome::Complete);
+        assert_eq!(runs(&sim, JOB).len(), 2, "no member starts again");
+    }
+}
