Move accepted work with its queue to another service

Accepted work whose queue changed its service waited for runners of the former one, for good once the last had left (rig service): a job kept the service of its acceptance. Waiting work now moves with its queue; what runs stays. A new owner takes the service from the manifest or from the record of former queues.

tests/job_former_queue.rs, the last two: failed before, pass.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -13,6 +13,7 @@
         runner::{EndNumber, Incarnation},
         spec::{self, Task},
     },
+    indexmap::IndexMap,
     log::{error, info},
     std::{
         rc::Rc,
@@ -170,16 +171,31 @@
         info!("manifest: version={} before={}", manifest.version, self.manifest.version);
         self.former.set(self.former_queues(&manifest));
         self.put_in_force(manifest);
-        for job in self.jobs.values_mut() {
-            if let Some(at) = self.queues.get(&*job.queue) {
-                let advice = self.manifest.queues.get(*at).and_then(|queue| queue.advice);
-                job.tickets_valid = advice.map(|advice| advice.valid);
-            }
-        }
+        self.update_jobs();
         self.register_known_services(now);
         self.place_due = true;
     }
 
+    /// Has open jobs go by the manifest in force: they need tickets if their queue has an advisor, and
+    /// waiting tasks move with their queue to another service.
+    fn update_jobs(&mut self) {
+        let mut moved: IndexMap<&str, usize> = IndexMap::new();
+        for id in &self.open {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            let at = self.queues.get(&*job.queue);
+            let Some(queue) = at.and_then(|at| self.manifest.queues.get(*at)) else { continue };
+            job.tickets_valid = queue.advice.map(|advice| advice.valid);
+            if *job.service != *queue.service {
+                job.service = Rc::from(queue.service.as_str());
+                *moved.entry(&queue.name).or_default() += 1;
+            }
+        }
+        for (name, jobs) in moved {
+            let service = self.queue(name).map_or("", |queue| &queue.service);
+            info!("manifest: queue={name} service={service} jobs={jobs}");
+        }
+    }
+
     /// Puts a manifest into force that the ledger has stored.
     pub(super) fn put_in_force(&mut self, manifest: Manifest) {
         self.routes = Table::new(&manifest.queues);
--- a/src/job/cell/job.rs
+++ b/src/job/cell/job.rs
@@ -22,7 +22,7 @@
 pub struct Job {
     /// Queue it was submitted to.
     pub queue: Rc<str>,
-    /// Service whose runners run it.
+    /// Service whose runners run it; it changes with the service of its queue.
     pub service: Rc<str>,
     /// The job as submitted; emptied by [`Job::shrink`] once the job has ended.
     pub spec: Rc<Spec>,
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -67,13 +67,13 @@
         }
     }
 
-    /// Restores an accepted job.
+    /// Restores an accepted job. It belongs to the service that its queue has now, or had last.
     fn restore_job(&mut self, now: Instant, wall_ms: u64, id: spec::Id, accepted: Accepted) {
-        let mut queue = self
-            .terms(&accepted.queue)
-            .cloned()
-            .unwrap_or_else(|| Queue { name: accepted.queue.clone(), ..Queue::default() });
-        queue.service.clone_from(&accepted.service);
+        let queue = self.terms(&accepted.queue).cloned().unwrap_or_else(|| Queue {
+            name: accepted.queue.clone(),
+            service: accepted.service.clone(),
+            ..Queue::default()
+        });
         let age = Duration::from_millis(wall_ms.saturating_sub(accepted.at_ms));
         if let Some(origin) = accepted.origin.as_ref().filter(|origin| origin.within_rate) {
             self.accounts.restore_job(now, &origin.organisation, age);
--- a/tests/job_former_queue.rs
+++ b/tests/job_former_queue.rs
@@ -159,3 +159,59 @@
     sim.run(seconds(0.2));
     assert!(stored(&sim) < 5);
 }
+
+/// Simulation with a runner of each of two services, of which `desk` is left by its runner once the queue
+/// was moved to `other`. `away` says whether the queue is away in between.
+fn moved_to_other_service(away: bool, step: Step) -> Simulation {
+    let mut sim = Simulation::new(1);
+    sim.add_runner("o0", "other", "n0", 1);
+    sim.cell.update_manifest(with_queue(2));
+    sim.run(seconds(0.2));
+    sim.submit(JOB, spec(vec![step]));
+    sim.run(seconds(0.3));
+    if away {
+        sim.cell.update_manifest(without_queue(3));
+        sim.run(seconds(1.0));
+    }
+    let mut moved = with_queue(4);
+    moved.queues[0].service = "other".into();
+    sim.cell.update_manifest(moved);
+    sim.run(seconds(0.2));
+    sim
+}
+
+/// Has the runner of the former service leave.
+fn leave(sim: &mut Simulation) {
+    let now = sim.instant();
+    sim.runners.swap_remove("r0");
+    sim.cell.update_registration(now, "r0", None);
+    sim.run(seconds(8.0));
+}
+
+/// Guards against accepted work that waits for good for runners of a service that its queue has left.
+#[test]
+fn accepted_work_moves_with_its_queue_to_another_service() {
+    for (away, takes_over) in [(false, false), (true, false), (false, true), (true, true)] {
+        let endless = Step { endless: true, ..step(2, 2_000) };
+        let mut sim = moved_to_other_service(away, endless);
+        assert_eq!(sim.runners["r0"].running.len(), 2, "what runs stays");
+        if takes_over {
+            sim.take_over();
+        }
+        leave(&mut sim);
+        sim.run(seconds(4.0));
+        assert_eq!(sim.runners["o0"].running.len(), 2);
+    }
+}
+
+/// The same for work that has not started, and after the queue is away again.
+#[test]
+fn work_that_waits_follows_its_queue_and_stays_where_it_was_last() {
+    let mut sim = moved_to_other_service(true, step(40, 1_000));
+    sim.cell.update_manifest(without_queue(5));
+    sim.run(seconds(0.2));
+    sim.take_over();
+    leave(&mut sim);
+    sim.run(seconds(15.0));
+    assert_eq!(outcome(&sim), Outcome::Complete);
+}
