--- a/src/job/cell/choose.rs
+++ b/src/job/cell/choose.rs
@@ -40,7 +40,7 @@
         let mut most_free: Option<(u32, usize)> = None;
         let mut fewest_new: Option<(usize, usize)> = None;
         let isolated = self.is_suspect(task);
-        let mut steady = None;
+        let has_steady = isolated && self.has_steady(now, step, task);
         for index in candidates.runners_for(step) {
             let Some((id, worker)) = self.workers.get_index(index) else { continue };
             let free = worker.free();
@@ -50,11 +50,8 @@
             let mut crashes = 0;
             if isolated {
                 crashes = self.recent_crashes(now, worker);
-                let flapping = crashes >= FLAPPING;
-                let unsettled = flapping && self.crashed_within(now, worker, SETTLING_TIME);
-                let mut has_steady =
-                    || *steady.get_or_insert_with(|| self.has_steady(now, step, task));
-                if unsettled || flapping && has_steady() {
+                let unsettled = has_steady || self.crashed_within(now, worker, SETTLING_TIME);
+                if crashes >= FLAPPING && unsettled {
                     continue;
                 }
                 let new = self.new_tasks_of_others(now, worker, task.job);
@@ -89,9 +86,7 @@
             None => Choice::Nowhere(emptiest.or(most_free.map(|(_, index)| index))),
         }
     }
-}
 
-impl Cell {
     /// Whether a runner whose VM has not crashed repeatedly of late could hold a task.
     fn has_steady(&self, now: Instant, step: &Step, task: &Task) -> bool {
         let Some(service) = self.jobs.get(&task.job).map(|job| &*job.service) else { return false };
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -46,6 +46,21 @@
         if self.pools.take_changed() {
             push_encoded(&mut records, ledger::upkeep(&self.pools.to_ledger()));
         }
+        self.add_new_jobs(&mut records);
+        self.add_progress(&mut records);
+        records.extend(
+            std::mem::take(&mut self.removed_jobs).into_iter().flat_map(ledger::job_removal),
+        );
+        if records.is_empty() {
+            records.push(ledger::barrier());
+        }
+        self.in_flight = Some(std::mem::take(&mut self.effects));
+        self.batch_sent = Some(now);
+        Some(Batch { records: self.divider.divide(records) })
+    }
+
+    /// Adds the records of accepted jobs to a batch.
+    fn add_new_jobs(&mut self, records: &mut Vec<Record>) {
         for id in std::mem::take(&mut self.new_jobs) {
             if let Some(job) = self.jobs.get(&id) {
                 let content = ledger::Accepted {
@@ -58,9 +73,13 @@
                         within_rate: job.within_rate,
                     }),
                 };
-                push_encoded(&mut records, ledger::accepted(id, &content));
+                push_encoded(records, ledger::accepted(id, &content));
             }
         }
+    }
+
+    /// Adds the progress of jobs that have changed to a batch.
+    fn add_progress(&mut self, records: &mut Vec<Record>) {
         for id in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let settled = job.is_settled();
@@ -70,21 +89,12 @@
             let mut progress = job.progress();
             let organisation = job.organisation.as_deref().filter(|_| settled);
             progress.organisation = organisation.map(String::from);
-            push_encoded(&mut records, ledger::progress(id, &progress));
+            push_encoded(records, ledger::progress(id, &progress));
             // The outcome comes first, as the owner may end between two appends of the batch.
             if settled {
                 records.push(ledger::spec_removal(id));
             }
         }
-        records.extend(
-            std::mem::take(&mut self.removed_jobs).into_iter().flat_map(ledger::job_removal),
-        );
-        if records.is_empty() {
-            records.push(ledger::barrier());
-        }
-        self.in_flight = Some(std::mem::take(&mut self.effects));
-        self.batch_sent = Some(now);
-        Some(Batch { records: self.divider.divide(records) })
     }
 
     /// Handles that the ledger has stored the batch in flight.
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -30,8 +30,10 @@
 mod need;
 mod occurrence;
 mod overload;
+mod ownership;
 mod pace;
 mod place;
+mod placement;
 mod poll;
 mod pools;
 mod rank;
@@ -277,41 +279,6 @@
         &self.accounts
     }
 
-    /// Whether the ledger or a runner has rejected this owner's fence, because a newer owner
-    /// exists.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Records that the log has accepted a heartbeat that this owner sent at `sent`.
-    pub fn confirm_ownership(&mut self, sent: Instant) {
-        self.confirmed_at = self.confirmed_at.max(Some(sent));
-    }
-
-    /// Drops the last confirmation. Called after the VM was suspended: the monotonic clock does not
-    /// count that time, so another entry may own the cell by now.
-    pub fn clear_confirmation(&mut self) {
-        self.confirmed_at = None;
-        self.batch_sent = None;
-    }
-
-    /// Whether this owner may still grant and renew leases. A new owner counts leases of the previous one as
-    /// ended after [`RENEWAL_WINDOW`] and the length of a lease.
-    fn may_renew(&self, now: Instant) -> bool {
-        self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < RENEWAL_WINDOW)
-    }
-
-    /// Whether this owner may still start tasks.
-    fn may_start(&self, now: Instant) -> bool {
-        let window = lease::start_window(self.bounds.lease);
-        self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < window)
-    }
-
-    /// Records that a newer owner has written to the ledger.
-    pub fn mark_superseded(&mut self) {
-        self.superseded = true;
-    }
-
     /// All jobs: open ones, and ended ones whose state can still be queried.
     pub fn jobs(&self) -> &IndexMap<spec::Id, Job> {
         &self.jobs
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -150,26 +150,7 @@
         acknowledged: u64,
         report: &Report,
     ) {
-        let Some(worker) = self.workers.get_mut(runner) else { return };
-        // A poll that was sent before the restart was noticed may have been answered before it.
-        if worker.restart_noticed.is_some_and(|at| sent < at) {
-            info!("runner: id={runner} report=ignored why=\"it may be of an earlier incarnation\"");
-            worker.next_poll = now;
-            return;
-        }
-        worker.restart_noticed = None;
-        // Until it has answered, its incarnation is known by its registration only.
-        let restarted = worker.fence_accepted
-            && report.incarnation.is_some()
-            && worker.incarnation.is_some()
-            && report.incarnation != worker.incarnation;
-        if restarted {
-            info!("runner: id={runner} reborn=true");
-            self.handle_restart(now, runner, report.incarnation);
-        }
-        if report.incarnation.is_some() {
-            self.runner_returned(runner);
-        }
+        let Some(restarted) = self.identify_incarnation(now, runner, sent, report) else { return };
         let Some(worker) = self.workers.get_mut(runner) else { return };
         if worker.unresponsive_since.take().is_some() {
             info!("runner: id={runner} answers=true");
@@ -177,7 +158,6 @@
         let first = !worker.fence_accepted;
         self.place_due |= first;
         let vm = String::from(if first { worker.vm() } else { "" });
-        worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.observe_clock(now, runner, report.clock_ms);
         worker.fence_accepted = true;
         worker.acknowledged_end =
@@ -197,6 +177,39 @@
         self.stop_endless_if_draining(now, runner);
     }
 
+    /// Takes the incarnation of a runner from its report. Returns whether it has restarted; none if the
+    /// report may be of an earlier incarnation than the one that has registered.
+    fn identify_incarnation(
+        &mut self,
+        now: Instant,
+        runner: &RunnerId,
+        sent: Instant,
+        report: &Report,
+    ) -> Option<bool> {
+        let worker = self.workers.get_mut(runner)?;
+        // A poll that was sent before the restart was noticed may have been answered before it.
+        if worker.restart_noticed.is_some_and(|at| sent < at) {
+            info!("runner: id={runner} report=ignored why=\"it may be of an earlier incarnation\"");
+            worker.next_poll = now;
+            return None;
+        }
+        worker.restart_noticed = None;
+        // Until it has answered, its incarnation is known by its registration only.
+        let restarted = worker.fence_accepted
+            && report.incarnation.is_some()
+            && worker.incarnation.is_some()
+            && report.incarnation != worker.incarnation;
+        worker.incarnation = report.incarnation.or(worker.incarnation);
+        if restarted {
+            info!("runner: id={runner} reborn=true");
+            self.handle_restart(now, runner, report.incarnation);
+        }
+        if report.incarnation.is_some() {
+            self.runner_returned(runner);
+        }
+        Some(restarted)
+    }
+
     /// Handles the ends in a report that were not processed yet. The runner may discard them once
     /// the ledger has stored what they change.
     fn handle_ends(&mut self, now: Instant, runner: &RunnerId, report: &Report) {
