--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -24,20 +24,36 @@
     )
 }
 
-fn manifest(version: u64, routes: &[String]) -> String {
+fn service(name: &str, spare: bool) -> String {
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\
-         \"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,\
-         \"enforcesCapacity\":false,\"spare\":false}}],\"limits\":{{\"bodyBytes\":262144}}}}",
-        routes.join(",")
+        "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\
+         \"tls\":false,\"enforcesCapacity\":false,\"spare\":{spare}}}"
     )
 }
 
-/// Starts runners of these kinds and the entries; `None` if they aren't ready in time.
-fn start(folder: PathBuf, record: File, routes: &[String], kinds: &[&str]) -> Option<Site> {
-    let mut site = Site::new(folder, record, &manifest(3, routes))?;
-    for kind in kinds {
-        site.add_runner(SERVICE, kind)?;
+/// A manifest with these routes, and with a spare pool if there is one.
+fn manifest(version: u64, routes: &[String], spare: bool) -> String {
+    let mut services = vec![service(SERVICE, false)];
+    services.extend(spare.then(|| service("spare-svc", true)));
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\
+         \"limits\":{{\"bodyBytes\":262144}}}}",
+        routes.join(","),
+        services.join(",")
+    )
+}
+
+/// Starts runners and entries; `None` if they aren't ready in time.
+fn start(
+    folder: PathBuf,
+    record: File,
+    routes: &[String],
+    runners: usize,
+    spare: bool,
+) -> Option<Site> {
+    let mut site = Site::new(folder, record, &manifest(3, routes, spare), spare)?;
+    for _ in 0..runners {
+        site.add_runner(SERVICE, "a")?;
     }
     for entry in 0..ENTRIES {
         site.start_entry(entry)?;
@@ -53,7 +69,8 @@
 pub fn play(case: &str, folder: PathBuf, record: File, trouble: bool) -> Option<bool> {
     match case {
         "reborn" => reborn(folder, record, trouble),
-        "flapping" => flapping(folder, record, trouble),
+        "upkeep" => upkeep(folder, record, trouble),
+        "dropped" => dropped(folder, record, trouble),
         _ => None,
     }
 }
@@ -87,7 +104,7 @@
     const ROUNDS: u64 = 8;
     let routes = [route("quotes", "/quotes/")];
     // One runner in seven crashes: `srv_crash` takes a share of 0.15 at most.
-    let mut site = start(folder, record, &routes, &["a"; 7])?;
+    let mut site = start(folder, record, &routes, 7, false)?;
     // Each work item takes a whole runner, so the seven of a job are on all seven.
     let step = "{\"count\":7,\"cpu\":16000,\"memMb\":1024,\"estMs\":600}";
     for round in 0..ROUNDS {
@@ -114,61 +131,155 @@
     Some(broken)
 }
 
-/// Runners crash by turns, one in seven at a time, while sound jobs run.
-fn flapping(folder: PathBuf, record: File, trouble: bool) -> Option<bool> {
-    const RUNNERS: usize = 7;
-    const JOBS: u64 = 40;
-    const TURN: Duration = Duration::from_millis(1_000);
-    const TURNS: usize = 60;
-    let routes = [route("quotes", "/quotes/")];
-    let mut site = start(folder, record, &routes, &["a"; RUNNERS])?;
-    let step = "{\"count\":4,\"cpu\":4000,\"memMb\":1024,\"estMs\":2500}";
-    for turn in 0..TURNS {
-        if (turn as u64) < JOBS {
-            submit(&mut site, turn % ENTRIES, 0x2000 + turn as u64, step, 2_500);
-        }
-        // The runner of the last turn is up again before the next one crashes.
-        let number = turn % RUNNERS;
+/// The owner is killed while callers hand in jobs, and the manifest drops their route before the next owner
+/// serves.
+fn dropped(folder: PathBuf, record: File, trouble: bool) -> Option<bool> {
+    const ROUNDS: u64 = 6;
+    const CALLERS: u64 = 8;
+    let both = [route("quotes", "/quotes/"), route("orders", "/orders/")];
+    let one = [route("quotes", "/quotes/")];
+    let mut site = start(folder, record, &both, 7, false)?;
+    let mut version = 3;
+    let mut answers: Vec<(u64, Option<u16>)> = Vec::new();
+    for round in 0..ROUNDS {
+        let owner = site.owner()?;
+        let others: Vec<usize> = (0..ENTRIES).filter(|entry| *entry != owner).collect();
+        let addresses: Vec<_> = others.iter().map(|entry| site.callers_address(*entry)).collect();
+        let until = Instant::now() + Duration::from_millis(1_200);
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let at = addresses[(caller % 2) as usize];
+                std::thread::spawn(move || hand_in(at, until, round << 32 | caller << 16))
+            })
+            .collect();
+        sleep(Duration::from_millis(1_000));
         if trouble {
-            site.kill_runner(number);
-            site.note(&format!("runner {number}: killed"));
+            site.kill_entry(owner);
+        }
+        sleep(Duration::from_millis(150));
+        version += 2;
+        site.put("keyed.op", "config", &manifest(version, &one, false));
+        site.note(&format!("manifest: version {version} drops the route of /orders/"));
+        for caller in callers {
+            answers.extend(caller.join().ok()?);
         }
-        sleep(TURN * 9 / 10);
         if trouble {
-            site.start_runner(number)?;
-            site.note(&format!("runner {number}: started again"));
+            site.start_entry(owner)?;
+        }
+        sleep(Duration::from_millis(1_500));
+        version += 2;
+        site.put("keyed.op", "config", &manifest(version, &both, false));
+        site.note(&format!("manifest: version {version} has the route of /orders/ again"));
+        sleep(Duration::from_millis(2_500));
+        if !site.wait_ready() {
+            return None;
+        }
+    }
+    sleep(Duration::from_secs(3));
+    let events = site.events();
+    let mut broken = false;
+    for (id, status) in &answers {
+        site.note(&format!("job {id:016x}: {status:?}"));
+        let rejected = matches!(status, Some(400..=499 | 503));
+        let name = format!("{id:016x}.");
+        let started = events.iter().find(|e| e.words[0] == "start" && e.words[1].starts_with(&name));
+        if let Some(Event { at_ms, runner, .. }) = started.filter(|_| rejected) {
+            let line = format!("REFUSED: job {id:016x} was answered {status:?} and starts on {runner} at {at_ms}");
+            site.note(&line);
+            println!("{line}");
+            broken = true;
         }
-        sleep(TURN / 10);
     }
-    sleep(Duration::from_secs(20));
-    let broken = check_failed(&mut site, 0x2000..0x2000 + JOBS);
     site.finish_record();
     Some(broken)
 }
 
-/// Checks the part of LOST by which a job must not be shown as `failed` without cause: only ends `failed`
-/// count as attempts.
-fn check_failed(site: &mut Site, jobs: std::ops::Range<u64>) -> bool {
+/// Hands in jobs, each once, until the time is over; returns the status of each answer.
+fn hand_in(at: std::net::SocketAddr, until: Instant, first: u64) -> Vec<(u64, Option<u16>)> {
+    let mut answers = Vec::new();
+    let step = "{\"count\":1,\"cpu\":100,\"memMb\":64,\"estMs\":300}";
+    let body = format!("{{\"spec\":\"300\",\"steps\":[{step}]}}");
+    let headers = [("Host", crate::site::HOST), ("X-Deadline-Ms", "3000")];
+    while Instant::now() < until {
+        let id = 0x4000_0000_0000_0000 | first | answers.len() as u64;
+        let path = format!("/orders/{id:016x}");
+        let limit = Duration::from_millis(3_000);
+        let reply = crate::wire::call(at, "POST", &path, &headers, body.as_bytes(), limit);
+        answers.push((id, reply.map(|(status, _)| status)));
+        sleep(Duration::from_millis(40));
+    }
+    answers
+}
+
+/// A wave asks for the upkeep of a machine whose lasting work items have room on no other machine.
+fn upkeep(folder: PathBuf, record: File, trouble: bool) -> Option<bool> {
+    /// Memory of a runner and of a work item.
+    const ROOM_MB: usize = 32_768;
+    const ITEM_MB: usize = 7_000;
+    /// Times of the rule: from 6 s after the last run on, for 3 s.
+    const AFTER_MS: u64 = 6_000;
+    const FOR_MS: u64 = 3_000;
+    let routes = [route("quotes", "/quotes/")];
+    let mut site = start(folder, record, &routes, 2, true)?;
+    let step = |count| {
+        format!(
+            "{{\"count\":{count},\"cpu\":1000,\"memMb\":{ITEM_MB},\"daemon\":true,\"mayMiss\":1}}"
+        )
+    };
+    // Four items fill one runner, three are on the other.
+    for (id, count) in [(0x4000, 4), (0x4001, 3)] {
+        let body = format!("{{\"spec\":\"lasts\",\"steps\":[{}]}}", step(count));
+        site.call(0, "POST", &format!("/quotes/{id:016x}"), &body)?;
+        sleep(Duration::from_millis(1_500));
+    }
+    let starts: Vec<Event> =
+        site.events().into_iter().filter(|event| event.words[0] == "start").collect();
+    let of_second = |event: &&Event| event.words[1].starts_with("0000000000004001");
+    let runner = starts.iter().find(of_second)?.runner.clone();
+    let together = starts.iter().filter(of_second).all(|event| event.runner == runner);
+    let alone = !starts.iter().any(|event| !of_second(&event) && event.runner == runner);
+    if starts.len() != 7 || !together || !alone {
+        return None;
+    }
+    let number = site.runners.iter().position(|other| other.id == runner)?;
+    sleep(Duration::from_secs(5));
+    if trouble {
+        let wave = format!(
+            "{{\"wave\":1,\"machines\":[\"m-{number:05x}\"],\"durationS\":25,\"maxCount\":1}}"
+        );
+        site.put("keyed.op", "wave/1", &wave);
+        site.note(&format!("wave {wave}"));
+    }
+    sleep(Duration::from_secs(40));
+    let end_ms = crate::wire::unix_ms();
+    let changes = site.changes();
+    for change in &changes {
+        site.note(&format!("change of a machine: {change}"));
+    }
     let events = site.events();
+    let last_of = |index: usize| {
+        let task = format!("0000000000004001.0.0.{index}");
+        let of_task = |event: &&Event| event.words.get(1).is_some_and(|name| *name == task);
+        events.iter().rfind(of_task)
+    };
+    let at_work = (0..3).filter(|index| last_of(*index).is_some_and(|last| last.words[0] == "start"));
+    let free_mb = ROOM_MB - at_work.count() * ITEM_MB;
     let mut broken = false;
-    for id in jobs {
-        let name = format!("{id:016x}");
-        let answer = site.call((id % 3) as usize, "GET", &format!("/quotes/{name}"), "");
-        if answer.is_none_or(|(_, body)| body.text("state") != "failed") {
-            continue;
-        }
-        let failed = |event: &&Event| match event.words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            ["end", task, _, "failed", _] => task.starts_with(&name),
-            _ => false,
-        };
-        if !events.iter().any(|event| failed(&event)) {
-            let line = format!("LOST: job {name} is shown as failed, but none of its runs has ended failed");
+    for last in (0..3).filter_map(last_of).filter(|last| last.words[0] == "end") {
+        let away_ms = end_ms - last.at_ms;
+        if changes.is_empty() && free_mb >= 2 * ITEM_MB && away_ms >= AFTER_MS + FOR_MS {
+            let task = &last.words[1];
+            let line = format!(
+                "LOST: {task} is to last and has not run for {away_ms} ms; {runner} is up with \
+                 {free_mb} MB free, and no machine was moved or taken down"
+            );
             site.note(&line);
             println!("{line}");
             broken = true;
         }
     }
-    broken
+    site.finish_record();
+    Some(broken)
 }
 
 /// Checks TWICE: two runs of a work item at the same time on runners that are up, or a start after a run
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,6 @@
 //! Stand-ins and drivers for the cases of the review that are scripts.
 //!
-//! `carobhitch-review-2 reborn|kinds|dropped FOLDER RECORD` plays a case; the other roles are started by it.
+//! `carobhitch-review-2 reborn|upkeep|dropped FOLDER RECORD` plays a case; the other roles are started by it.
 
 mod cases;
 mod runner;
@@ -18,9 +18,9 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let address = |text: &str| text.parse::<SocketAddr>().ok();
     match words[..] {
-        ["store", listen, cloud] => {
+        ["store", listen, cloud, spare] => {
             if let (Some(listen), Some(cloud)) = (address(listen), address(cloud)) {
-                store::run(listen, cloud);
+                store::run(listen, cloud, spare == "true");
             }
         }
         ["runner", listen, store, id, service, machine, kind, events] => {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -2,7 +2,7 @@
 //!
 //! It keeps the highest fence, a lease on its own clock, the runs that were stopped or have ended, and
 //! the ends that the caller has not taken note of (`seenUpto`), as PROTOCOL.md says. `spec` is the time
-//! that a work item takes in milliseconds. Each event goes to a file as one line.
+//! that a work item takes in milliseconds; without a number it lasts, and is at work at once. Each event goes to a file as one line.
 
 use {
     crate::{
@@ -39,7 +39,8 @@
 
 struct Run {
     number: u64,
-    ends_at: Instant,
+    /// When it is done; `None` if it lasts.
+    ends_at: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -116,7 +117,7 @@
         let due: Vec<String> = state
             .running
             .iter()
-            .filter(|(_, run)| lapsed || run.ends_at <= now)
+            .filter(|(_, run)| lapsed || run.ends_at.is_some_and(|at| at <= now))
             .map(|(task, _)| task.clone())
             .collect();
         for task in due {
@@ -172,8 +173,8 @@
             if state.lease_until_ms <= self.clock_ms() {
                 return self.rejected("late");
             }
-            let work = Duration::from_millis(body.text("spec").parse().unwrap_or(500));
-            let ends_at = Instant::now() + work;
+            let work = body.text("spec").parse().ok().map(Duration::from_millis);
+            let ends_at = work.map(|work| Instant::now() + work);
             state.running.insert(String::from(task), Run { number: run, ends_at });
             self.event(&format!("start {task} {run} kind={}", self.config.kind));
         }
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -51,14 +51,15 @@
 }
 
 impl Site {
-    /// Starts the store and writes the first manifest.
-    pub fn new(folder: PathBuf, record: File, manifest: &str) -> Option<Self> {
+    /// Starts the store, whose list has spare machines if there are any, and writes the first manifest.
+    pub fn new(folder: PathBuf, record: File, manifest: &str, spare: bool) -> Option<Self> {
         let id = std::process::id();
         let net = ((id >> 8 & 0x7f) as u8 + 64, (id & 0xff) as u8);
         let mut site =
             Self { folder, net, store: None, runners: Vec::new(), entries: Vec::new(), record };
         let (store, cloud) = (site.store_address(), site.cloud_address());
-        site.store = Some(site.spawn("store", &["store", &store.to_string(), &cloud.to_string()])?);
+        let (store, cloud, spare) = (store.to_string(), cloud.to_string(), spare.to_string());
+        site.store = Some(site.spawn("store", &["store", &store, &cloud, &spare])?);
         let begun = Instant::now();
         while !site.put("keyed.op", "config", manifest) {
             if begun.elapsed() > START_LIMIT {
@@ -74,6 +75,11 @@
         SocketAddr::from(([127, self.net.0, self.net.1, host], port))
     }
 
+    /// Address at which an entry serves callers.
+    pub fn callers_address(&self, entry: usize) -> SocketAddr {
+        self.address(10 + entry as u8, 8624)
+    }
+
     fn store_address(&self) -> SocketAddr {
         self.address(2, 8621)
     }
@@ -103,11 +109,12 @@
         reply.is_some_and(|(status, _)| status == 200)
     }
 
-    /// Has the store answer appends to a topic late, by `ms`, for `for_ms`. They are carried out at once.
-    pub fn slow_appends(&mut self, topic: &str, ms: u64, for_ms: u64) {
-        let path = format!("/control/slow?topic={topic}&ms={ms}&forMs={for_ms}");
-        wire::call(self.store_address(), "POST", &path, &[], &[], Duration::from_secs(1));
-        self.note(&format!("store: answers to appends to {topic} take {ms} ms more for {for_ms} ms"));
+    /// Calls to the platform that change machines, so far.
+    pub fn changes(&self) -> Vec<String> {
+        let at = self.store_address();
+        let reply = wire::call(at, "GET", "/control/changes", &[], &[], Duration::from_secs(1));
+        let text = reply.map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
+        text.unwrap_or_default().lines().map(String::from).collect()
     }
 
     /// Adds a runner and starts it.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -35,8 +35,8 @@
 #[derive(Default)]
 struct State {
     topics: BTreeMap<String, Topic>,
-    /// Extra time before the answer to an append to this topic, until this time.
-    slow: Option<(String, Duration, Instant)>,
+    /// Calls that change machines: path and body.
+    changes: Vec<String>,
 }
 
 #[derive(Clone, Default)]
@@ -97,23 +97,12 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/v1/log-append") => {
                 thread::sleep(APPEND_TIME);
-                let reply = self.append(&request, &topic);
-                let slow = self.lock().slow.clone();
-                if let Some((_, time, _)) = slow
-                    .filter(|(slow, _, until)| *slow == topic && Instant::now() < *until)
-                {
-                    thread::sleep(time);
-                }
-                Some(reply)
+                Some(self.append(&request, &topic))
             }
             ("GET", "/v1/log-read") => Some(self.read(&request, &topic)),
             ("GET", "/v1/log-newest") => Some(self.newest(&request, &topic)),
-            // Not of the protocol: the driver of a case has answers to appends delayed.
-            ("POST", "/control/slow") => {
-                let millis = |name| Duration::from_millis(request.number(name).unwrap_or_default());
-                self.lock().slow = Some((topic, millis("ms"), Instant::now() + millis("forMs")));
-                Some(json(200, String::from("{}")))
-            }
+            // Not of the protocol: the driver of a case asks for this.
+            ("GET", "/control/changes") => Some(json(200, self.lock().changes.join("\n"))),
             _ => Some(json(404, String::from("{}"))),
         }
     }
@@ -195,7 +184,7 @@
     }
 
     /// Machines of the runners that are registered, all of them up.
-    fn machines(&self) -> Reply {
+    fn machines(&self, spare: bool) -> Reply {
         let state = self.lock();
         let found = state.topics.get("keyed.servers").map(newest).unwrap_or_default();
         let machine = |(id, (_, value)): (Vec<u8>, (usize, Vec<u8>))| {
@@ -218,19 +207,32 @@
                 String::from_utf8_lossy(&id)
             ))
         };
-        let rows: Vec<String> = found.into_iter().filter_map(machine).collect();
+        let mut rows: Vec<String> = found.into_iter().filter_map(machine).collect();
+        // The spare pool: its machines are off, and have no runner.
+        let names: &[&str] = if spare { &["m-spare-1", "m-spare-2"] } else { &[] };
+        rows.extend(names.iter().map(|machine| {
+            format!(
+                "{{\"machine\":\"{machine}\",\"pool\":\"spare-svc\",\"state\":\"up\",\"zone\":\"zone-a\",\
+                 \"labels\":[\"a\",\"r1-2\"]}}"
+            )
+        }));
         json(200, format!("{{\"machines\":[{}],\"nextToken\":null}}", rows.join(",")))
     }
 }
 
-/// Serves the store at `listen` and the list of machines at `cloud`.
-pub fn run(listen: SocketAddr, cloud: SocketAddr) {
+/// Serves the store at `listen` and the list of machines, with spare ones if there are any, at `cloud`.
+pub fn run(listen: SocketAddr, cloud: SocketAddr, spare: bool) {
     let store = Store::default();
     let list = store.clone();
     thread::spawn(move || {
         wire::serve(cloud, move |request| match request.path.as_str() {
-            "/v1/machines" => Some(list.machines()),
-            _ => Some(json(409, String::from("{\"reason\":\"busy\"}"))),
+            "/v1/machines" => Some(list.machines(spare)),
+            // The driver of a case tells that there was a change.
+            path => {
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                list.lock().changes.push(format!("{path} {body}"));
+                Some(json(200, String::from("{}")))
+            }
         });
     });
     wire::serve(listen, move |request| store.handle(request));
