Acknowledge ends only to the incarnation that reported them

Cause: numbers of ends begin anew with each incarnation, but every poll repeated the last stored number, whoever answers at the address. The new incarnation, which had taken a start before its entry in the list was read, forgot its own end of that number; the run then counted as lost.

Ruled out: a lost start, a lapsed lease (the runner's record has the end as done and noted while the lease holds).

Change: a number is sent once, and not while a restart was noticed, the runner is unresponsive or the answer to an earlier start is outstanding. The clock in the answer to a start shows a restart at once, as it is less than the time since the last answer; the report to a poll sent after that decides about all runs. The simulated runners can hold polls back, as real ones do.

--- a/src/job/cell/detector.rs
+++ b/src/job/cell/detector.rs
@@ -87,14 +87,16 @@
         }
     }
 
-    /// Records that a runner's oldest outstanding start was answered, or has timed out.
-    pub(super) fn record_start_done(&mut self, runner: &str, answered: bool) {
-        let Some(worker) = self.workers.get_mut(runner) else { return };
-        let Some(sent) = worker.unanswered_starts.pop_front() else { return };
+    /// Records that a runner's oldest outstanding start was answered, or has timed out. Returns when that
+    /// start was sent.
+    pub(super) fn record_start_done(&mut self, runner: &str, answered: bool) -> Option<Instant> {
+        let worker = self.workers.get_mut(runner)?;
+        let sent = worker.unanswered_starts.pop_front()?;
         if answered {
             self.detector.record_answer(sent);
             self.detector.record_reachable(worker, sent);
         }
+        Some(sent)
     }
 
     /// Records that a runner has answered a poll that was sent at `sent`. The runner may have held
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -83,7 +83,7 @@
             worker.poll_sent = Some(SentPoll { at: now, wait, extends: until_ms.is_some() });
             // The next poll follows the answer to this one, so none is scheduled for some time.
             worker.next_poll = now + Duration::from_secs(3_600);
-            let acknowledged = worker.stored_end;
+            let acknowledged = worker.discardable_end(now);
             polls.push(Action::Poll(Rc::clone(id), Poll { fence, until_ms, acknowledged, wait }));
         }
         self.actions.append(&mut polls);
@@ -159,6 +159,7 @@
         self.place_due |= first;
         let vm = String::from(if first { worker.vm() } else { "" });
         worker.observe_clock(now, runner, report.clock_ms);
+        worker.alive_at = worker.alive_at.max(Some(sent));
         worker.fence_accepted = true;
         worker.acknowledged_end =
             if restarted { 0 } else { worker.acknowledged_end.max(acknowledged) };
@@ -191,7 +192,7 @@
     ) -> Option<bool> {
         let worker = self.workers.get_mut(runner)?;
         // A poll that was sent before the restart was noticed may have been answered before it.
-        if worker.restart_noticed.is_some_and(|at| sent < at) {
+        if worker.restart_noticed.is_some_and(|at| sent <= at) {
             info!("runner: id={runner} report=ignored why=\"it may be of an earlier incarnation\"");
             worker.next_poll = now;
             return None;
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -116,7 +116,7 @@
         run: u32,
         answer: Answer<u64>,
     ) {
-        self.record_start_done(runner, !matches!(answer, Answer::Unknown(_)));
+        let sent = self.record_start_done(runner, !matches!(answer, Answer::Unknown(_)));
         let clock_ms = match answer {
             Answer::Done(clock_ms) => clock_ms,
             Answer::Rejected(reason) => {
@@ -125,6 +125,7 @@
             Answer::Unknown(why) => return self.start_unanswered(now, runner, task, run, &why),
         };
         if let Some(worker) = self.workers.get_mut(runner) {
+            worker.identify_by_clock(now, runner, sent, clock_ms);
             worker.observe_clock(now, runner, clock_ms);
             worker.unresponsive_since = None;
         }
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -54,8 +54,11 @@
     pub empty_since: Instant,
     /// Whether it has accepted this owner's fence by answering a poll.
     pub fence_accepted: bool,
-    /// When its registration has shown another incarnation, which its next report has to confirm.
+    /// When a registration or the clock of an answer has shown that another incarnation may run, which the
+    /// next report has to confirm.
     pub restart_noticed: Option<Instant>,
+    /// Time at which its incarnation was certainly running: when the newest call was sent that it answered.
+    pub alive_at: Option<Instant>,
     /// The outstanding poll.
     pub poll_sent: Option<SentPoll>,
     /// When a poll is due at the latest; most polls follow directly on the answer to the one
@@ -189,6 +192,7 @@
             empty_since: now,
             fence_accepted: false,
             restart_noticed: None,
+            alive_at: None,
             poll_sent: None,
             next_poll: now,
             polls_paused_until: None,
@@ -240,13 +244,47 @@
         })
     }
 
-    /// Has the next report show whether the runner has restarted.
+    /// Has the next report to a poll that is sent after `now` show whether the runner has restarted.
     pub(super) fn notice_restart(&mut self, now: Instant) {
         self.restart_noticed = Some(now);
         self.lease.forget_clock();
         self.next_poll = now;
     }
 
+    /// Whether an answer that arrived at `now` with this clock is of the incarnation that answered before.
+    /// The clock of one that has started since would show less time than has passed.
+    pub(super) fn is_same_incarnation(&self, now: Instant, clock_ms: u64) -> bool {
+        let age = Duration::from_millis(clock_ms);
+        self.alive_at.is_some_and(|at| now.saturating_duration_since(at) <= age)
+    }
+
+    /// Takes from the clock of an answer to a start that was sent at `sent` whether another incarnation may
+    /// have given it; the answer itself names none.
+    pub(super) fn identify_by_clock(
+        &mut self,
+        now: Instant,
+        id: &str,
+        sent: Option<Instant>,
+        clock_ms: u64,
+    ) {
+        if self.is_same_incarnation(now, clock_ms) {
+            self.alive_at = self.alive_at.max(sent);
+        } else {
+            info!("runner: id={id} clock_ms={clock_ms} why=\"it may have restarted\"");
+            self.notice_restart(now);
+        }
+    }
+
+    /// Number up to which a poll at `now` has the runner discard its ends; 0 if it has nothing to discard.
+    /// The number is of the current incarnation, and would have another one discard ends that were never
+    /// reported. So none is sent while another incarnation may have taken a start.
+    pub(super) fn discardable_end(&self, now: Instant) -> EndNumber {
+        let awaits_answer = self.unanswered_starts.front().is_some_and(|sent| *sent < now);
+        let known = self.restart_noticed.is_none() && self.unresponsive_since.is_none();
+        let due = self.acknowledged_end < self.stored_end;
+        if due && known && !awaits_answer { self.stored_end } else { 0 }
+    }
+
     /// Marks the current incarnation as ended for certain.
     pub fn mark_ended(&mut self, now: Instant) {
         let incarnation = self
@@ -325,6 +363,7 @@
         self.lease.forget_clock();
         self.fence_accepted = false;
         self.restart_noticed = None;
+        self.alive_at = None;
         self.next_poll = now;
         self.processed_end = 0;
         self.stored_end = 0;
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -110,6 +110,14 @@
     random: SmallRng,
     /// Orders that are carried out late, and when.
     pub late_orders: Vec<(Duration, Action)>,
+    /// Whether answers to polls arrive one step late, after those to orders that were sent later.
+    pub overtaken_polls: bool,
+    /// Answers to polls that are still to arrive.
+    held_answers: Vec<(RunnerId, Poll, runner::Answer<Report>)>,
+    /// Whether runners hold an answer to a poll back until a run ends, for as long as the poll asks for.
+    pub long_polls: bool,
+    /// Polls whose answers are held back: until when, and by which incarnation.
+    waiting_polls: Vec<(Duration, u64, RunnerId, Poll)>,
     /// Calls that get no answer, and when they time out.
     pub unanswered: Vec<(Duration, Action)>,
     /// Run time of finite tasks.
@@ -207,6 +215,10 @@
             late_share: 0.0,
             random: SmallRng::seed_from_u64(1),
             late_orders: Vec::new(),
+            overtaken_polls: false,
+            held_answers: Vec::new(),
+            long_polls: false,
+            waiting_polls: Vec::new(),
             unanswered: Vec::new(),
             run_time: Duration::from_secs(1),
             runs_fail: false,
@@ -393,6 +405,8 @@
         self.epoch += 1;
         self.pending_batch = None;
         self.unanswered.clear();
+        self.held_answers.clear();
+        self.waiting_polls.clear();
         self.vm_answers.clear();
         let now = self.instant();
         let mut cell = Cell::new(self.epoch, self.bounds, now);
@@ -448,6 +462,10 @@
             self.answer_vm_actions();
             self.time_out_calls();
             let now = self.instant();
+            for (id, poll, answer) in std::mem::take(&mut self.held_answers) {
+                self.cell.poll_answered(now, &id, poll.acknowledged, answer);
+            }
+            self.answer_waiting_polls();
             self.cell.set_wall_clock(now, self.wall_ms());
             if !self.store_down {
                 self.cell.confirm_ownership(now);
@@ -564,6 +582,15 @@
                 }
                 Action::Poll(id, poll) => {
                     let answer = self.poll(&id, &poll);
+                    if self.holds_back(&id, &poll) {
+                        let incarnation = self.runners[&*id].incarnation;
+                        self.waiting_polls.push((self.now + poll.wait, incarnation, id, poll));
+                        continue;
+                    }
+                    if self.overtaken_polls {
+                        self.held_answers.push((id, poll, answer));
+                        continue;
+                    }
                     self.cell.poll_answered(now, &id, poll.acknowledged, answer);
                 }
                 Action::AskAdvisor(step, asked) => {
@@ -584,6 +611,34 @@
         }
     }
 
+    /// Whether a runner holds the answer to a poll back, since none of its runs has ended.
+    fn holds_back(&self, id: &str, poll: &Poll) -> bool {
+        let runner = self.runners.get(id).filter(|runner| !runner.unresponsive);
+        let nothing_ended = runner.is_some_and(|runner| runner.ended.is_empty());
+        self.long_polls && nothing_ended && !poll.wait.is_zero()
+    }
+
+    /// Answers the polls on whose runners a run has ended or whose time is over. The connection of one
+    /// whose runner has restarted meanwhile is broken.
+    fn answer_waiting_polls(&mut self) {
+        for (until, incarnation, id, poll) in std::mem::take(&mut self.waiting_polls) {
+            let now = self.instant();
+            let runner = self.runners.get(&*id).filter(|runner| !runner.is_unreachable());
+            let Some(runner) = runner.filter(|runner| runner.incarnation == incarnation) else {
+                let answer = runner::Answer::Unknown("connection reset".into());
+                self.cell.poll_answered(now, &id, poll.acknowledged, answer);
+                continue;
+            };
+            if self.now < until && runner.ended.is_empty() {
+                self.waiting_polls.push((until, incarnation, id, poll));
+                continue;
+            }
+            let later = Poll { acknowledged: 0, until_ms: None, ..poll };
+            let answer = self.poll(&id, &later);
+            self.cell.poll_answered(now, &id, poll.acknowledged, answer);
+        }
+    }
+
     /// Time after which a call fails that does not reach its runner.
     fn is_lost(&self, action: &Action) -> Option<Duration> {
         let (Action::Start(id, ..) | Action::Stop(id, ..) | Action::Poll(id, ..)) = action else {
