Take the decision about a request's attempts out of the daemon

No change of behaviour: which answer to an attempt is final, and when a request is sent again, is decided without a network now (job::attempt), so that it can be tested.

--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -9,6 +9,7 @@
     },
     crate::job::{
         answer::Answer,
+        attempt::Attempts,
         claim::{Confirmation, Epoch, HEALTHY_TIME, Incarnation, Owner},
         clock,
         settings::Settings,
@@ -155,33 +156,18 @@
         OpenRequest { shared: Rc::clone(self) }
     }
 
-    /// Answers a caller's request, in this process or at the owner.
-    ///
-    /// Requests are idempotent, since every one names its job: a request whose outcome is unknown is
-    /// sent again, and a job that was already stored is not stored twice. A request that no
-    /// owner has received waits for the next owner only while a takeover is likely to be in
-    /// progress; after that it is refused.
+    /// Answers a caller's request, in this process or at the owner, in as many attempts as it takes.
     pub async fn serve(&self, relay: Relay, limit: Duration) -> Answer {
         let begun = Instant::now();
-        let mut unknown: Option<Answer> = None;
+        let mut attempts = Attempts::default();
         loop {
             let left = limit.saturating_sub(begun.elapsed());
             let answer = self.decide_or_relay(&relay, left).await;
-            match answer {
-                Answer::Unknown(why) => unknown = Some(Answer::Unknown(why)),
-                Answer::Refused { .. } | Answer::OverRate { .. } if unknown.is_some() => {}
-                Answer::NoOwner(why) if unknown.is_none() => {
-                    if !self.expects_takeover() {
-                        return Answer::refused(why, Duration::ZERO);
-                    }
-                }
-                Answer::NoOwner(_) => {}
-                final_answer => return final_answer,
+            if let Some(answer) = attempts.decide(answer, self.expects_takeover()) {
+                return answer;
             }
             if begun.elapsed() + RETRY_DELAY >= limit {
-                return unknown.unwrap_or_else(|| {
-                    Answer::refused("no entry owns the cell now", Duration::ZERO)
-                });
+                return attempts.give_up();
             }
             self.wait_for_owner().await;
         }
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod access;
 pub mod answer;
+pub mod attempt;
 pub mod call;
 pub mod cell;
 pub mod claim;
