Pass no denial on after an attempt whose outcome is unknown

Cause: an entry sends a request again whose outcome is unknown, and took the answer to the last attempt for that to all. The first one was stored by an owner that was killed, and a manifest dropped the route before the second one. Refusals were excepted, denials (404, 401, 403, 400) were not.

Ruled out: a stale manifest at the new owner (its 404 is right for that attempt); a job stored after the answer.

Change: after an unknown outcome a denial of a POST or DELETE is answered 504, at once. Queries get the newest answer. A job that is known is accepted again also where its queue's advisor is no longer in the settings.

--- a/src/job/answer.rs
+++ b/src/job/answer.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Whether it says that the request can't be served, by the manifest in force or by its content.
+    pub fn is_denial(&self) -> bool {
+        matches!(
+            self,
+            Self::NoQueue | Self::UnknownKey | Self::NameInUse | Self::Malformed(_) | Self::Method
+        )
+    }
+
     /// Delay after which the caller of a refused request should retry.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
--- a/src/job/attempt.rs
+++ b/src/job/attempt.rs
@@ -1,18 +1,27 @@
 //! Attempts to have a caller's request answered.
 //!
 //! Requests are idempotent, since every one names its job: one whose outcome is unknown is sent again,
-//! and a job that was already stored is not stored twice.
+//! and a job that was already stored is not stored twice. The answer to a later attempt speaks for that
+//! attempt alone: the first one may have been stored by an owner that has ended since, under a manifest
+//! that has changed since. So a denial is not passed on then, as the job may run.
 
 use {super::answer::Answer, std::time::Duration};
 
 /// Attempts of one request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Attempts {
+    /// Whether the request changes anything, other than a query.
+    changes: bool,
     /// Why the outcome of an attempt is unknown, if one is.
     unknown: Option<String>,
 }
 
 impl Attempts {
+    /// No attempt yet of a request that `changes` something, or of a query.
+    pub fn new(changes: bool) -> Self {
+        Self { changes, unknown: None }
+    }
+
     /// Returns the answer that the caller gets after an attempt was answered with `answer`, or none if
     /// the request is to be sent again. A request that no owner has received waits for the next owner only
     /// while a takeover is likely to be in progress; after that it is refused.
@@ -27,6 +36,9 @@
                 Some(Answer::refused(why, Duration::ZERO))
             }
             Answer::NoOwner(_) => None,
+            denial if self.changes && denial.is_denial() && self.unknown.is_some() => {
+                self.unknown.take().map(Answer::Unknown)
+            }
             final_answer => Some(final_answer),
         }
     }
--- a/src/job/daemon/request.rs
+++ b/src/job/daemon/request.rs
@@ -108,8 +108,8 @@
         id: u64,
         reply: oneshot::Sender<Answer>,
     ) {
-        let missing = self.ledger_missing(now).filter(|_| !self.cell.jobs().contains_key(&id));
-        if let Some(missing) = missing {
+        let is_new = !self.cell.jobs().contains_key(&id);
+        if let Some(missing) = self.ledger_missing(now).filter(|_| is_new) {
             info!(
                 "refuse: job={id:016x} why={LEDGER_UNRESPONSIVE:?} missing_ms={}",
                 missing.as_millis()
@@ -117,7 +117,7 @@
             return send(reply, Answer::refused(LEDGER_UNRESPONSIVE, missing));
         }
         let advised = self.cell.queue(&queue).is_some_and(|queue| queue.advice.is_some());
-        if advised && self.advisor.is_none() {
+        if is_new && advised && self.advisor.is_none() {
             info!("refuse: job={id:016x} queue={queue} why=\"the settings name no advisor\"");
             let why = String::from("the job's queue needs an advisor, and the settings name none");
             return send(reply, Answer::Refused { why, retry_after: UNSUPPORTED_RETRY_AFTER });
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -4,7 +4,7 @@
     super::{
         event::Event,
         meter::Meter,
-        peer::{Link, Relay, Status},
+        peer::{Link, Method, Relay, Status},
         store::Store,
     },
     crate::job::{
@@ -159,7 +159,7 @@
     /// Answers a caller's request, in this process or at the owner, in as many attempts as it takes.
     pub async fn serve(&self, relay: Relay, limit: Duration) -> Answer {
         let begun = Instant::now();
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::new(relay.method != Method::Get);
         loop {
             let left = limit.saturating_sub(begun.elapsed());
             let answer = self.decide_or_relay(&relay, left).await;
