--- a/standin/src/job/mod.rs
+++ b/standin/src/job/mod.rs
@@ -83,9 +83,8 @@
         }
     }
 
-    /// Records that a task has crashed the runner that started it. The runner forgets what it ran, and
-    /// what it has `reported` as done without a confirmation.
-    pub fn crashed(&self, task: &str, runner: &str, reported: &[String]) {
+    /// Records that a task has crashed the runner that started it.
+    pub fn crashed(&self, task: &str) {
         let mut observed = lock(&self.0);
         let crashes = observed.crashes.entry(String::from(task)).or_default();
         *crashes += 1;
@@ -93,6 +92,12 @@
             let violation = format!("{task} has crashed {crashes} runners");
             observed.violations.push(violation);
         }
+    }
+
+    /// Records that a runner has restarted: it forgets what it ran, and what it has `reported` as done
+    /// without a confirmation.
+    pub fn restarted(&self, runner: &str, reported: &[String]) {
+        let mut observed = lock(&self.0);
         observed.running.values_mut().for_each(|hosts| {
             hosts.swap_remove(runner);
         });
--- a/standin/src/job/runner.rs
+++ b/standin/src/job/runner.rs
@@ -50,7 +50,6 @@
     config: Config,
     checker: Checker,
     state: Arc<Mutex<State>>,
-    started: Instant,
 }
 
 #[derive(Default)]
@@ -67,15 +66,20 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     end_count: u64,
     responses_to_lose: u32,
-    /// When the runner will have restarted after its last crash.
-    down_until: Option<Instant>,
+    /// When the runner started, or will have restarted after its last crash.
+    up_at: Option<Instant>,
     crash_count: u64,
     sequence: u64,
 }
 
 impl State {
     fn is_down(&self) -> bool {
-        self.down_until.is_some_and(|until| Instant::now() < until)
+        self.up_at.is_some_and(|at| Instant::now() < at)
+    }
+
+    /// Time since the incarnation began, which is the clock of its leases.
+    fn clock_ms(&self) -> u64 {
+        self.up_at.map_or(0, |at| Instant::now().saturating_duration_since(at).as_millis() as u64)
     }
 
     /// Incarnation of the runner.
@@ -87,7 +91,8 @@
 impl Runner {
     /// Creates a runner that reports its tasks to `checker`.
     pub fn new(config: Config, checker: Checker) -> Self {
-        Self { config, checker, state: Arc::default(), started: Instant::now() }
+        let state = State { up_at: Some(Instant::now()), ..State::default() };
+        Self { config, checker, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Starts the runner's server.
@@ -124,9 +129,18 @@
         lock(&self.state).responses_to_lose = count;
     }
 
-    /// Time since the runner's start, which is the clock of its leases.
-    fn clock_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+    /// Restarts the runner: it forgets everything, and is down for a while.
+    pub fn restart(&self, down_time: Duration) {
+        let mut state = lock(&self.state);
+        if !state.is_down() {
+            self.forget(&mut state, down_time);
+        }
+    }
+
+    /// Whether nothing runs on it and it is not down.
+    pub fn is_idle(&self) -> bool {
+        let state = lock(&self.state);
+        state.running.is_empty() && !state.is_down()
     }
 
     async fn handle(&self, call: Call) -> Reply {
@@ -145,7 +159,7 @@
         let number = |name: &str| body[name].as_u64().unwrap_or_default();
         let reply = {
             let mut state = lock(&self.state);
-            let clock_ms = self.clock_ms();
+            let clock_ms = state.clock_ms();
             if number("fence") < state.fence {
                 return Reply::json(409, &json!({ "clockMs": clock_ms, "reason": "fence" }));
             }
@@ -175,7 +189,7 @@
     }
 
     fn start(&self, state: &mut State, body: &Value) -> Reply {
-        let clock_ms = self.clock_ms();
+        let clock_ms = state.clock_ms();
         let task = body["task"].as_str().unwrap_or_default();
         let run = body["run"].as_u64().unwrap_or_default();
         if state.running.get(task).is_some_and(|(number, _)| *number == run) {
@@ -211,18 +225,24 @@
         if state.running.get(task).is_some_and(|(number, _)| *number <= run) {
             self.end(state, task, "stopped");
         }
-        Reply::json(200, &json!({ "clockMs": self.clock_ms() }))
+        Reply::json(200, &json!({ "clockMs": state.clock_ms() }))
     }
 
-    /// Crashes the runner, which forgets everything and is down for a while.
+    /// Has a task crash the runner.
     fn crash(&self, state: &mut State, task: &str) {
+        self.checker.crashed(task);
+        self.forget(state, RESTART_TIME);
+    }
+
+    /// Begins another incarnation after `down_time`.
+    fn forget(&self, state: &mut State, down_time: Duration) {
         let done = state.ended.iter().filter(|(.., how)| *how == "done");
         let reported: Vec<String> = done.map(|(_, task, ..)| task.clone()).collect();
-        self.checker.crashed(task, &self.config.id, &reported);
+        self.checker.restarted(&self.config.id, &reported);
         *state = State {
             sequence: state.sequence,
             crash_count: state.crash_count + 1,
-            down_until: Some(Instant::now() + RESTART_TIME),
+            up_at: Some(Instant::now() + down_time),
             ..State::default()
         };
     }
@@ -255,7 +275,7 @@
             .iter()
             .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
             .collect();
-        let clock_ms = self.clock_ms();
+        let clock_ms = state.clock_ms();
         let body = json!({ "clockMs": clock_ms, "born": state.born(), "running": running, "ended": ended });
         Some(Reply::json(200, &body))
     }
@@ -263,7 +283,7 @@
     /// Ends the tasks that are done, and every task once the lease has expired.
     fn end_due_tasks(&self) {
         let mut state = lock(&self.state);
-        let expired = state.lease_until_ms <= self.clock_ms();
+        let expired = state.lease_until_ms <= state.clock_ms();
         let due: Vec<String> = state
             .running
             .iter()
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Soak test: random faults on real entry processes. Entries are killed, paused and stopped, the store
-//! is unavailable, loses responses or drops its history, responses of runners are lost, and a job crashes
-//! the runners that start it, one after the other and overlapping. The operators' manifest grows beyond
+//! is unavailable, loses responses or drops its history, responses of runners are lost, runners restart
+//! under their names, most of them idle, and a job crashes the runners that start it, one after the other and
+//! overlapping. The operators' manifest grows beyond
 //! what the store accepts as a record and shrinks again several times, and the owner is killed about then.
 //! Jobs of two organisations are submitted meanwhile, one of which has a limit and loses a key halfway; the
 //! invariants are checked from what the callers and the runners observe.
@@ -43,6 +44,12 @@
 const LARGE: Range<usize> = 600..1_500;
 /// Version of the first manifest with organisations.
 const FIRST_VERSION: u64 = 4;
+/// Maximum time between two restarts of runners.
+const MAX_RESTART_INTERVAL_MS: u64 = 900;
+/// Longest time for which a restarting runner is down, in milliseconds.
+const MAX_DOWN_MS: u64 = 1_500;
+/// Share of the restarts that strike an idle runner, if there is one.
+const IDLE_SHARE: f64 = 0.8;
 /// Maximum time between two faults.
 const MAX_FAULT_INTERVAL_MS: u64 = 700;
 /// Maximum time until a job is accepted once the faults have ended and every entry is ready.
@@ -77,6 +84,8 @@
     rng: SmallRng,
     /// Random numbers for the manifest, which leave the faults of a seed as they are.
     change_rng: SmallRng,
+    /// The same for restarts of runners.
+    restart_rng: SmallRng,
     /// Version of the newest manifest, and the number of its further queues.
     version: u64,
     queues: usize,
@@ -91,6 +100,7 @@
 impl Soak {
     fn new(seed: u64) -> Self {
         let (rng, change_rng) = (SmallRng::seed_from_u64(seed), SmallRng::seed_from_u64(!seed));
+        let restart_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
         let mut site = Site::start(&format!("soak-{seed}"), ENTRIES, 4);
         site.key_of = |name| if is_of_acme(name) { "acme-2" } else { "bolt-1" };
         site.checker.set_limit(Limit { tasks: ACME_TASKS as usize, applies: is_of_acme });
@@ -109,6 +119,7 @@
             site,
             rng,
             change_rng,
+            restart_rng,
             version: FIRST_VERSION,
             queues: 0,
             keys,
@@ -156,6 +167,18 @@
         self.add_fault(owner, Instant::now() + delay, Repair::Launch(owner));
     }
 
+    /// Restarts a runner; returns the time until the next one restarts.
+    fn restart_runner(&mut self) -> Duration {
+        let runners = &self.site.runners;
+        let idle: Vec<usize> = (0..runners.len()).filter(|at| runners[*at].is_idle()).collect();
+        let prefers_idle = self.restart_rng.random_bool(IDLE_SHARE) && !idle.is_empty();
+        let number = self.restart_rng.random_range(0..runners.len());
+        let number = if prefers_idle { idle[number % idle.len()] } else { number };
+        let down_ms = self.restart_rng.random_range(50..MAX_DOWN_MS);
+        runners[number].restart(Duration::from_millis(down_ms));
+        Duration::from_millis(self.restart_rng.random_range(100..MAX_RESTART_INTERVAL_MS))
+    }
+
     /// Waits until every entry serves just the queues of the newest manifest.
     fn check_manifest(&self) {
         let last = LARGE.end;
@@ -282,6 +305,7 @@
         self.site.submit_crashing(CRASHING_JOB);
         let mut next_fault = Instant::now();
         let mut next_change = Instant::now();
+        let mut next_restart = Instant::now();
         let withdrawal = until - FAULT_TIME / 2;
         let mut withdrawn = false;
         while Instant::now() < until || self.tried() < MIN_JOBS {
@@ -294,6 +318,9 @@
             if Instant::now() >= next_change {
                 next_change += self.change_manifest();
             }
+            if Instant::now() >= next_restart {
+                next_restart += self.restart_runner();
+            }
             if Instant::now() > withdrawal + MAX_WITHDRAWAL {
                 self.check_withdrawn();
             }
