--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -143,8 +143,8 @@
         self.detector.record_timeout(now);
     }
 
-    /// Updates the runner's record and its runs from a report to the poll `poll`, which
-    /// acknowledged the runner's ends up to `acknowledged`.
+    /// Updates the runner's record and its runs from the report to `poll`, which acknowledged the runner's
+    /// ends up to `acknowledged`.
     fn handle_report(
         &mut self,
         now: Instant,
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -52,8 +52,8 @@
     pub pace_changed: Instant,
     /// Since when it has had no task.
     pub empty_since: Instant,
-    /// Fencing token of the calls to it. Each incarnation gets a higher one, if there is one, so that it
-    /// rejects calls to a former incarnation that arrive late.
+    /// Fencing token of the calls to it. After a restart it is higher, if there is a higher one, so that the
+    /// new incarnation rejects late calls to the former one.
     pub fence: Fence,
     /// Whether it has accepted that fence by answering a poll.
     pub fence_accepted: bool,
@@ -286,9 +286,9 @@
         }
     }
 
-    /// Number up to which a poll at `now` has the runner discard its ends; 0 if it has nothing to discard.
-    /// The number is of the current incarnation, and would have another one discard ends that were never
-    /// reported. So none is sent while another incarnation may have taken a start.
+    /// Number up to which a poll at `now` has the runner discard its ends; 0 if there are none to discard.
+    /// It would have another incarnation discard ends that were never reported, so none is sent while
+    /// another one may have taken a start.
     pub(super) fn discardable_end(&self, now: Instant) -> EndNumber {
         let awaits_answer = self.unanswered_starts.front().is_some_and(|sent| *sent < now);
         let known = self.restart_noticed.is_none() && self.unresponsive_since.is_none();
@@ -367,8 +367,8 @@
         }
     }
 
-    /// Resets all state that belongs to one incarnation, for a new one, to which calls carry `fence`. Leases that were granted stay,
-    /// as the new incarnation may have taken the calls.
+    /// Resets all state that belongs to one incarnation, for a new one, to which calls carry `fence` from now
+    /// on. Leases that were granted stay, as the new incarnation may have taken the calls.
     pub fn reset(&mut self, incarnation: Option<Incarnation>, now: Instant, fence: Fence) {
         self.incarnation = incarnation;
         self.fence = self.fence.max(fence);
