Defer a poll while a start is about to be answered

Cause: polls that may not acknowledge ends, as the answer to a start is outstanding, returned at once, since the runner lists the ends again.

Change: such a poll waits for the answer, for 30 ms at most, which is followed by it at once.

--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -50,11 +50,14 @@
         let suspected = self.suspected_domains();
         let mut polls = Vec::new();
         for (id, worker) in &mut self.workers {
-            if worker.poll_sent.is_some() || worker.registration.is_none() {
+            if worker.poll_sent.is_some()
+                || worker.registration.is_none()
+                || worker.defers_poll(now)
+            {
                 continue;
             }
             let busy = !worker.tasks.is_empty();
-            let unacknowledged = worker.acknowledged_end < worker.stored_end;
+            let unacknowledged = worker.has_discardable();
             let new_owner =
                 (!worker.fence_accepted || worker.restart_noticed.is_some()) && worker.listed;
             let stored = worker.unstored_reports == 0;
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -20,6 +20,8 @@
 
 /// Time by which a lease must be longer than it was reckoned for a log line to tell so.
 const LONGER_LEASE: Duration = Duration::from_secs(1);
+/// Time within which a start is usually answered.
+const USUAL_ANSWER_TIME: Duration = Duration::from_millis(30);
 
 /// The owner's record of one runner. A task counts as running there until the runner has reported
 /// its end, the runner has certainly ended, or its lease has expired.
@@ -290,10 +292,26 @@
     /// It would have another incarnation discard ends that were never reported, so none is sent while
     /// another one may have taken a start.
     pub(super) fn discardable_end(&self, now: Instant) -> EndNumber {
-        let awaits_answer = self.unanswered_starts.front().is_some_and(|sent| *sent < now);
         let known = self.restart_noticed.is_none() && self.unresponsive_since.is_none();
-        let due = self.acknowledged_end < self.stored_end;
-        if due && known && !awaits_answer { self.stored_end } else { 0 }
+        let certain = known && self.outstanding_start(now).is_none();
+        if self.has_discardable() && certain { self.stored_end } else { 0 }
+    }
+
+    /// Whether a poll at `now` would wait for no end and have none discarded, though the answer to a start
+    /// is about to arrive, after which it would.
+    pub(super) fn defers_poll(&self, now: Instant) -> bool {
+        let recent = |sent| now.saturating_duration_since(sent) < USUAL_ANSWER_TIME;
+        self.has_discardable() && self.outstanding_start(now).is_some_and(recent)
+    }
+
+    /// Whether it holds ends that the ledger has stored.
+    pub(super) fn has_discardable(&self) -> bool {
+        self.acknowledged_end < self.stored_end
+    }
+
+    /// When the oldest start was sent, before `now`, whose answer is outstanding.
+    fn outstanding_start(&self, now: Instant) -> Option<Instant> {
+        self.unanswered_starts.front().copied().filter(|sent| *sent < now)
     }
 
     /// Marks the current incarnation as ended for certain; calls to the next one carry `fence`.
