--- a/src/job/attempt.rs
+++ b/src/job/attempt.rs
@@ -3,7 +3,8 @@
 //! Requests are idempotent, since every one names its job: one whose outcome is unknown is sent again,
 //! and a job that was already stored is not stored twice. The answer to a later attempt speaks for that
 //! attempt alone: the first one may have been stored by an owner that has ended since, under a manifest
-//! that has changed since. So a denial is not passed on then, as the job may run.
+//! that has changed since. So a denial is not passed on then, as the job may run. That there is no such job is
+//! passed on: the ledger has confirmed it, and what is to be cancelled does not run then.
 
 use {super::answer::Answer, std::time::Duration};
 
@@ -36,9 +37,10 @@
                 Some(Answer::refused(why, Duration::ZERO))
             }
             Answer::NoOwner(_) => None,
-            denial if self.changes && denial.is_denial() && self.unknown.is_some() => {
-                self.unknown.take().map(Answer::Unknown)
-            }
+            denial if self.changes && denial.is_denial() => match self.unknown.take() {
+                Some(why) => Some(Answer::Unknown(format!("{why}; a later attempt: {denial}"))),
+                None => Some(denial),
+            },
             final_answer => Some(final_answer),
         }
     }
--- a/src/job/cell/crash.rs
+++ b/src/job/cell/crash.rs
@@ -32,7 +32,7 @@
 /// Number of runs that a log line names.
 const MAX_LOGGED: usize = 8;
 
-/// What the owner has learned of a runner that fell silent.
+/// What the owner has learned of a runner that fell silent or has restarted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
     /// Its runs were taken for lost, and it is not known whether it has ended.
@@ -41,6 +41,12 @@
     Ended,
     /// It has answered again: it had not ended.
     Returned,
+    /// Its report has shown another incarnation.
+    Restarted,
+    /// The clock of its answer may be another incarnation's.
+    MayHaveRestarted,
+    /// Ends of it were discarded that this owner has not read.
+    EndsMissing,
 }
 
 impl Event {
@@ -50,6 +56,9 @@
             Self::Silent => "runner_silent",
             Self::Ended => "runner_ended",
             Self::Returned => "runner_returned",
+            Self::Restarted => "runner_restarted",
+            Self::MayHaveRestarted => "runner_may_have_restarted",
+            Self::EndsMissing => "runner_ends_missing",
         }
     }
 }
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -24,6 +24,7 @@
 mod forecast;
 mod former;
 mod gang;
+mod incarnation;
 mod job;
 mod lease;
 mod load;
--- a/src/job/cell/poll.rs
+++ b/src/job/cell/poll.rs
@@ -84,6 +84,7 @@
             let extends = busy && renews && worker.unresponsive_since.is_none();
             let until_ms = if extends { worker.lease.grant(now) } else { None };
             let (fence, extends) = (worker.fence, until_ms.is_some());
+            worker.poll_deferred = None;
             worker.poll_sent = Some(SentPoll { at: now, fence, wait, extends });
             // The next poll follows the answer to this one, so none is scheduled for some time.
             worker.next_poll = now + Duration::from_secs(3_600);
@@ -174,6 +175,7 @@
         if first {
             self.note_incarnation(now, runner);
         }
+        self.check_ends(runner, report);
         self.handle_ends(now, runner, report);
         self.handle_running(now, runner, report);
         self.handle_missing(now, runner, sent, report);
@@ -188,39 +190,6 @@
         self.stop_endless_if_draining(now, runner);
     }
 
-    /// Takes the incarnation of a runner from its report. Returns whether it has restarted; none if the
-    /// report may be of an earlier incarnation than the one that has registered.
-    fn identify_incarnation(
-        &mut self,
-        now: Instant,
-        runner: &RunnerId,
-        sent: Instant,
-        report: &Report,
-    ) -> Option<bool> {
-        let worker = self.workers.get_mut(runner)?;
-        // A poll that was sent before the restart was noticed may have been answered before it.
-        if worker.restart_noticed.is_some_and(|at| sent <= at) {
-            info!("runner: id={runner} report=ignored why=\"it may be of an earlier incarnation\"");
-            worker.next_poll = now;
-            return None;
-        }
-        worker.restart_noticed = None;
-        // Until it has answered, its incarnation is known by its registration only.
-        let restarted = worker.alive_at.is_some()
-            && report.incarnation.is_some()
-            && worker.incarnation.is_some()
-            && report.incarnation != worker.incarnation;
-        worker.incarnation = report.incarnation.or(worker.incarnation);
-        if restarted {
-            info!("runner: id={runner} reborn=true");
-            self.handle_restart(now, runner, report.incarnation);
-        }
-        if report.incarnation.is_some() {
-            self.runner_returned(runner);
-        }
-        Some(restarted)
-    }
-
     /// Handles the ends in a report that were not processed yet. The runner may discard them once
     /// the ledger has stored what they change.
     fn handle_ends(&mut self, now: Instant, runner: &RunnerId, report: &Report) {
--- a/src/job/cell/registration.rs
+++ b/src/job/cell/registration.rs
@@ -1,14 +1,8 @@
 //! Registrations of runners: what follows when a runner appears, restarts, is replaced or goes.
 
 use {
-    super::{
-        Cell, Lease, RunnerId, Worker,
-        job::{State, Status},
-    },
-    crate::job::{
-        runner::{Incarnation, Registration},
-        spec::Task,
-    },
+    super::{Cell, Lease, RunnerId, Worker, job::Status},
+    crate::job::{runner::Registration, spec::Task},
     log::info,
     std::{
         rc::Rc,
@@ -152,27 +146,6 @@
         }
     }
 
-    /// Handles a runner that has restarted under the same name. What ran on it has ended, but a start
-    /// that was sent before this owner learned of the restart may have begun on the new incarnation, so
-    /// the next report decides about every run.
-    pub(super) fn handle_restart(
-        &mut self,
-        now: Instant,
-        id: &str,
-        incarnation: Option<Incarnation>,
-    ) {
-        self.runner_crashed(now, id);
-        let newest_fence = self.newest_fence;
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.reset(incarnation, now, newest_fence);
-        let tasks: Vec<Task> = worker.tasks.keys().copied().collect();
-        for task in tasks {
-            if let Some(placement) = self.task_mut(&task).and_then(State::placement_mut) {
-                placement.await_report(now);
-            }
-        }
-    }
-
     /// Lease of a runner that registers for the first time. Shortly after a takeover, the previous owner
     /// may still have called it.
     fn lease_of_new_runner(&self, now: Instant) -> Lease {
--- a/src/job/cell/start.rs
+++ b/src/job/cell/start.rs
@@ -123,8 +123,8 @@
             }
             Answer::Unknown(why) => return self.start_unanswered(now, runner, task, run, &why),
         };
+        self.identify_by_clock(now, runner, sent, clock_ms);
         if let Some(worker) = self.workers.get_mut(runner) {
-            worker.identify_by_clock(now, runner, sent, clock_ms);
             worker.observe_clock(now, runner, clock_ms);
             worker.unresponsive_since = None;
         }
--- a/src/job/cell/workers.rs
+++ b/src/job/cell/workers.rs
@@ -20,8 +20,6 @@
 
 /// Time by which a lease must be longer than it was reckoned for a log line to tell so.
 const LONGER_LEASE: Duration = Duration::from_secs(1);
-/// Time within which a start is usually answered.
-const USUAL_ANSWER_TIME: Duration = Duration::from_millis(30);
 
 /// The owner's record of one runner. A task counts as running there until the runner has reported
 /// its end, the runner has certainly ended, or its lease has expired.
@@ -66,6 +64,8 @@
     pub alive_at: Option<Instant>,
     /// The outstanding poll.
     pub poll_sent: Option<SentPoll>,
+    /// Since when a poll is deferred.
+    pub poll_deferred: Option<Instant>,
     /// When a poll is due at the latest; most polls follow directly on the answer to the one
     /// before.
     pub next_poll: Instant,
@@ -73,6 +73,9 @@
     pub polls_paused_until: Option<Instant>,
     /// Leases that it may hold.
     pub lease: Lease,
+    /// Whether this owner has read all ends of its incarnation from the processed one on; a former owner may
+    /// have had it discard others before.
+    pub ends_followed: bool,
     /// Newest end that was processed.
     pub processed_end: EndNumber,
     /// Newest end that the ledger has stored, so that the runner may discard it.
@@ -207,9 +210,11 @@
             restart_noticed: None,
             alive_at: None,
             poll_sent: None,
+            poll_deferred: None,
             next_poll: now,
             polls_paused_until: None,
             lease,
+            ends_followed: false,
             processed_end: 0,
             stored_end: 0,
             acknowledged_end: 0,
@@ -250,83 +255,6 @@
         self.last_call_lost.is_some_and(|at| now.saturating_duration_since(at) < period)
     }
 
-    /// Whether a registration is of an incarnation that has ended.
-    pub(super) fn is_stale(&self, registration: &Registration) -> bool {
-        self.ended_incarnation.is_some_and(|ended_incarnation| {
-            registration.incarnation.is_none_or(|incarnation| incarnation == ended_incarnation)
-        })
-    }
-
-    /// Has the next report to a poll that is sent after `now` show whether the runner has restarted.
-    pub(super) fn notice_restart(&mut self, now: Instant) {
-        self.restart_noticed = Some(now);
-        self.lease.forget_clock();
-        self.next_poll = now;
-    }
-
-    /// Whether an answer that arrived at `now` with this clock is of the incarnation that answered before.
-    /// The clock of one that has started since would show less time than has passed.
-    pub(super) fn is_same_incarnation(&self, now: Instant, clock_ms: u64) -> bool {
-        let age = Duration::from_millis(clock_ms);
-        self.alive_at.is_some_and(|at| now.saturating_duration_since(at) <= age)
-    }
-
-    /// Takes from the clock of an answer to a start that was sent at `sent` whether another incarnation may
-    /// have given it; the answer itself names none.
-    pub(super) fn identify_by_clock(
-        &mut self,
-        now: Instant,
-        id: &str,
-        sent: Option<Instant>,
-        clock_ms: u64,
-    ) {
-        if self.is_same_incarnation(now, clock_ms) {
-            self.alive_at = self.alive_at.max(sent);
-        } else {
-            info!("runner: id={id} clock_ms={clock_ms} why=\"it may have restarted\"");
-            self.notice_restart(now);
-        }
-    }
-
-    /// Number up to which a poll at `now` has the runner discard its ends; 0 if there are none to discard.
-    /// It would have another incarnation discard ends that were never reported, so none is sent while
-    /// another one may have taken a start.
-    pub(super) fn discardable_end(&self, now: Instant) -> EndNumber {
-        let known = self.restart_noticed.is_none() && self.unresponsive_since.is_none();
-        let certain = known && self.outstanding_start(now).is_none();
-        if self.has_discardable() && certain { self.stored_end } else { 0 }
-    }
-
-    /// Whether a poll at `now` would wait for no end and have none discarded, though the answer to a start
-    /// is about to arrive, after which it would.
-    pub(super) fn defers_poll(&self, now: Instant) -> bool {
-        let recent = |sent| now.saturating_duration_since(sent) < USUAL_ANSWER_TIME;
-        self.has_discardable() && self.outstanding_start(now).is_some_and(recent)
-    }
-
-    /// Whether it holds ends that the ledger has stored.
-    pub(super) fn has_discardable(&self) -> bool {
-        self.acknowledged_end < self.stored_end
-    }
-
-    /// When the oldest start was sent, before `now`, whose answer is outstanding.
-    fn outstanding_start(&self, now: Instant) -> Option<Instant> {
-        self.unanswered_starts.front().copied().filter(|sent| *sent < now)
-    }
-
-    /// Marks the current incarnation as ended for certain; calls to the next one carry `fence`.
-    pub fn mark_ended(&mut self, now: Instant, fence: Fence) {
-        let incarnation = self
-            .incarnation
-            .or(self.registration.as_ref().and_then(|registration| registration.incarnation));
-        self.reset(None, now, fence);
-        self.lease.end(now);
-        self.ended_incarnation = Some(incarnation.unwrap_or_default());
-        self.listed = false;
-        self.absent_since = now;
-        self.registration = None;
-    }
-
     /// Whether it is shutting down and takes no more tasks.
     pub fn is_draining(&self) -> bool {
         self.registration.as_ref().is_some_and(|registration| registration.draining)
@@ -384,23 +312,4 @@
             info!("runner: id={id} clock_ms={clock_ms} lease_longer_by_ms={}", later.as_millis());
         }
     }
-
-    /// Resets all state that belongs to one incarnation, for a new one, to which calls carry `fence` from now
-    /// on. Leases that were granted stay, as the new incarnation may have taken the calls.
-    pub fn reset(&mut self, incarnation: Option<Incarnation>, now: Instant, fence: Fence) {
-        self.incarnation = incarnation;
-        self.fence = self.fence.max(fence);
-        self.lease.forget_clock();
-        self.fence_accepted = false;
-        self.restart_noticed = None;
-        self.alive_at = None;
-        self.next_poll = now;
-        self.processed_end = 0;
-        self.stored_end = 0;
-        self.acknowledged_end = 0;
-        self.unstored_reports = 0;
-        self.unresponsive_since = None;
-        self.quarantined_until = None;
-        self.consecutive_failures = 0;
-    }
 }
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -164,7 +164,11 @@
         loop {
             let left = limit.saturating_sub(begun.elapsed());
             let answer = self.decide_or_relay(&relay, left).await;
+            let denied = answer.is_denial();
             if let Some(answer) = attempts.decide(answer, self.expects_takeover()) {
+                if denied && !answer.is_denial() {
+                    self.meter.count_event("denial_withheld");
+                }
                 return answer;
             }
             if begun.elapsed() + RETRY_DELAY >= limit {
