Tests of clients that don't behave, for both planes

Users saw a process end for want of memory when clients sent heads and empty lines without end, bodies in whole or in pieces that stop short of their end, and chunked bodies. The tests play such crowds (240 clients) against real entries on loopback, with limits of 64 MB and 4,100 descriptors (400 for idle connections). They check that the process lives, its peak resident memory, its descriptors, its log, and that an ordinary request is answered while the crowd stays and after it has gone. Nothing depends on speed: a check waits until the process is idle.

limits.memory_mb and limits.descriptors of the request plane are read and checked, and not used yet; limits.memoryMb and limits.maxFds of the job plane are ignored as before.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
     serde::{Deserialize, Serialize},
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
+        ops::RangeInclusive,
         path::Path,
     },
 };
@@ -20,6 +21,10 @@
 pub const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 /// Upper bound of `body_bytes`.
 const MAX_BODY_BYTES: u64 = 1 << 30;
+/// Values allowed for `memory_mb`.
+const MEMORY_MB: RangeInclusive<u64> = 32..=1 << 20;
+/// Values allowed for `descriptors`.
+const DESCRIPTORS: RangeInclusive<u32> = 256..=1 << 20;
 /// Upper bound of `connections`.
 const MAX_CONNECTIONS: u32 = 65_536;
 /// Milliseconds in an hour.
@@ -67,6 +72,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Memory of this VM, in MB.
+    pub memory_mb: u64,
+    /// Descriptors that the process may open.
+    pub descriptors: u32,
     /// Longest body of a request, in bytes.
     pub body_bytes: u64,
     /// Maximum number of concurrent connections of callers.
@@ -84,6 +93,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory_mb: 512,
+            descriptors: 4_096,
             body_bytes: 16 << 20,
             connections: 1024,
             head_ms: 5_000,
@@ -197,6 +208,8 @@
     fn read(reader: &mut Reader<'_>) -> Self {
         let default = Self::default();
         Self {
+            memory_mb: reader.number("memory_mb", MEMORY_MB, default.memory_mb),
+            descriptors: reader.count("descriptors", DESCRIPTORS, default.descriptors),
             body_bytes: reader.number("body_bytes", 1..=MAX_BODY_BYTES, default.body_bytes),
             connections: reader.count("connections", 1..=MAX_CONNECTIONS, default.connections),
             head_ms: reader.number("head_ms", 1..=HOUR_MS, default.head_ms),
--- /dev/null
+++ b/standin/tests/clients_jobs.rs
@@ -0,0 +1,339 @@
+//! Clients that don't behave at entries that place jobs: the processes live within their VM's memory and
+//! descriptors, and ordinary callers are served. No check depends on the machine's speed.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod crowd;
+mod site;
+
+use {
+    crowd::{BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, LOG_BYTES, chunks},
+    site::{Site, job, wait},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpStream},
+        thread::sleep,
+        time::Duration,
+    },
+};
+
+/// Settings of the entries: [`crowd::MEMORY_MB`] and [`MAX_FDS`].
+const SETTINGS: &str = "limits.memoryMb=64\nlimits.maxFds=4100\n";
+/// Descriptors of an entry's process.
+const MAX_FDS: u64 = 4_100;
+/// Settings of entries that have only [`FEW_FDS`].
+const FEW_FDS_SETTINGS: &str = "limits.memoryMb=64\nlimits.maxFds=400\n";
+/// Descriptors of a process that has few.
+const FEW_FDS: u64 = 400;
+/// Lowest id of the jobs that ordinary callers submit.
+const ORDINARY: u64 = 0xf000;
+
+/// Two entries and two runners.
+fn start(name: &str) -> Site {
+    Site::start_with(name, 2, 2, SETTINGS)
+}
+
+/// The entries: the one that owns the cell, and the one that relays to it.
+fn order(site: &Site) -> [usize; 2] {
+    let owner = site.owner();
+    [owner, 1 - owner]
+}
+
+/// Head of a submission.
+fn head(id: u64, framing: &str) -> Vec<u8> {
+    format!("POST /quotes/{id:016x} HTTP/1.1\r\nHost: desk.example\r\n{framing}\r\n\r\n")
+        .into_bytes()
+}
+
+fn with_length(id: u64, length: usize) -> Vec<u8> {
+    head(id, &format!("Content-Length: {length}"))
+}
+
+fn chunked(id: u64) -> Vec<u8> {
+    head(id, "Transfer-Encoding: chunked")
+}
+
+/// A job of one task, padded to the longest body allowed.
+fn long_job() -> Vec<u8> {
+    let mut body = job(1).to_string().into_bytes();
+    body.resize(BODY_BYTES, b' ');
+    body
+}
+
+/// Has crowds do their worst at each entry; checks the bounds while they stay and after they have gone.
+fn play(site: &Site, worst: impl Fn(&mut Crowd, u64)) {
+    let entries = order(site);
+    let mut crowds = Vec::new();
+    for (number, entry) in entries.into_iter().enumerate() {
+        let mut crowd = Crowd::open(site.entries[entry].callers, CLIENTS);
+        worst(&mut crowd, 1 + (number * CLIENTS) as u64);
+        check(site);
+        serve_ordinary_caller(site, entry, ORDINARY + number as u64);
+        crowds.push(crowd);
+    }
+    check(site);
+    drop(crowds);
+    for (number, entry) in entries.into_iter().enumerate() {
+        serve_ordinary_caller(site, entry, ORDINARY + 2 + number as u64);
+    }
+    check(site);
+}
+
+/// Checks the processes, and that the crowd has not filled their logs.
+fn check(site: &Site) {
+    for (entry, name) in ["front-0", "front-1"].iter().enumerate() {
+        crowd::check(site.process(entry), MAX_FDS);
+        let logged = site.log(name).len();
+        assert!(logged <= LOG_BYTES, "{name} has logged {logged} bytes");
+    }
+}
+
+/// Submits a job at an entry until it is accepted, and waits until it is complete.
+fn serve_ordinary_caller(site: &Site, entry: usize, id: u64) {
+    wait("an ordinary caller's job to be accepted", || {
+        let response = site.call(entry, "POST", &format!("{id:016x}"), Some(&job(1)));
+        response.is_some_and(|response| response.status == 200)
+    });
+    site.wait_complete([id]);
+}
+
+/// Sends a request in pieces over a new connection, and returns the status of the answer.
+fn status(entry: SocketAddr, pieces: &[&[u8]]) -> Option<u16> {
+    let mut client = TcpStream::connect(entry).ok()?;
+    client.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    for piece in pieces {
+        client.write_all(piece).ok()?;
+    }
+    let mut answer = [0; 1024];
+    let count = client.read(&mut answer).ok()?;
+    let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+#[test]
+fn heads_over_the_limit_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("heads");
+    let (long, longer) = (crowd::endless_head(390_000), crowd::endless_head(1 << 20));
+    play(&site, |crowd, _| crowd.send_all(&long));
+    play(&site, |crowd, _| crowd.send_all(&longer));
+}
+
+#[test]
+fn heads_without_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("fields");
+    let head = crowd::endless_fields(390_000);
+    play(&site, |crowd, _| crowd.send_all(&head));
+}
+
+#[test]
+fn empty_lines_without_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("empty");
+    let lines = b"\r\n".repeat(1 << 18);
+    play(&site, |crowd, _| crowd.send_all(&lines[..390_000]));
+    play(&site, |crowd, _| crowd.send_all(&lines));
+}
+
+#[test]
+fn whole_long_bodies_stay_within_a_jobs_entry_and_answers_are_true() {
+    let _turn = crowd::turn();
+    let site = start("whole-bodies");
+    let body = long_job();
+    let (last, most) = body.split_last().unwrap();
+    for (number, entry) in order(&site).into_iter().enumerate() {
+        let first = 1 + (number * CLIENTS) as u64;
+        let mut crowd = Crowd::open(site.entries[entry].callers, CLIENTS);
+        crowd.send(|client| with_length(first + client as u64, BODY_BYTES));
+        crowd.send_all(most);
+        crowd.send_all(&[*last]);
+        let answers = crowd.answers();
+        check(&site);
+        check_answers(&site, first, &answers);
+        serve_ordinary_caller(&site, entry, ORDINARY + number as u64);
+    }
+    check(&site);
+}
+
+/// Checks that accepted jobs complete, and that refused ones do not exist.
+fn check_answers(site: &Site, first: u64, answers: &[String]) {
+    let mut accepted = 0;
+    for (id, answer) in (first..).zip(answers) {
+        match answer.split(' ').nth(1) {
+            Some("200") => {
+                accepted += 1;
+                site.wait_complete([id]);
+            }
+            Some("503" | "429") => {
+                let response = site.call(0, "GET", &format!("{id:016x}"), None).unwrap();
+                assert_eq!(response.status, 410, "job {id:016x} was refused: {answer}");
+            }
+            _ => {}
+        }
+    }
+    assert!(accepted > 0, "no job of {} was accepted", answers.len());
+}
+
+#[test]
+fn long_bodies_short_of_their_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("short-bodies");
+    let body = long_job();
+    play(&site, |crowd, first| {
+        crowd.send(|client| with_length(first + client as u64, BODY_BYTES));
+        crowd.send_all(&body[..BODY_BYTES - 1]);
+    });
+}
+
+#[test]
+fn large_chunks_short_of_their_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("large-chunks");
+    let body = chunks(&long_job(), 64 << 10);
+    play(&site, |crowd, first| {
+        crowd.send(|client| chunked(first + client as u64));
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn chunks_of_one_byte_short_of_their_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("small-chunks");
+    let body = chunks(&long_job()[..32 << 10], 1);
+    play(&site, |crowd, first| {
+        crowd.send(|client| chunked(first + client as u64));
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn bodies_that_are_large_once_parsed_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("parsed");
+    let mut body = b"{\"steps\":[".to_vec();
+    while body.len() < BODY_BYTES - 8 {
+        body.extend_from_slice(b"{},");
+    }
+    body.extend_from_slice(b"{}]}");
+    play(&site, |crowd, first| {
+        crowd.send(|client| with_length(first + client as u64, body.len()));
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn bodies_that_are_long_in_an_error_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("errors");
+    let body = format!("{{\"steps\":\"{}\"}}", "\\u0001".repeat(40_000)).into_bytes();
+    play(&site, |crowd, first| {
+        crowd.send(|client| with_length(first + client as u64, body.len()));
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn jobs_of_many_tasks_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("tasks");
+    let body = job(6_000).to_string().into_bytes();
+    let entries = order(&site);
+    let mut answers = Vec::new();
+    for (number, entry) in entries.into_iter().enumerate() {
+        let first = 1 + (number * CLIENTS) as u64;
+        let mut crowd = Crowd::open(site.entries[entry].callers, CLIENTS);
+        crowd
+            .send(|client| [with_length(first + client as u64, body.len()), body.clone()].concat());
+        answers.extend(crowd.answers());
+        check(&site);
+    }
+    for (id, answer) in (1..).zip(&answers) {
+        if !answer.starts_with("HTTP/1.1 503") && !answer.starts_with("HTTP/1.1 429") {
+            wait("a job to be cancelled", || {
+                let response = site.call(entries[0], "DELETE", &format!("{id:016x}"), None);
+                response.is_some_and(|response| matches!(response.status, 200 | 410))
+            });
+        }
+    }
+    for (number, entry) in entries.into_iter().enumerate() {
+        serve_ordinary_caller(&site, entry, ORDINARY + number as u64);
+    }
+    check(&site);
+}
+
+#[test]
+fn answers_that_nobody_reads_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("unread");
+    let request =
+        b"GET /quotes/00000000000000ff HTTP/1.1\r\nHost: desk.example\r\n\r\n".repeat(4_000);
+    play(&site, |crowd, _| crowd.send_all(&request));
+}
+
+#[test]
+fn idle_connections_leave_descriptors_of_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = Site::start_with("idle-clients", 2, 2, FEW_FDS_SETTINGS);
+    let crowds = [0, 1].map(|entry| Crowd::open(site.entries[entry].callers, CLIENTS));
+    for entry in 0..2 {
+        serve_ordinary_caller(&site, entry, ORDINARY + entry as u64);
+        crowd::check(site.process(entry), FEW_FDS);
+    }
+    drop(crowds);
+    serve_ordinary_caller(&site, 0, ORDINARY + 2);
+}
+
+#[test]
+fn deadlines_without_end_hold_no_request_of_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("deadlines");
+    let deadline = format!("X-Deadline-Ms: {}\r\nContent-Length: 2", u64::MAX);
+    site.store.start_outage(Duration::from_secs(4));
+    sleep(Duration::from_secs(1));
+    play(&site, |crowd, first| {
+        crowd.send(|client| [head(first + client as u64, &deadline), b"{}".to_vec()].concat());
+    });
+}
+
+#[test]
+fn slow_clients_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("slow-clients");
+    let body = long_job();
+    play(&site, |crowd, first| {
+        crowd.send(|client| with_length(first + client as u64, BODY_BYTES));
+        for piece in body[..BODY_BYTES - 1].chunks(32 << 10) {
+            crowd.send_all(piece);
+            sleep(Duration::from_millis(100));
+        }
+    });
+}
+
+#[test]
+fn requests_at_the_limits_are_served_in_calm() {
+    let _turn = crowd::turn();
+    let site = start("calm");
+    let body = long_job();
+    for (number, entry) in order(&site).into_iter().enumerate() {
+        let (entry, id) = (site.entries[entry].callers, 1 + 8 * number as u64);
+        let plain = with_length(id, BODY_BYTES);
+        assert_eq!(status(entry, &[&plain, &body]), Some(200), "a long body");
+        let pieces: Vec<&[u8]> = body.chunks(1_000).collect();
+        let plain = with_length(id + 1, BODY_BYTES);
+        assert_eq!(status(entry, &[&[&plain[..]], &pieces[..]].concat()), Some(200), "in pieces");
+        let small = [chunked(id + 2), chunks(&body, 1), b"0\r\n\r\n".to_vec()].concat();
+        assert_eq!(status(entry, &[&small]), Some(200), "in chunks of one byte");
+        let padding = HEAD_BYTES - with_length(id + 3, BODY_BYTES).len() - "X-Padding: \r\n".len();
+        let padded = format!("Content-Length: {BODY_BYTES}\r\nX-Padding: {}", "p".repeat(padding));
+        let long_head = head(id + 3, &padded);
+        assert_eq!(long_head.len(), HEAD_BYTES);
+        assert_eq!(status(entry, &[&long_head, &body]), Some(200), "a long head");
+        let fields: String = (0..300).map(|field| format!("X-Field-{field}: value\r\n")).collect();
+        let many = head(id + 4, &format!("{fields}Content-Length: {BODY_BYTES}"));
+        assert!(many.len() < HEAD_BYTES);
+        assert_eq!(status(entry, &[&many, &body]), Some(200), "many header fields");
+    }
+    check(&site);
+}
--- /dev/null
+++ b/standin/tests/clients_requests.rs
@@ -0,0 +1,220 @@
+//! Clients that don't behave at entries that pass requests on to endpoints: the processes live within their
+//! VM's memory and descriptors, and ordinary callers are served. No check depends on the machine's speed.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod crowd;
+mod fleet;
+
+use {
+    crowd::{CLIENTS, Crowd, chunks},
+    fleet::{Fleet, wait},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpStream},
+        time::Duration,
+    },
+};
+
+/// Limits of the entries: [`crowd::MEMORY_MB`] and [`MAX_FDS`].
+const LIMITS: &str = "memory_mb = 64\ndescriptors = 4100\n";
+/// Descriptors of an entry's process.
+const MAX_FDS: u64 = 4_100;
+/// Limits of entries that have only [`FEW_FDS`].
+const FEW_FDS_LIMITS: &str = "memory_mb = 64\ndescriptors = 400\n";
+/// Descriptors of a process that has few.
+const FEW_FDS: u64 = 400;
+/// Name, entries and endpoints of each availability zone; the second zone's entry relays to the first.
+const ZONES: &[(&str, usize, usize)] = &[("a", 1, 2), ("b", 1, 0)];
+/// Longest body that the entries accept by default, in bytes.
+const BODY_BYTES: usize = 16 << 20;
+/// Length of a body that is too long to be buffered before it is passed on, in bytes.
+const LONG_BYTES: usize = 1 << 20;
+
+/// Head of a request of which the endpoint responds with `answer_bytes`.
+fn head(client: usize, answer_bytes: usize, framing: &str) -> Vec<u8> {
+    let path = format!("/quotes/work?id=c{client}&work_ms=1&answer_bytes={answer_bytes}");
+    format!("POST {path} HTTP/1.1\r\nHost: desk.example\r\n{framing}\r\n\r\n").into_bytes()
+}
+
+fn with_length(client: usize, length: usize) -> Vec<u8> {
+    head(client, 0, &format!("Content-Length: {length}"))
+}
+
+fn chunked(client: usize) -> Vec<u8> {
+    head(client, 0, "Transfer-Encoding: chunked")
+}
+
+/// Has crowds do their worst at each entry; checks the bounds while they stay and after they have gone.
+fn play(fleet: &Fleet, worst: impl Fn(&mut Crowd)) {
+    let mut crowds = Vec::new();
+    for entry in &fleet.entries {
+        let mut crowd = Crowd::open(entry.callers, CLIENTS);
+        worst(&mut crowd);
+        check(fleet, MAX_FDS);
+        serve_ordinary_caller(entry.callers);
+        crowds.push(crowd);
+    }
+    check(fleet, MAX_FDS);
+    drop(crowds);
+    fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
+    check(fleet, MAX_FDS);
+}
+
+fn check(fleet: &Fleet, max_fds: u64) {
+    fleet.entries.iter().for_each(|entry| crowd::check(entry.process(), max_fds));
+}
+
+/// Sends a request until it is served.
+fn serve_ordinary_caller(entry: SocketAddr) {
+    wait("an ordinary caller to be served", || {
+        exchange(entry, &[&with_length(0, 4), b"work"]).is_some_and(|answer| is_served(&answer, 0))
+    });
+}
+
+/// Whether an answer is the endpoint's, with a body of at least `length` bytes.
+fn is_served(answer: &[u8], length: usize) -> bool {
+    let text = String::from_utf8_lossy(answer);
+    text.split_once("\r\n\r\n")
+        .is_some_and(|(head, body)| head.starts_with("HTTP/1.1 200") && body.len() >= length)
+}
+
+/// Sends a request in pieces over a new connection, and returns the whole answer.
+fn exchange(entry: SocketAddr, pieces: &[&[u8]]) -> Option<Vec<u8>> {
+    let mut client = TcpStream::connect_timeout(&entry, Duration::from_secs(1)).ok()?;
+    client.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    client.set_write_timeout(Some(Duration::from_secs(10))).ok()?;
+    for piece in pieces {
+        client.write_all(piece).ok()?;
+    }
+    let mut answer = Vec::new();
+    let mut buffer = [0; 65_536];
+    loop {
+        let text = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            let length = head.split("content-length: ").nth(1)?.split("\r\n").next()?;
+            if answer.len() >= head.len() + 4 + length.parse::<usize>().ok()? {
+                return Some(answer);
+            }
+        }
+        match client.read(&mut buffer).ok()? {
+            0 => return None,
+            count => answer.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
+
+#[test]
+fn heads_over_the_limit_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-heads", ZONES, LIMITS);
+    let (long, longer) = (crowd::endless_head(390_000), crowd::endless_head(1 << 20));
+    play(&fleet, |crowd| crowd.send_all(&long));
+    play(&fleet, |crowd| crowd.send_all(&longer));
+}
+
+#[test]
+fn heads_without_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-fields", ZONES, LIMITS);
+    let head = crowd::endless_fields(390_000);
+    play(&fleet, |crowd| crowd.send_all(&head));
+}
+
+#[test]
+fn empty_lines_without_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-empty", ZONES, LIMITS);
+    let lines = b"\r\n".repeat(1 << 18);
+    play(&fleet, |crowd| crowd.send_all(&lines[..390_000]));
+    play(&fleet, |crowd| crowd.send_all(&lines));
+}
+
+#[test]
+fn whole_long_bodies_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-whole", ZONES, LIMITS);
+    let body = vec![b'q'; LONG_BYTES];
+    play(&fleet, |crowd| {
+        crowd.send(|client| with_length(client, LONG_BYTES));
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn long_bodies_short_of_their_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-short", ZONES, LIMITS);
+    let body = vec![b'q'; LONG_BYTES];
+    for length in [64_000, 500_000, LONG_BYTES] {
+        play(&fleet, |crowd| {
+            crowd.send(|client| with_length(client, length));
+            crowd.send_all(&body[..length - 1]);
+        });
+    }
+}
+
+#[test]
+fn large_chunks_short_of_their_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-large-chunks", ZONES, LIMITS);
+    let body = chunks(&vec![b'q'; LONG_BYTES], 64 << 10);
+    play(&fleet, |crowd| {
+        crowd.send(chunked);
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn chunks_of_one_byte_short_of_their_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-small-chunks", ZONES, LIMITS);
+    let body = chunks(&vec![b'q'; 60 << 10], 1);
+    play(&fleet, |crowd| {
+        crowd.send(chunked);
+        crowd.send_all(&body);
+    });
+}
+
+#[test]
+fn answers_that_nobody_reads_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-unread", ZONES, LIMITS);
+    for answer_bytes in [250_000, 2 << 20] {
+        play(&fleet, |crowd| {
+            crowd.send(|client| head(client, answer_bytes, "Content-Length: 0").repeat(8));
+        });
+    }
+}
+
+#[test]
+fn idle_connections_leave_descriptors_of_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-idle", ZONES, FEW_FDS_LIMITS);
+    let crowds: Vec<_> =
+        fleet.entries.iter().map(|entry| Crowd::open(entry.callers, CLIENTS)).collect();
+    fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
+    check(&fleet, FEW_FDS);
+    drop(crowds);
+    fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
+}
+
+#[test]
+fn long_requests_and_responses_are_served_in_calm() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-calm", ZONES, LIMITS);
+    let body = vec![b'q'; BODY_BYTES];
+    for entry in &fleet.entries {
+        let served = |pieces: &[&[u8]], length| {
+            exchange(entry.callers, pieces).is_some_and(|answer| is_served(&answer, length))
+        };
+        assert!(served(&[&with_length(1, BODY_BYTES), &body], 0), "a long body");
+        let pieces: Vec<_> = body.chunks(100_000).collect();
+        assert!(served(&[&[&with_length(2, BODY_BYTES)[..]], &pieces[..]].concat(), 0), "pieces");
+        let small = [chunked(3), chunks(&body[..100_000], 1), b"0\r\n\r\n".to_vec()].concat();
+        assert!(served(&[&small], 0), "chunks of one byte");
+        let long_answer = head(4, 2 << 20, "Content-Length: 0");
+        assert!(served(&[&long_answer], 2 << 20), "a long response");
+    }
+    check(&fleet, MAX_FDS);
+}
--- a/standin/tests/fleet/mod.rs
+++ b/standin/tests/fleet/mod.rs
@@ -73,6 +73,8 @@
     pub endpoints: IndexMap<VmId, Endpoint>,
     pub entries: Vec<Entry>,
     zones: IndexMap<VmId, String>,
+    /// Further lines of the entries' limits.
+    limits: &'static str,
     directory: PathBuf,
 }
 
@@ -125,6 +127,20 @@
 
     /// As [`Fleet::start`], with a platform that keeps at most `records` records of a stream.
     pub fn with_retention(name: &str, zones: &[(&str, usize, usize)], records: usize) -> Self {
+        Self::configured(name, zones, records, "")
+    }
+
+    /// As [`Fleet::start`], with further lines of the entries' limits.
+    pub fn with_limits(name: &str, zones: &[(&str, usize, usize)], limits: &'static str) -> Self {
+        Self::configured(name, zones, 1_000_000, limits)
+    }
+
+    fn configured(
+        name: &str,
+        zones: &[(&str, usize, usize)],
+        records: usize,
+        limits: &'static str,
+    ) -> Self {
         let platform = platform::spawn(platform::Config {
             listen: any_port(),
             control: any_port(),
@@ -144,6 +160,7 @@
             endpoints: IndexMap::new(),
             entries: Vec::new(),
             zones: IndexMap::new(),
+            limits,
             directory,
         };
         for (zone, entries, endpoints) in zones {
@@ -198,6 +215,7 @@
         }
         writeln!(text, "seeds = [{}]", seeds.join(", ")).expect("write settings");
         text += "[limits]\nhead_ms = 1000\nidle_ms = 3000\n";
+        text += self.limits;
         let settings = self.directory.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("write settings");
         let (name, zone) = (name.into(), zone.into());
@@ -345,6 +363,11 @@
         self.child = Some(child.expect("start an entry"));
     }
 
+    /// Id of the entry's process.
+    pub fn process(&self) -> u32 {
+        self.child.as_ref().expect("an entry that runs").id()
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -57,6 +57,8 @@
     pub entries: Vec<Entry>,
     /// Key that callers send for a job's name; none if it is empty.
     pub key_of: fn(&str) -> &'static str,
+    /// Further lines of the entries' settings.
+    settings: &'static str,
     directory: PathBuf,
     store_address: SocketAddr,
     fleet_address: SocketAddr,
@@ -184,6 +186,11 @@
 impl Site {
     /// Starts the platform, `runners` runners and `entries` entries, and waits until they are ready.
     pub fn start(name: &str, entries: usize, runners: usize) -> Self {
+        Self::start_with(name, entries, runners, "")
+    }
+
+    /// The same with further lines of the entries' settings.
+    pub fn start_with(name: &str, entries: usize, runners: usize, settings: &'static str) -> Self {
         let (store, checker) = (Store::default(), Checker::default());
         store.limit_records(MAX_RECORD_BYTES);
         store.limit_calls(MAX_CALL_BYTES);
@@ -201,6 +208,7 @@
             runners: Vec::new(),
             entries: Vec::new(),
             key_of: |_| "",
+            settings,
             directory,
             handles: vec![store_handle, fleet],
             stop: Arc::default(),
@@ -260,7 +268,8 @@
         let settings = format!(
             "node={name}\nzone=zone-a\nip=127.0.0.1\nlisten.front={callers}\nlisten.ready={ready}\n\
              portRange={peers},{metrics}\nplatform.addr={store}\ncloud.addr={fleet}\n\
-             platform.recordBytes={MAX_RECORD_BYTES}\nplatform.callBytes={MAX_CALL_BYTES}\nlater=1\n",
+             platform.recordBytes={MAX_RECORD_BYTES}\nplatform.callBytes={MAX_CALL_BYTES}\nlater=1\n{further}",
+            further = self.settings,
             name = entry.name,
             callers = entry.callers,
             ready = entry.ready,
@@ -319,6 +328,11 @@
         fs::read_to_string(self.directory.join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// Id of an entry's process.
+    pub fn process(&self, number: usize) -> u32 {
+        self.entries[number].child.as_ref().expect("the entry was started").id()
+    }
+
     /// Kills an entry's process.
     pub fn kill(&mut self, number: usize) {
         if let Some(mut child) = self.entries[number].child.take() {
