Bound what callers hold of an entry that places jobs

Callers saw a process end for want of memory, and with it their connections. Cause: nothing bounded what all callers together hold. The HTTP library keeps up to 400 KB of a head a connection; a body was collected as a list of chunks, each of which keeps its receive buffer alive, and copied twice; the number of connections was bounded by the kernel alone, so that idle ones took the descriptors that the owner needs for runners and the store. The readiness and metrics listeners had no timeout for heads at all, and the deadline that a caller names was unbounded.

Ruled out: a smaller timeout for bodies (240 bodies that stop short arrive within it), and a limit a connection alone (the sum is what ends a process).

Change: src/intake. Connections and Memory decide, without input or output, which connection or incomplete body gives way; Guard shares them. A new connection replaces the one that has waited for its caller for longest, so idle ones keep nobody out; one whose request is handled is never closed for another. Bodies are read into one piece of reserved memory and keep it for as long as anything refers to them; without memory a request is refused (503 with Retry-After) before it is passed on. The same memory bounds relayed requests at the owner. The library's buffers hold one head of 16 KiB and a byte, up to 512 header fields; unread answers end after 15 s. Limits follow from limits.memoryMb and limits.maxFds, and each can be set. Counters carobhitch_intake; one log line a second at most. Log lines quote 128 bytes of a path.

--- /dev/null
+++ b/src/intake/connections.rs
@@ -0,0 +1,125 @@
+//! Open connections of callers: which ones are closed when there are too many, or too many of them stall.
+
+use {
+    super::{Error, Result},
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+};
+
+/// Number of an open connection.
+pub type Id = u64;
+
+/// Time for which a caller takes nothing of a response before its connection counts as stalled.
+pub const STALL_TIME: Duration = Duration::from_millis(500);
+/// Divisor of the maximum number of connections that gives that of stalled ones.
+const STALLED_SHARE: usize = 16;
+
+/// Open connections of callers.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    max: usize,
+    next_id: Id,
+    open: IndexMap<Id, Phase>,
+}
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits for its caller's next request, or for a part of one.
+    Waiting(Instant),
+    /// Its request is handled.
+    Handling,
+    /// Waits until its caller takes more of a response, parts of which are still to come.
+    Sending(Instant),
+}
+
+impl Phase {
+    /// Since when the connection has waited for its caller.
+    fn waiting_since(self) -> Option<Instant> {
+        match self {
+            Self::Waiting(since) | Self::Sending(since) => Some(since),
+            Self::Handling => None,
+        }
+    }
+}
+
+impl Connections {
+    /// Begins without connections; at most `max` may be open.
+    pub fn new(max: usize) -> Self {
+        Self { max, next_id: 0, open: IndexMap::new() }
+    }
+
+    /// Admits a new connection; returns its number and that of the connection to be closed for it. Fails if
+    /// all connections handle requests.
+    pub fn open(&mut self, now: Instant) -> Result<(Id, Option<Id>)> {
+        let mut closed = None;
+        if self.open.len() >= self.max {
+            closed = Some(self.longest_waiting().ok_or(Error::Connections(self.max))?);
+        }
+        if let Some(id) = closed {
+            self.close(id);
+        }
+        self.next_id += 1;
+        self.open.insert(self.next_id, Phase::Waiting(now));
+        Ok((self.next_id, closed))
+    }
+
+    /// Records that a connection waits for its caller's next request.
+    pub fn wait(&mut self, id: Id, now: Instant) {
+        self.set(id, Phase::Waiting(now));
+    }
+
+    /// Records that a connection's request is handled.
+    pub fn handle(&mut self, id: Id) {
+        self.set(id, Phase::Handling);
+    }
+
+    /// Records that a connection's caller was sent a part of a response.
+    pub fn send(&mut self, id: Id, now: Instant) {
+        self.set(id, Phase::Sending(now));
+    }
+
+    /// Records the end of a connection.
+    pub fn close(&mut self, id: Id) {
+        self.open.swap_remove(&id);
+    }
+
+    /// Closes the connections that have stalled for longest, if too many have; returns their numbers.
+    /// A response that its caller does not take keeps its endpoint from other requests.
+    pub fn close_stalled(&mut self, now: Instant) -> Vec<Id> {
+        let stalled = self.open.iter().filter_map(|(&id, phase)| match *phase {
+            Phase::Sending(since) if now.saturating_duration_since(since) >= STALL_TIME => {
+                Some((since, id))
+            }
+            _ => None,
+        });
+        let mut stalled: Vec<_> = stalled.collect();
+        stalled.sort_unstable();
+        let excess = stalled.len().saturating_sub((self.max / STALLED_SHARE).max(1));
+        let closed: Vec<_> = stalled.into_iter().take(excess).map(|(_, id)| id).collect();
+        closed.iter().for_each(|&id| self.close(id));
+        closed
+    }
+
+    /// Whether a new connection would be admitted.
+    pub fn has_room(&self) -> bool {
+        self.open.len() < self.max || self.longest_waiting().is_some()
+    }
+
+    /// Number of open connections.
+    pub fn count(&self) -> usize {
+        self.open.len()
+    }
+
+    fn set(&mut self, id: Id, phase: Phase) {
+        if let Some(current) = self.open.get_mut(&id) {
+            *current = phase;
+        }
+    }
+
+    fn longest_waiting(&self) -> Option<Id> {
+        let waiting =
+            self.open.iter().filter_map(|(&id, phase)| Some((phase.waiting_since()?, id)));
+        waiting.min().map(|(_, id)| id)
+    }
+}
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -2,41 +2,45 @@
 
 use {
     super::{
+        internal,
         listener::Listener,
         peer::{Method, Relay},
         shared::Shared,
     },
     crate::{
         adapter,
+        intake::{self, Connection, Guard, Stream},
         job::{access::Key, answer::Answer},
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::Full,
     hyper::{
         Request, Response, StatusCode,
         body::Incoming,
         header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
-        server::conn::http1::Builder,
         service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
-    log::info,
+    log::{debug, info},
     std::{
         convert::Infallible,
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::watch, task::spawn_local, time::sleep},
+    tokio::{
+        net::TcpStream,
+        sync::watch,
+        task::{spawn_local, yield_now},
+        time::sleep,
+    },
 };
 
-/// Timeout for receiving the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
-/// Timeout for receiving the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest body of a request in bytes.
-const MAX_BODY_BYTES: usize = 256 << 10;
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// Longest deadline; a longer one is reduced to it.
+const MAX_DEADLINE: Duration = Duration::from_secs(60);
+/// Longest part of a path in a log line, in bytes.
+const MAX_LOGGED_PATH_BYTES: usize = 128;
 /// Part of a deadline that is kept for sending the answer.
 const ANSWER_RESERVE: Duration = Duration::from_millis(60);
 
@@ -48,25 +52,34 @@
             stream = listener.accept() => stream,
             () = serving_ended(&mut stopping) => return,
         };
-        spawn_local(connection(Rc::clone(&shared), TokioIo::new(stream)));
+        match shared.intake.connect() {
+            Ok(connection) => {
+                spawn_local(serve_connection(Rc::clone(&shared), connection, stream));
+                // Has a connection that was closed for this one end first.
+                yield_now().await;
+            }
+            Err(e) => debug!("front: connection refused: {e}"),
+        }
     }
 }
 
-async fn connection(shared: Rc<Shared>, io: TokioIo<tokio::net::TcpStream>) {
+async fn serve_connection(shared: Rc<Shared>, connection: Connection, stream: TcpStream) {
     let mut stopping = shared.stopping.subscribe();
-    let service = service_fn(|request| handle(Rc::clone(&shared), request));
-    let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    let mut serving = std::pin::pin!(builder.serve_connection(io, service));
+    let service = service_fn(|request| handle(Rc::clone(&shared), &connection, request));
+    let limits = shared.intake.limits();
+    let stream = Stream::new(stream, limits.write_timeout);
+    let serving = intake::builder(limits).serve_connection(stream, service);
+    let mut serving = std::pin::pin!(serving);
     let outcome = tokio::select! {
         outcome = serving.as_mut() => outcome,
+        () = connection.closing() => return,
         () = serving_ended(&mut stopping) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
     };
     if let Err(e) = outcome {
-        log::debug!("front: connection of a caller ended: {e}");
+        debug!("front: connection of a caller ended: {e}");
     }
 }
 
@@ -83,6 +96,7 @@
 
 async fn handle(
     shared: Rc<Shared>,
+    connection: &Connection,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let begun = Instant::now();
@@ -94,12 +108,14 @@
         "DELETE" => Method::Delete,
         _ => Method::Other,
     };
-    let answer = answer(&shared, request, method).await;
+    let answer = answer(&shared, connection, request, method).await;
+    connection.wait();
     drop(open);
     let status = answer.status();
     let took = begun.elapsed();
     shared.meter.count_answer(method, status, took);
     if status >= 500 {
+        let path = &path[..path.floor_char_boundary(MAX_LOGGED_PATH_BYTES)];
         info!(
             "answer: path={path} method={method:?} status={status} ms={} why={answer}",
             took.as_millis()
@@ -108,7 +124,12 @@
     Ok(respond(&answer, shared.stopping.borrow().is_some()))
 }
 
-async fn answer(shared: &Shared, request: Request<Incoming>, method: Method) -> Answer {
+async fn answer(
+    shared: &Shared,
+    connection: &Connection,
+    request: Request<Incoming>,
+    method: Method,
+) -> Answer {
     if method == Method::Other {
         return Answer::Method;
     }
@@ -116,20 +137,19 @@
     let host = header(HOST.as_str()).unwrap_or_default();
     let host = String::from(host.split(':').next().unwrap_or_default());
     let deadline = header(adapter::front::DEADLINE).and_then(|ms| ms.parse().ok());
-    let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis).min(MAX_DEADLINE);
     let key = header(adapter::front::KEY).map(Key::new);
     let path = String::from(request.uri().path());
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes().to_vec(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            return Answer::Malformed(format!("the body is longer than {MAX_BODY_BYTES} bytes"));
-        }
-        Ok(Err(e)) => return Answer::Malformed(e.to_string()),
-        Err(_) => {
-            return Answer::Malformed(format!("the body did not arrive within {BODY_TIMEOUT:?}"));
-        }
+    let limits = shared.intake.limits();
+    let reservation = shared.intake.begin_body();
+    let body = request.into_body();
+    let body = intake::read(body, reservation, limits.body_bytes, limits.body_timeout).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(e) if e.is_temporary() => return Answer::refused(e.to_string(), Duration::ZERO),
+        Err(e) => return Answer::Malformed(e.to_string()),
     };
+    connection.handle();
     let limit = deadline.saturating_sub(ANSWER_RESERVE).max(ANSWER_RESERVE);
     shared.serve(Relay { method, host, path, body, key }, limit).await
 }
@@ -152,22 +172,14 @@
 }
 
 /// Answers the load balancer's readiness check.
-pub async fn serve_ready(shared: Rc<Shared>, listener: Listener) {
-    loop {
-        let stream = listener.accept().await;
-        let shared = Rc::clone(&shared);
-        spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let ready = shared.ready() && request.uri().path() == adapter::front::READY;
-                let mut response = Response::new(Full::new(Bytes::new()));
-                if !ready {
-                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                }
-                async move { Ok::<_, Infallible>(response) }
-            });
-            if let Err(e) = Builder::new().serve_connection(TokioIo::new(stream), service).await {
-                log::debug!("front: connection of the load balancer ended: {e}");
-            }
-        });
-    }
+pub async fn serve_ready(shared: Rc<Shared>, listener: Listener, guard: Arc<Guard>) {
+    let respond = move |request: &Request<Incoming>| {
+        let ready = shared.ready() && request.uri().path() == adapter::front::READY;
+        let mut response = Response::new(Full::new(Bytes::new()));
+        if !ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    };
+    internal::serve("front", listener, guard, respond).await;
 }
--- a/src/job/daemon/listener.rs
+++ b/src/job/daemon/listener.rs
@@ -1,6 +1,7 @@
 //! Listening sockets that continue to accept connections after an error.
 
 use {
+    crate::intake::set_receive_buffer,
     log::warn,
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
@@ -21,7 +22,11 @@
 impl Listener {
     /// Listens at `address` for `part`.
     pub async fn bind(part: &'static str, address: SocketAddr) -> io::Result<Self> {
-        Ok(Self { part, socket: TcpListener::bind(address).await? })
+        let socket = TcpListener::bind(address).await?;
+        if let Err(e) = set_receive_buffer(&socket) {
+            warn!("{part}: set receive buffer: {e}");
+        }
+        Ok(Self { part, socket })
     }
 
     /// Waits for the next connection.
--- a/src/job/daemon/meter.rs
+++ b/src/job/daemon/meter.rs
@@ -1,27 +1,31 @@
 //! Counters and latency histograms, served in the Prometheus text format.
 
 use {
-    super::{listener::Listener, peer::Method},
-    crate::job::{
-        cell::{Accounts, Counts},
-        claim::claim_timeout,
+    super::{internal, listener::Listener, peer::Method},
+    crate::{
+        intake::Guard,
+        job::{
+            cell::{Accounts, Counts},
+            claim::claim_timeout,
+        },
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn},
-    hyper_util::rt::TokioIo,
+    hyper::{Request, Response, body::Incoming},
     log::warn,
     prometheus::{
         Encoder, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
         histogram_opts, opts,
     },
-    std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::task::spawn_local,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
 
+/// Interval at which it is shown what callers hold.
+const SHOW_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of organisations that have time series of their own.
 const MAX_ORGANISATIONS: usize = 50;
 
@@ -34,6 +38,7 @@
     organisations: IntGaugeVec,
     store_delay: IntGauge,
     claim_timeout: IntGauge,
+    intake: IntGaugeVec,
 }
 
 impl Meter {
@@ -60,6 +65,10 @@
                 "carobhitch_claim_timeout_ms",
                 "Time without a record of the owner after which this entry claims the cell",
             )?,
+            intake: IntGaugeVec::new(
+                opts!("carobhitch_intake", "What callers hold, and what they were denied"),
+                &["value"],
+            )?,
         };
         meter.registry.register(Box::new(meter.answers.clone()))?;
         meter.registry.register(Box::new(meter.calls.clone()))?;
@@ -67,6 +76,7 @@
         meter.registry.register(Box::new(meter.organisations.clone()))?;
         meter.registry.register(Box::new(meter.store_delay.clone()))?;
         meter.registry.register(Box::new(meter.claim_timeout.clone()))?;
+        meter.registry.register(Box::new(meter.intake.clone()))?;
         Ok(meter)
     }
 
@@ -123,6 +133,16 @@
         }
     }
 
+    /// Shows what callers hold, and what was done to stay within its limits.
+    fn show_guard(&self, guard: &Guard) {
+        let held = [("connections", guard.connections()), ("body_bytes", guard.used_bytes())];
+        let held = held.into_iter().map(|(value, held)| (value, held as u64));
+        for (value, amount) in held.chain(guard.counts().all()) {
+            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+            self.intake.with_label_values(&[value]).set(amount);
+        }
+    }
+
     /// Hides the accounts of organisations once this entry no longer owns the cell.
     pub fn hide_accounts(&self) {
         self.organisations.reset();
@@ -137,19 +157,16 @@
     }
 }
 
-/// Serves the metrics over HTTP.
-pub async fn serve(meter: Rc<Meter>, listener: Listener) {
+/// Shows what callers hold at regular intervals.
+pub async fn show_intake(meter: Rc<Meter>, guard: Arc<Guard>) {
     loop {
-        let stream = listener.accept().await;
-        let meter = Rc::clone(&meter);
-        spawn_local(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                let response = Response::new(Full::new(Bytes::from(meter.text())));
-                async move { Ok::<_, Infallible>(response) }
-            });
-            if let Err(e) = Builder::new().serve_connection(TokioIo::new(stream), service).await {
-                log::debug!("metrics: connection ended: {e}");
-            }
-        });
+        meter.show_guard(&guard);
+        sleep(SHOW_INTERVAL).await;
     }
 }
+
+/// Serves the metrics over HTTP.
+pub async fn serve(meter: Rc<Meter>, listener: Listener, guard: Arc<Guard>) {
+    let respond = move |_: &Request<Incoming>| Response::new(Full::new(Bytes::from(meter.text())));
+    internal::serve("metrics", listener, guard, respond).await;
+}
--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod front;
 mod handover;
+mod internal;
 mod listener;
 pub mod log_output;
 mod meter;
@@ -30,7 +31,10 @@
 
 use {
     self::{listener::Listener, meter::Meter, peer::Link, shared::Shared, store::Store},
-    crate::job::{clock, settings::Settings},
+    crate::{
+        intake::{self, Guard},
+        job::{clock, settings::Settings},
+    },
     displaydoc::Display,
     log::info,
     std::{
@@ -38,6 +42,7 @@
         io,
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
     },
     tokio::{
         runtime::Builder,
@@ -46,6 +51,9 @@
     },
 };
 
+/// Maximum number of the platform's connections to the readiness check and the metrics.
+const INTERNAL_CONNECTIONS: usize = 32;
+
 /// Result of the daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -78,8 +86,12 @@
     let peers = listen("peer", settings.peer).await?;
     let metrics = listen("metrics", settings.metrics).await?;
     let store = Rc::new(Store::new(settings.store, Rc::clone(&meter)));
+    let intake = Guard::new(settings.intake);
+    let internal = intake::Limits { connections: INTERNAL_CONNECTIONS, ..settings.intake };
+    let internal = Guard::new(internal);
     let shared = Rc::new(Shared {
         settings,
+        intake: Arc::clone(&intake),
         incarnation: rand::random(),
         owner: watch::Sender::new(None),
         stopping: watch::Sender::new(None),
@@ -98,10 +110,12 @@
         open_requests: Cell::new(0),
         meter: Rc::clone(&meter),
     });
+    spawn_local(Arc::clone(&intake).report_periodically());
+    spawn_local(meter::show_intake(Rc::clone(&meter), intake));
     spawn_local(front::serve(Rc::clone(&shared), callers));
-    spawn_local(front::serve_ready(Rc::clone(&shared), ready));
+    spawn_local(front::serve_ready(Rc::clone(&shared), ready, Arc::clone(&internal)));
     spawn_local(peer::serve(Rc::clone(&shared), peers));
-    spawn_local(meter::serve(meter, metrics));
+    spawn_local(meter::serve(meter, metrics, internal));
     spawn_local(monitor::run(Rc::clone(&shared)));
     spawn_local(log_output::flush_periodically());
     spawn_local(claimant::run(Rc::clone(&shared), store));
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -3,11 +3,14 @@
 
 use {
     super::{listener::Listener, shared::Shared},
-    crate::job::{
-        access::Key,
-        answer::Answer,
-        claim::{Incarnation, Owner},
-        extension,
+    crate::{
+        intake,
+        job::{
+            access::Key,
+            answer::Answer,
+            claim::{Incarnation, Owner},
+            extension,
+        },
     },
     ::serde::{Deserialize, Serialize, de::DeserializeOwned},
     bincode::{config, serde},
@@ -34,6 +37,12 @@
 const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout of the answer to a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for receiving a message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most requests of another entry that are handled at once.
+const MAX_STREAMS: u32 = 200;
+/// Bytes of all messages of another entry that are received before they are read.
+const RECEIVE_BYTES: u32 = 512 << 10;
 /// Longest message in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 /// Path of relayed requests.
@@ -52,7 +61,7 @@
     /// Path.
     pub path: String,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Digest of the caller's key, if it sent one; relayed as an extension.
     #[serde(skip)]
     pub key: Option<Key>,
@@ -214,8 +223,11 @@
         let shared = Rc::clone(&shared);
         spawn_local(async move {
             let service = service_fn(move |request| answer(Rc::clone(&shared), request));
-            let connection = server::Builder::new(Local);
-            if let Err(e) = connection.serve_connection(TokioIo::new(stream), service).await {
+            let mut builder = server::Builder::new(Local);
+            builder
+                .max_concurrent_streams(MAX_STREAMS)
+                .initial_connection_window_size(RECEIVE_BYTES);
+            if let Err(e) = builder.serve_connection(TokioIo::new(stream), service).await {
                 log::debug!("peer: connection of another entry ended: {e}");
             }
         });
@@ -227,8 +239,13 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let asks_status = request.uri().path() == STATUS_PATH;
-    let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let reservation = shared.intake.begin_relayed_body();
+    let body = request.into_body();
+    let body = match intake::read(body, reservation, MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await {
+        Ok(body) => body,
+        Err(e) if e.is_temporary() && !asks_status => {
+            return Ok(reply(&Answer::refused(e.to_string(), Duration::ZERO)));
+        }
         Err(e) => return Ok(plain(StatusCode::BAD_REQUEST, e.to_string().into_bytes())),
     };
     if asks_status {
--- a/src/job/daemon/shared.rs
+++ b/src/job/daemon/shared.rs
@@ -7,17 +7,21 @@
         peer::{Link, Method, Relay, Status},
         store::Store,
     },
-    crate::job::{
-        answer::Answer,
-        attempt::Attempts,
-        claim::{Confirmation, Epoch, HEALTHY_TIME, Incarnation, Owner},
-        clock,
-        settings::Settings,
+    crate::{
+        intake::Guard,
+        job::{
+            answer::Answer,
+            attempt::Attempts,
+            claim::{Confirmation, Epoch, HEALTHY_TIME, Incarnation, Owner},
+            clock,
+            settings::Settings,
+        },
     },
     log::info,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -36,6 +40,8 @@
 pub struct Shared {
     /// Settings.
     pub settings: Settings,
+    /// Limits on what callers and relayed requests hold.
+    pub intake: Arc<Guard>,
     /// Incarnation of this process.
     pub incarnation: Incarnation,
     /// Newest known owner.
--- a/src/job/settings.rs
+++ b/src/job/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry that places jobs.
 
 use {
+    crate::intake,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -29,6 +30,8 @@
     pub advisor: Option<SocketAddr>,
     /// Number of this VM's cores; may be a fraction.
     pub cores: f64,
+    /// Limits on what callers may hold of this VM's memory and descriptors.
+    pub intake: intake::Limits,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod id;
+pub mod intake;
 pub mod job;
 pub mod lease;
 pub mod logging;
