--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -10,7 +10,7 @@
 pub type Id = u64;
 
 /// Maximum number of steps of a job.
-const MAX_STEPS: usize = 256;
+pub const MAX_STEPS: usize = 256;
 /// Maximum number of tasks of a step.
 const MAX_TASKS: u32 = 10_000;
 /// Maximum number of tasks of all steps and occurrences, because their progress is stored in one
@@ -27,6 +27,8 @@
 pub enum Error {
     /// a job has 1 to 256 steps, this one {0}
     Steps(usize),
+    /// a job has 1 to 256 steps, this one more
+    ManySteps,
     /// step {0} has {1} tasks: must be 1 to 10000
     Tasks(usize, u32),
     /// step {0} depends on step {1}, which is not before it
