Refuse jobs for which the owner has no memory

Callers sent short jobs of 6,000 tasks each; the owner accepted them all and ended: a task takes some 200 bytes of state, so a body of 90 bytes becomes 1.3 MB. Nothing bounded the sum.

Change: cell::sizes estimates the memory of each job (specification, task states, and what is kept of ended ones); a job that would take the sum above the limit is refused at once with Retry-After, before it is stored. A new owner counts what it restores, and refuses no accepted job.

Ruled out: a limit on tasks of one job (6,000 are legal), a limit by organisation (not every queue has keys).

--- a/src/job/cell/account.rs
+++ b/src/job/cell/account.rs
@@ -180,6 +180,7 @@
         match refusal {
             Refusal::OverRate(_) => counts.over_rate += 1,
             Refusal::Useless(_) => counts.useless += 1,
+            Refusal::Memory => {}
         }
     }
 
--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -85,6 +85,7 @@
             let settled = job.is_settled();
             if settled {
                 job.shrink();
+                self.sizes.shrink(id);
             }
             let mut progress = job.progress();
             let organisation = job.organisation.as_deref().filter(|_| settled);
@@ -112,6 +113,7 @@
         for id in &refused {
             self.undo_placements(now, *id);
             self.jobs.swap_remove(id);
+            self.sizes.remove(*id);
             self.open.swap_remove(id);
             self.waiting.swap_remove(id);
             self.dirty.swap_remove(id);
--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -41,6 +41,7 @@
 mod registration;
 mod restore;
 mod run;
+mod sizes;
 mod start;
 mod submit;
 mod suspect;
@@ -61,6 +62,7 @@
     load::Load,
     overload::{Backlog, Demand, Refusal},
     pools::Pools,
+    sizes::Sizes,
     throttle::Throttle,
     workers::Worker,
 };
@@ -165,6 +167,8 @@
     scheduled: IndexSet<spec::Id>,
     /// Time of day in milliseconds since the Unix epoch, and when it was read.
     wall_clock: Option<(Instant, u64)>,
+    /// Estimated memory of the jobs.
+    sizes: Sizes,
     /// Ended jobs whose state can still be queried, with the time of their end.
     ended_jobs: VecDeque<(Instant, spec::Id)>,
     /// Jobs whose progress the next batch stores.
@@ -235,6 +239,7 @@
             waiting: IndexSet::new(),
             scheduled: IndexSet::new(),
             wall_clock: None,
+            sizes: Sizes::default(),
             ended_jobs: VecDeque::new(),
             dirty: IndexSet::new(),
             new_jobs: Vec::new(),
@@ -283,6 +288,11 @@
         &self.accounts
     }
 
+    /// Estimated memory of the jobs.
+    pub fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
     /// All jobs: open ones, and ended ones whose state can still be queried.
     pub fn jobs(&self) -> &IndexMap<spec::Id, Job> {
         &self.jobs
--- a/src/job/cell/overload.rs
+++ b/src/job/cell/overload.rs
@@ -33,6 +33,8 @@
 const OVERHEAD: Duration = Duration::from_millis(60);
 /// Part of a delay over which callers that are refused together return.
 const SPREAD: f64 = 0.25;
+/// Delay after which a caller is asked to return whose job finds no memory: some jobs end by then.
+const MEMORY_DELAY: Duration = Duration::from_secs(2);
 /// Longest delay after which a caller is asked to return: by then the load may have changed.
 const MAX_DELAY: Duration = Duration::from_secs(10);
 
@@ -72,6 +74,8 @@
     Useless(Duration),
     /// it is beyond the rate of its organisation, and would be late
     OverRate(Duration),
+    /// the memory for jobs is used up
+    Memory,
 }
 
 impl Backlog {
@@ -149,7 +153,10 @@
 impl Refusal {
     /// Delay after which the caller of the job `id` should return.
     pub fn delay(&self, id: spec::Id) -> Duration {
-        let (Self::Useless(delay) | Self::OverRate(delay)) = *self;
+        let delay = match *self {
+            Self::Useless(delay) | Self::OverRate(delay) => delay,
+            Self::Memory => MEMORY_DELAY,
+        };
         // The low digits of names that callers choose at random are evenly spread.
         let position = (id % 1_024) as f64 / 1_024.0;
         delay.min(MAX_DELAY).mul_f64(1.0 + SPREAD * position)
--- a/src/job/cell/restore.rs
+++ b/src/job/cell/restore.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        Cell, Job, RENEWAL_WINDOW, Worker,
+        Cell, Job, RENEWAL_WINDOW, Sizes, Worker,
         former::Former,
         job::{Phase, Placement, Status},
         lease::{self, Lease},
@@ -81,6 +81,7 @@
         if accepted.spec.schedule.is_some() {
             self.scheduled.insert(id);
         }
+        self.sizes.set(id, Sizes::estimate(&accepted.spec));
         let mut job = Job::new(Rc::new(accepted.spec), &queue, accepted.at_ms, now, age);
         job.stored = true;
         if let Some(origin) = accepted.origin {
--- a/src/job/cell/run.rs
+++ b/src/job/cell/run.rs
@@ -322,6 +322,7 @@
             }
             self.ended_jobs.pop_front();
             self.jobs.swap_remove(&id);
+            self.sizes.remove(id);
             self.removed_jobs.push(id);
             self.effects.push(Effect::PublishOutcome(id));
         }
--- a/src/job/cell/submit.rs
+++ b/src/job/cell/submit.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Cell, Effect, Job, Refusal, RequestId, Status, Submission,
+        Cell, Effect, Job, Refusal, RequestId, Sizes, Status, Submission,
         job::{Phase, State},
     },
     crate::job::{
@@ -41,7 +41,11 @@
             organisation.as_ref().is_none_or(|name| self.accounts.is_within_rate(now, name));
         // What is refused counts as well, since it shows that more VMs are needed.
         self.load.record_job(now, &queue.service, &queue.name, &spec);
-        if let Err(refusal) = self.check_overload(now, &queue, &spec, within_rate) {
+        let size = Sizes::estimate(&spec);
+        let checked = self
+            .check_memory(size)
+            .and_then(|()| self.check_overload(now, &queue, &spec, within_rate));
+        if let Err(refusal) = checked {
             if let Some(name) = &organisation {
                 self.accounts.count_refusal(name, &refusal);
             }
@@ -59,6 +63,7 @@
         job.organisation.clone_from(&organisation);
         job.within_rate = within_rate;
         self.jobs.insert(id, job);
+        self.sizes.set(id, size);
         self.new_jobs.push(id);
         self.mark_dirty(id);
         self.open.insert(id);
@@ -76,6 +81,11 @@
         }
     }
 
+    /// Checks that there is memory for another job.
+    fn check_memory(&mut self, size: usize) -> Result<(), Refusal> {
+        if self.sizes.admits(size, self.bounds.job_memory) { Ok(()) } else { Err(Refusal::Memory) }
+    }
+
     /// Refuses a job that is not stored and never runs.
     fn refuse_overload(
         &mut self,
@@ -99,7 +109,7 @@
         let why = refusal.to_string();
         let answer = match refusal {
             Refusal::OverRate(_) => Answer::OverRate { why, retry_after: delay },
-            Refusal::Useless(_) => Answer::Refused { why, retry_after: delay },
+            Refusal::Useless(_) | Refusal::Memory => Answer::Refused { why, retry_after: delay },
         };
         self.actions.push(Action::Answer(request, answer));
     }
--- a/src/job/daemon/meter.rs
+++ b/src/job/daemon/meter.rs
@@ -5,7 +5,7 @@
     crate::{
         intake::Guard,
         job::{
-            cell::{Accounts, Counts},
+            cell::{Accounts, Counts, Sizes},
             claim::claim_timeout,
         },
     },
@@ -133,6 +133,16 @@
         }
     }
 
+    /// Shows the estimated memory of the owner's jobs, and how many were refused for want of it.
+    pub fn show_sizes(&self, sizes: &Sizes) {
+        for (value, amount) in
+            [("job_bytes", sizes.total_bytes() as u64), ("refused_jobs", sizes.refusals())]
+        {
+            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+            self.intake.with_label_values(&[value]).set(amount);
+        }
+    }
+
     /// Shows what callers hold, and what was done to stay within its limits.
     fn show_guard(&self, guard: &Guard) {
         let held = [("connections", guard.connections()), ("body_bytes", guard.used_bytes())];
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -168,6 +168,7 @@
             if now.saturating_duration_since(shown) >= ACCOUNTS_INTERVAL {
                 shown = now;
                 self.show_accounts();
+                self.shared.meter.show_sizes(self.cell.sizes());
                 self.hand_over_if_due(now);
             }
             if self.cell.is_superseded() {
--- a/src/job/settings.rs
+++ b/src/job/settings.rs
@@ -71,6 +71,8 @@
     pub record_bytes: usize,
     /// Largest total of the records in one append, in bytes.
     pub append_bytes: usize,
+    /// Memory for jobs at the owner above which new ones are refused, in bytes.
+    pub job_memory: usize,
 }
 
 impl Default for Bounds {
@@ -91,6 +93,7 @@
             sheds_load: false,
             record_bytes: 256 << 10,
             append_bytes: 2 << 20,
+            job_memory: 40_000_000,
         }
     }
 }
