Bound what callers hold of an entry that passes requests on

On a relay's connection 2 MB a stream could wait, of 5 MB for all, so three unread ones held up the rest.

A body or a response is buffered in reserved memory; without it a request is refused as not-run with Retry-After, a long body or a response is passed on unbuffered. One frame of 32 KiB waits in either direction; relays have windows of 64 KiB a stream, and of all streams together for a connection. If more than a sixteenth of the connections allowed have stalled for 0.5 s in the middle of a response, those that have for longest are closed: each keeps an endpoint's slot. The entry waits with accepting while all connections handle requests, as before.

Ruled out: a shorter idle_ms, which would cut slow but honest callers in calm.

--- a/src/request/body.rs
+++ b/src/request/body.rs
@@ -2,13 +2,17 @@
 
 pub(crate) use hyper::body::Frame;
 use {
-    crate::exchange::{Body, BodyError},
+    crate::{
+        exchange::{Body, BodyError},
+        intake::Connection,
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::body::{Body as _, Incoming, SizeHint},
     std::{
         pin::Pin,
         result,
+        sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
@@ -16,7 +20,7 @@
 };
 
 /// Frames buffered between the reading and the writing side.
-const QUEUE_FRAMES: usize = 4;
+const QUEUE_FRAMES: usize = 1;
 
 /// Writing side of a [`channel`].
 pub(crate) type Sender = mpsc::Sender<result::Result<Frame<Bytes>, BodyError>>;
@@ -68,6 +72,49 @@
     UnsyncBoxBody::new(Full::new(content).map_err(|never| match never {}))
 }
 
+/// Has a response's body record on its caller's connection whether the caller is awaited.
+pub(crate) fn tracked(inner: Body, caller: Arc<Connection>) -> Body {
+    UnsyncBoxBody::new(Tracked { inner, caller })
+}
+
+/// Body of a response that records whether its caller is awaited.
+struct Tracked {
+    inner: Body,
+    caller: Arc<Connection>,
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.caller.wait();
+    }
+}
+
+impl hyper::body::Body for Tracked {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<result::Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        // The next part is asked for once the caller has taken enough of this one.
+        match polled {
+            Poll::Ready(_) => self.caller.send(),
+            Poll::Pending => self.caller.handle(),
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Reading side of a [`channel`].
 struct Receiver(mpsc::Receiver<result::Result<Frame<Bytes>, BodyError>>);
 
--- a/src/request/exchange.rs
+++ b/src/request/exchange.rs
@@ -9,10 +9,11 @@
         body,
         event::End,
         id::AttemptId,
+        intake::Buffer,
         record::Answer,
         request::{ATTEMPT_HEADER, Class, LEAVING_HEADER, OUTCOME_HEADER},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::{BodyExt, combinators::UnsyncBoxBody},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode, Uri,
@@ -35,6 +36,8 @@
 pub const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size up to which a response is buffered before any of it is passed on.
 pub const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Longest head of a response, and part of its body that is read at once.
+const MAX_FRAME_BYTES: usize = 32 * 1024;
 /// Longest response to an order that is stored to answer the caller's retries.
 pub const MAX_STORED_BYTES: usize = 4 * 1024;
 /// Status of an endpoint's response if it has no free slot.
@@ -59,6 +62,8 @@
     pub idle: Duration,
     /// The request to send.
     pub request: Request<Body>,
+    /// Memory for the beginning of the response.
+    pub buffer: Buffer,
 }
 
 /// Response to pass on to the caller.
@@ -84,7 +89,7 @@
 
 /// Runs an exchange; returns the response to pass on, or why there is none.
 pub async fn run(call: Call) -> result::Result<Reply, End> {
-    let Call { address, attempt, class, until, idle, mut request } = call;
+    let Call { address, attempt, class, until, idle, mut request, buffer } = call;
     prepare(request.headers_mut(), address, attempt);
     let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let Ok(Ok(socket)) = connect.await else {
@@ -92,7 +97,9 @@
     };
     // TCP_NODELAY sends small requests without delay; the connection works without it.
     let _ = socket.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_FRAME_BYTES);
+    let handshake = builder.handshake(TokioIo::new(socket)).await;
     let (mut sender, connection) = handshake.map_err(|_| End::NotSent)?;
     let connection = Connection(tokio::spawn(async move {
         // A connection error also fails the exchange's own calls, which report it.
@@ -104,7 +111,7 @@
         Ok(Ok(response)) => response,
     };
     check_response(&response, attempt)?;
-    let (head, rest) = buffer(response, class, until, idle).await?;
+    let (head, rest) = self::buffer(response, class, until, idle, buffer).await?;
     let end = answered_end(&head, rest.is_none(), class);
     Ok(Reply { head, rest, end, connection: Some(connection) })
 }
@@ -176,7 +183,7 @@
     End::Answered { status, leaving, kept }
 }
 
-/// Buffers a response up to [`MAX_BUFFERED_BYTES`], so that a request whose response breaks off can
+/// Buffers a response up to [`MAX_BUFFERED_BYTES`] while there is memory, so that a request whose response breaks off can
 /// still be retried.
 ///
 /// The response to a watch is not buffered: it is passed on as it arrives.
@@ -185,11 +192,12 @@
     class: Class,
     until: Instant,
     idle: Duration,
+    mut buffered: Buffer,
 ) -> result::Result<(Response<Bytes>, Option<Body>), End> {
     let (mut parts, mut body) = response.into_parts();
     strip_hop_headers(&mut parts.headers);
     parts.headers.remove(ATTEMPT_HEADER);
-    let mut buffered = BytesMut::new();
+    buffered.keep();
     let mut whole = body.is_end_stream();
     while class != Class::Watch && !whole && buffered.len() < MAX_BUFFERED_BYTES {
         let wait = until.min(Instant::now() + idle);
@@ -197,7 +205,12 @@
             Err(_) => return Err(End::TimedOut),
             Ok(Some(Err(_))) => return Err(End::Broken),
             Ok(Some(Ok(frame))) => {
-                buffered.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+                let Some(piece) = frame.data_ref() else { continue };
+                if buffered.push(piece.clone(), usize::MAX).is_err() {
+                    buffered.push_last(piece);
+                    whole = body.is_end_stream();
+                    break;
+                }
             }
             Ok(None) => whole = true,
         }
--- a/src/request/link.rs
+++ b/src/request/link.rs
@@ -13,7 +13,8 @@
         event::{Contact, Event},
         exchange::Body,
         id::{EntryId, Incarnation},
-        server::{self, Origin, Server},
+        relay,
+        server::{self, Server},
         traffic::Traffic,
         wire::{self, Frame, Message},
     },
@@ -280,6 +281,9 @@
                         .timer(TokioTimer::new())
                         .keep_alive_interval(IDLE_TIMEOUT)
                         .keep_alive_timeout(HEARTBEAT_TIMEOUT)
+                        .max_concurrent_streams(relay::MAX_STREAMS)
+                        .initial_stream_window_size(relay::STREAM_BYTES)
+                        .initial_connection_window_size(relay::CONNECTION_BYTES)
                         .serve_connection(TokioIo::new(socket), service)
                         .await;
                     if let Err(error) = served {
@@ -303,7 +307,7 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     if request.uri().path() != "/" {
-        return server::accept(server, request.map(body::boxed), Origin::Entry).await;
+        return server::accept_relayed(server, request.map(body::boxed)).await;
     }
     let (answers, body) = body::channel(None);
     tokio::spawn(async move {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -9,6 +9,7 @@
     crate::{
         event::End,
         exchange::{self, Body, Reply},
+        intake::Buffer,
         request::{CLASS_HEADER, DEADLINE_HEADER, Request},
     },
     hyper::{
@@ -37,6 +38,14 @@
 /// Time without an answer to a ping after which the connection is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of requests that are relayed on a connection at once.
+pub const MAX_STREAMS: u32 = 200;
+/// Bytes of a relayed body that are received before they are read.
+pub const STREAM_BYTES: u32 = 64 << 10;
+/// Bytes that are received on a connection before they are read: those of all its streams, so that bodies
+/// that nobody reads do not hold up the others.
+pub const CONNECTION_BYTES: u32 = MAX_STREAMS * STREAM_BYTES;
+
 /// Open relay connections by the other entry's address.
 #[derive(Default)]
 pub struct Pool {
@@ -52,12 +61,14 @@
         mut http: hyper::Request<Body>,
         until: Instant,
         idle: Duration,
+        buffer: Buffer,
     ) -> result::Result<Reply, End> {
         prepare(&mut http, link, request).map_err(|_| End::NotSent)?;
         let mut sender = self.connect(link).await.ok_or(End::NotSent)?;
         match timeout_at(until, sender.send_request(http)).await {
             Ok(Ok(response)) => {
-                let (head, rest) = exchange::buffer(response, request.class, until, idle).await?;
+                let (head, rest) =
+                    exchange::buffer(response, request.class, until, idle, buffer).await?;
                 Ok(Reply { head, rest, end: End::Relayed, connection: None })
             }
             Ok(Err(_)) => {
@@ -80,6 +91,8 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
+            .initial_stream_window_size(STREAM_BYTES)
+            .initial_connection_window_size(CONNECTION_BYTES)
             .handshake(TokioIo::new(socket))
             .await
             .ok()?;
--- a/src/request/server/drive.rs
+++ b/src/request/server/drive.rs
@@ -8,6 +8,7 @@
         event::{End, Event, RequestId},
         exchange::{self, Body, Reply},
         id::AttemptId,
+        intake::Buffer,
         request::{OUTCOME_HEADER, Outcome, Request},
     },
     http_body_util::BodyExt,
@@ -81,16 +82,18 @@
         let limits = &self.server.limits;
         let idle = Duration::from_millis(limits.idle_ms);
         let request = template.request(limits.body_bytes, idle);
+        let buffer = Buffer::new(self.server.guard.begin_relayed_body());
         let (class, id) = (self.request.class, self.id);
         let (attempt, result) = match command {
             Command::Run { attempt, address, until } => {
                 let until = until.into();
-                let call = exchange::Call { address, attempt, class, until, idle, request };
+                let call = exchange::Call { address, attempt, class, until, idle, request, buffer };
                 (attempt, exchange::run(call).await)
             }
             Command::Relay { attempt, link, until } => {
                 let relays = &self.server.relays;
-                let relayed = relays.run(link, &self.request, request, until.into(), idle);
+                let until = until.into();
+                let relayed = relays.run(link, &self.request, request, until, idle, buffer);
                 (attempt, relayed.await)
             }
             Command::Finish(_) => return None,
--- a/src/request/server/mod.rs
+++ b/src/request/server/mod.rs
@@ -16,6 +16,7 @@
         event::{Event, Finish, RequestId},
         exchange::Body,
         id::AttemptId,
+        intake::{self, Buffer, Connection, Guard, Reservation, Stream},
         relay,
         request::Outcome,
         settings::Limits,
@@ -24,10 +25,8 @@
     hyper::{
         Request, Response, StatusCode,
         body::{Body as _, Incoming},
-        server::conn::http1,
         service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
     log::{debug, warn},
     receive::Template,
     std::{
@@ -42,7 +41,8 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
+        sync::{mpsc, oneshot, watch},
+        task::yield_now,
         time::timeout,
     },
 };
@@ -50,10 +50,10 @@
 /// Length up to which a body is read before the request is admitted.
 pub const PREFETCH_BYTES: usize = 64 * 1024;
 
-/// Length up to which a longer body is read before the request is admitted, while a permit is free.
+/// Length up to which a longer body is read before the request is admitted, while there is memory.
 pub const LONG_BYTES: usize = 512 * 1024;
-/// Maximum number of bodies longer than [`PREFETCH_BYTES`] that are buffered at once.
-const LONG_BODIES: usize = 32;
+/// Delay after which a caller is asked to return that was refused for want of memory.
+const MEMORY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a stopping entry still accepts connections.
 pub const DRAIN_TIME: Duration = Duration::from_secs(1);
 /// Timeout for accepting another connection from the kernel's backlog after [`DRAIN_TIME`].
@@ -97,8 +97,8 @@
     limits: Limits,
     shared: Arc<Shared>,
     relays: relay::Pool,
-    /// Permits for buffering long bodies.
-    long_bodies: Arc<Semaphore>,
+    /// Limits on what callers hold.
+    guard: Arc<Guard>,
 }
 
 impl Server {
@@ -106,8 +106,8 @@
     pub fn new(events: Sender<Event>, limits: Limits, shared: Arc<Shared>) -> Self {
         let (next_id, open) = (AtomicU64::new(1), AtomicUsize::new(0));
         let (drivers, relays) = (Mutex::default(), relay::Pool::default());
-        let long_bodies = Arc::new(Semaphore::new(LONG_BODIES));
-        Self { events, drivers, next_id, open, limits, shared, relays, long_bodies }
+        let guard = Guard::new(limits.intake());
+        Self { events, drivers, next_id, open, limits, shared, relays, guard }
     }
 
     /// Passes the engine's command to the task that drives the request.
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Limits on what callers hold, and what they hold now.
+    pub fn guard(&self) -> &Arc<Guard> {
+        &self.guard
+    }
+
     /// Number of requests being driven.
     pub fn open_requests(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -140,44 +145,51 @@
     server: Arc<Server>,
     mut stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    let permits = Arc::new(Semaphore::new(server.limits.connections as usize));
+    let guard = Arc::clone(&server.guard);
+    tokio::spawn(Arc::clone(&guard).report_periodically());
+    tokio::spawn(Arc::clone(&guard).watch_stalled());
+    if let Err(error) = intake::set_receive_buffer(&listener) {
+        warn!("server: Failed to set the receive buffer: {error}.");
+    }
     let (alive, mut ended) = mpsc::channel::<()>(1);
     let mut until = None;
     loop {
         let accepted = tokio::select! {
-            accepted = accept_one(&listener, &permits) => accepted,
+            accepted = accept_one(&listener, &guard) => accepted,
             _ = stop.changed(), if until.is_none() => {
                 until = Some(tokio::time::Instant::now() + DRAIN_TIME);
                 continue;
             }
-            () = sleep_until(until) => match timeout(BACKLOG_WAIT, accept_one(&listener, &permits)).await {
+            () = sleep_until(until) => match timeout(BACKLOG_WAIT, accept_one(&listener, &guard)).await {
                 Ok(accepted) => accepted,
                 Err(_) => break,
             },
         };
-        let Some((socket, peer, permit)) = accepted else {
+        let Some((socket, peer)) = accepted else {
+            continue;
+        };
+        let Ok(connection) = guard.connect() else {
             continue;
         };
         let _ = socket.set_nodelay(true);
         let (server, stop, alive) = (server.clone(), stop.clone(), alive.clone());
         tokio::spawn(async move {
-            serve_connection(socket, peer, server, stop).await;
-            drop((permit, alive));
+            serve_connection(socket, peer, server, connection, stop).await;
+            drop(alive);
         });
+        // Has a connection that was closed for this one end first.
+        yield_now().await;
     }
     drop((listener, alive));
     ended.recv().await;
     Ok(())
 }
 
-/// Accepts one connection within the limit on connections; `None` if accepting failed.
-async fn accept_one(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
+/// Accepts one connection once it would be admitted; `None` if accepting failed.
+async fn accept_one(listener: &TcpListener, guard: &Guard) -> Option<(TcpStream, SocketAddr)> {
+    guard.room().await;
     match listener.accept().await {
-        Ok((socket, peer)) => Some((socket, peer, permit)),
+        Ok(accepted) => Some(accepted),
         Err(error) => {
             warn!("server: Failed to accept a connection: {error}.");
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -199,22 +211,24 @@
     socket: TcpStream,
     peer: SocketAddr,
     server: Arc<Server>,
+    connection: Connection,
     mut stop: watch::Receiver<bool>,
 ) {
-    let head = Duration::from_millis(server.limits.head_ms);
+    let guard = Arc::clone(&server.guard);
+    let caller = Arc::new(connection);
+    let requests_caller = Arc::clone(&caller);
     let (request_begun, mut has_begun) = watch::channel(false);
     let service = service_fn(move |request| {
         request_begun.send_replace(true);
-        let server = server.clone();
-        async move { Ok::<_, Infallible>(handle(server, request).await) }
+        let (server, caller) = (server.clone(), Arc::clone(&requests_caller));
+        async move { Ok::<_, Infallible>(handle(server, caller, request).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head)
-        .serve_connection(TokioIo::new(socket), service);
+    let stream = Stream::new(socket, guard.limits().write_timeout);
+    let connection = intake::builder(guard.limits()).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = caller.closing() => return,
         // A graceful shutdown closes a connection without a request although its first one may be
         // on its way, so it waits for that request to begin.
         () = both_set(&mut stop, &mut has_begun) => {
@@ -236,16 +250,41 @@
 }
 
 /// Answers the probes and the status page; passes other requests on.
-async fn handle(server: Arc<Server>, request: Request<Incoming>) -> Response<Body> {
+async fn handle(
+    server: Arc<Server>,
+    caller: Arc<Connection>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     match request.uri().path() {
         "/healthz" => response::text(StatusCode::OK, "alive\n"),
         "/readyz" if server.shared.ready() => response::text(StatusCode::OK, "ready\n"),
         "/readyz" => response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/status" => response::json(&server.shared.status()),
-        _ => accept(server, request.map(body::boxed), Origin::Caller).await,
+        _ => {
+            let reservation = server.guard.begin_body();
+            let read = || caller.handle();
+            let request = request.map(body::boxed);
+            let response = accept(server, request, Origin::Caller, reservation, read).await;
+            response.map(|body| body::tracked(body, caller))
+        }
     }
 }
 
+/// Handles a request that another entry has relayed.
+pub async fn accept_relayed(server: Arc<Server>, request: Request<Body>) -> Response<Body> {
+    let reservation = server.guard.begin_relayed_body();
+    accept(server, request, Origin::Entry, reservation, || ()).await
+}
+
+/// Response to a request whose body was not read.
+fn not_read(error: &intake::Error) -> Response<Body> {
+    if error.is_temporary() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return response::not_run(status, &error.to_string(), Some(MEMORY_DELAY));
+    }
+    response::not_run(StatusCode::REQUEST_TIMEOUT, &error.to_string(), None)
+}
+
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -255,8 +294,14 @@
     Entry,
 }
 
-/// Handles a request from its head to its response.
-pub async fn accept(server: Arc<Server>, request: Request<Body>, origin: Origin) -> Response<Body> {
+/// Handles a request from its head to its response. `read` is called once enough of its body has been read.
+async fn accept(
+    server: Arc<Server>,
+    request: Request<Body>,
+    origin: Origin,
+    reservation: Reservation,
+    read: impl Fn(),
+) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let limits = &server.limits;
     let parsed = receive::parse(&parts.uri, &parts.headers, limits, Instant::now());
@@ -272,10 +317,14 @@
         );
     }
     let idle = Duration::from_millis(limits.idle_ms);
-    let body = match receive::prefetch(body, idle, &server.long_bodies).await {
+    let body = match receive::prefetch(body, idle, Buffer::new(reservation)).await {
         Ok(body) => body,
-        Err(reason) => return response::not_run(StatusCode::REQUEST_TIMEOUT, reason, None),
+        Err(error) => {
+            server.guard.count_rejection(&error);
+            return not_read(&error);
+        }
     };
+    read();
     let template = Template { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let (answer, answered) = oneshot::channel();
     tokio::spawn(drive::drive(server, parsed, template, origin, answer));
--- a/src/request/server/receive.rs
+++ b/src/request/server/receive.rs
@@ -5,13 +5,14 @@
     crate::{
         body,
         exchange::Body,
+        intake::{self, Buffer, Error},
         request::{
             CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, REPEAT_HEADER, Request,
             TEAM_HEADER,
         },
         settings::Limits,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::{
         HeaderMap, Method, Uri,
@@ -22,13 +23,9 @@
     std::{
         hash::{Hash, Hasher},
         result,
-        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{
-        sync::{OwnedSemaphorePermit, Semaphore},
-        time::timeout,
-    },
+    tokio::{select, time::timeout},
 };
 
 /// Parses the metadata of a request from its head.
@@ -78,41 +75,37 @@
     pub(super) bytes: Bytes,
     /// Part that has not been read from the caller.
     pub(super) rest: Option<Body>,
-    /// Permit for buffering a longer body.
-    pub(super) _permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Buffers the beginning of a body; the rest, if any, is left unread.
 ///
 /// A body that is buffered wholly can be sent again in a retry. A body longer than
-/// [`PREFETCH_BYTES`] is buffered up to [`LONG_BYTES`] if a permit is available.
+/// [`PREFETCH_BYTES`] is buffered up to [`LONG_BYTES`] while there is memory.
 pub(super) async fn prefetch(
     mut body: Body,
     idle: Duration,
-    long_bodies: &Arc<Semaphore>,
-) -> result::Result<Buffered, &'static str> {
-    let mut bytes = BytesMut::new();
-    let mut limit = PREFETCH_BYTES;
-    let mut permit = None;
-    while !body.is_end_stream() {
-        if bytes.len() >= PREFETCH_BYTES && permit.is_none() {
-            permit = long_bodies.clone().try_acquire_owned().ok();
-            limit = if permit.is_some() { LONG_BYTES } else { PREFETCH_BYTES };
-        }
-        if bytes.len() >= limit {
-            break;
-        }
-        match timeout(idle, body.frame()).await {
-            Err(_) => return Err("timed out reading the body"),
-            Ok(Some(Err(_))) => return Err("failed to read the whole body"),
-            Ok(Some(Ok(frame))) => {
-                bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+    mut buffer: Buffer,
+) -> intake::Result<Buffered> {
+    while !body.is_end_stream() && buffer.len() < LONG_BYTES {
+        let frame = select! {
+            frame = timeout(idle, body.frame()) => frame.map_err(|_| Error::TimedOut(idle))?,
+            () = buffer.giving_up() => return Err(Error::Displaced),
+        };
+        let frame = match frame {
+            None => return Ok(Buffered { bytes: buffer.freeze(), rest: None }),
+            Some(frame) => frame.map_err(|e| Error::Broken(e.to_string()))?,
+        };
+        let Some(piece) = frame.data_ref() else { continue };
+        match buffer.push(piece.clone(), usize::MAX) {
+            Err(Error::Memory(_)) if buffer.len() >= PREFETCH_BYTES => {
+                buffer.push_last(piece);
+                break;
             }
-            Ok(None) => return Ok(Buffered { bytes: bytes.freeze(), rest: None, _permit: permit }),
+            pushed => pushed?,
         }
     }
     let rest = (!body.is_end_stream()).then_some(body);
-    Ok(Buffered { bytes: bytes.freeze(), rest, _permit: permit })
+    Ok(Buffered { bytes: buffer.freeze(), rest })
 }
 
 /// A caller's request, from which the request of each attempt is built.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
     crate::{
         fault::{self, Found, Reader},
         id::{EntryId, ZoneId},
+        intake,
     },
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
@@ -14,6 +15,7 @@
         net::{IpAddr, Ipv4Addr, SocketAddr},
         ops::RangeInclusive,
         path::Path,
+        time::Duration,
     },
 };
 
@@ -25,8 +27,16 @@
 const MEMORY_MB: RangeInclusive<u64> = 32..=1 << 20;
 /// Values allowed for `descriptors`.
 const DESCRIPTORS: RangeInclusive<u32> = 256..=1 << 20;
+/// Divisor of `memory_mb` that gives `body_memory_mb` by default.
+const BODIES_SHARE: u64 = 16;
+/// Values allowed for `head_bytes`.
+const HEAD_BYTES: RangeInclusive<u64> = 8_192..=1 << 20;
 /// Upper bound of `connections`.
 const MAX_CONNECTIONS: u32 = 65_536;
+/// Bytes in a megabyte.
+const MB: u64 = 1_000_000;
+/// Memory for a caller's connection and the one to the endpoint, in bytes.
+const CONNECTION_BYTES: u64 = 192 << 10;
 /// Milliseconds in an hour.
 const HOUR_MS: u64 = 3_600_000;
 /// Milliseconds in a day.
@@ -76,14 +86,22 @@
     pub memory_mb: u64,
     /// Descriptors that the process may open.
     pub descriptors: u32,
+    /// Memory for bodies that are buffered, in MB.
+    pub body_memory_mb: u64,
+    /// Longest head of a request, in bytes.
+    pub head_bytes: u64,
     /// Longest body of a request, in bytes.
     pub body_bytes: u64,
-    /// Maximum number of concurrent connections of callers.
+    /// Maximum number of concurrent connections of callers; it is lower if memory or descriptors allow
+    /// only fewer.
     pub connections: u32,
     /// Timeout for receiving a request's head, in milliseconds.
     pub head_ms: u64,
     /// Time without progress after which a body transfer is aborted, in milliseconds.
     pub idle_ms: u64,
+    /// Time without progress after which a response that its caller does not read is given up, in
+    /// milliseconds.
+    pub write_ms: u64,
     /// Deadline of a request that names none, in milliseconds.
     pub deadline_ms: u64,
     /// Longest duration of a planned stop, in milliseconds.
@@ -93,12 +111,15 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            memory_mb: 512,
+            memory_mb: 1_024,
             descriptors: 4_096,
+            body_memory_mb: 64,
+            head_bytes: 16_384,
             body_bytes: 16 << 20,
             connections: 1024,
             head_ms: 5_000,
             idle_ms: 10_000,
+            write_ms: 15_000,
             deadline_ms: 30_000,
             stop_ms: 30_000,
         }
@@ -205,15 +226,35 @@
 }
 
 impl Limits {
+    /// Limits on what callers may hold.
+    pub fn intake(&self) -> intake::Limits {
+        let memory = self.memory_mb * MB;
+        let sized = intake::Limits::new(memory, self.descriptors.into(), CONNECTION_BYTES);
+        intake::Limits {
+            connections: sized.connections.min(self.connections as usize),
+            body_memory: (self.body_memory_mb * MB) as usize,
+            head_bytes: self.head_bytes as usize,
+            body_bytes: self.body_bytes as usize,
+            head_timeout: Duration::from_millis(self.head_ms),
+            body_timeout: Duration::from_millis(self.idle_ms),
+            write_timeout: Duration::from_millis(self.write_ms),
+        }
+    }
+
     fn read(reader: &mut Reader<'_>) -> Self {
         let default = Self::default();
+        let memory_mb = reader.number("memory_mb", MEMORY_MB, default.memory_mb);
+        let share = memory_mb / BODIES_SHARE;
         Self {
-            memory_mb: reader.number("memory_mb", MEMORY_MB, default.memory_mb),
+            memory_mb,
+            body_memory_mb: reader.number("body_memory_mb", 1..=memory_mb, share),
+            head_bytes: reader.number("head_bytes", HEAD_BYTES, default.head_bytes),
             descriptors: reader.count("descriptors", DESCRIPTORS, default.descriptors),
             body_bytes: reader.number("body_bytes", 1..=MAX_BODY_BYTES, default.body_bytes),
             connections: reader.count("connections", 1..=MAX_CONNECTIONS, default.connections),
             head_ms: reader.number("head_ms", 1..=HOUR_MS, default.head_ms),
             idle_ms: reader.number("idle_ms", 1..=HOUR_MS, default.idle_ms),
+            write_ms: reader.number("write_ms", 1..=HOUR_MS, default.write_ms),
             deadline_ms: reader.number("deadline_ms", 1..=DAY_MS, default.deadline_ms),
             stop_ms: reader.number("stop_ms", 0..=HOUR_MS, default.stop_ms),
         }
