--- a/src/bin/carobhitch-entry/app.rs
+++ b/src/bin/carobhitch-entry/app.rs
@@ -34,7 +34,7 @@
     }
     match config.role {
         Role::Requests(settings) => requests(settings),
-        Role::Jobs(settings) => jobs(settings),
+        Role::Jobs(settings) => jobs(*settings),
     }
 }
 
--- a/src/bin/carobhitch-entry/config.rs
+++ b/src/bin/carobhitch-entry/config.rs
@@ -11,7 +11,7 @@
     /// Serves callers' requests at endpoints.
     Requests(Settings),
     /// Places callers' jobs on runners.
-    Jobs(job::settings::Settings),
+    Jobs(Box<job::settings::Settings>),
 }
 
 /// Configuration of the daemon.
@@ -31,7 +31,7 @@
         if let Some(port) = matches.get_one::<u16>("metrics-port") {
             settings.metrics.set_port(*port);
         }
-        Role::Jobs(settings)
+        Role::Jobs(Box::new(settings))
     } else {
         Role::Requests(Settings::load(&named.unwrap_or_default())?)
     };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -116,6 +116,17 @@
         self.gauge("applied", next);
     }
 
+    /// Sets what callers hold: connections, and memory for bodies in bytes.
+    pub fn held(&self, connections: usize, body_bytes: usize) {
+        self.gauge("intake.connections", connections as u64);
+        self.gauge("intake.body_bytes", body_bytes as u64);
+    }
+
+    /// Counts what was done to keep callers within their limits; `name` is that of the count.
+    pub fn limited(&self, name: &str, number: u64) {
+        self.count(&format!("intake.{name}"), i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Counts bytes exchanged with other entries and the platform.
     pub fn control_bytes(&self, direction: Direction, bytes: u64) {
         self.count(&format!("control_bytes.{direction}"), i64::try_from(bytes).unwrap_or(i64::MAX));
--- a/src/request/daemon/mod.rs
+++ b/src/request/daemon/mod.rs
@@ -22,6 +22,7 @@
         engine::{Engine, Shared},
         event::{Action, Event, Stream},
         id::{OperationId, VmId},
+        intake::Guard,
         metrics::Metrics,
         operator::Calls,
         platform::Append,
@@ -61,6 +62,8 @@
 const PAGE_CHUNKS: usize = 32;
 /// Delay after a failed call to the platform.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time between two sendings of what callers hold, as metrics.
+const INTAKE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two reads of the list of VMs, most of them incremental.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -290,7 +293,11 @@
     let mut engine = Engine::new(Instant::now(), daemon.me.clone(), seeds, daemon.shared.clone());
     engine.set_wall_clock(Instant::now(), UNIX_EPOCH.elapsed().unwrap_or_default());
     match Metrics::open(daemon.settings.metrics, &daemon.me.id) {
-        Ok(metrics) => engine.set_metrics(metrics),
+        Ok(metrics) => {
+            engine.set_metrics(metrics.clone());
+            let guard = Arc::clone(daemon.server.guard());
+            std::thread::spawn(move || send_intake(&metrics, &guard));
+        }
         Err(error) => warn!("engine: {error}."),
     }
     let mut deadline = None;
@@ -331,6 +338,23 @@
     }
 }
 
+/// Sends what callers hold, and what was done to keep them within their limits, as metrics until the process
+/// ends.
+fn send_intake(metrics: &Metrics, guard: &Guard) {
+    let mut sent = guard.counts();
+    loop {
+        std::thread::sleep(INTAKE_INTERVAL);
+        metrics.held(guard.connections(), guard.used_bytes());
+        let counts = guard.counts();
+        for ((name, number), (_, before)) in counts.all().into_iter().zip(sent.all()) {
+            if number > before {
+                metrics.limited(name, number - before);
+            }
+        }
+        sent = counts;
+    }
+}
+
 /// Opens a non-blocking listener.
 fn bind(who: &'static str, address: SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).and_then(|listener| {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -49,6 +49,26 @@
     assert_eq!(read.bounds.status, Duration::from_secs(120), "a missing bound has a default");
 }
 
+#[test]
+fn limits_on_callers_follow_from_the_vm_unless_they_are_set() {
+    let read = |text: &str| settings::parse("local.conf", &format!("{SETTINGS}{text}"));
+    let sized = read("limits.memoryMb=160\nlimits.maxFds=4100\n").unwrap();
+    assert_eq!((sized.intake.connections, sized.intake.body_memory), (305, 10_000_000));
+    assert_eq!((sized.intake.head_bytes, sized.intake.body_bytes), (16_384, 262_144));
+    assert_eq!(sized.bounds.job_memory, 40_000_000);
+    let small = read("limits.memoryMb=64\nlimits.maxFds=300\n").unwrap();
+    assert_eq!((small.intake.connections, small.bounds.job_memory), (50, 16_000_000));
+    let set =
+        read("intake.connections=7\nintake.bodyMs=900\nintake.jobMemoryBytes=5000\n").unwrap();
+    assert_eq!((set.intake.connections, set.bounds.job_memory), (7, 5_000));
+    assert_eq!(set.intake.body_timeout, Duration::from_millis(900));
+    assert_eq!(read("").unwrap().intake.connections, 488, "a VM whose size is not told");
+    let bad = "intake.connections=0\nintake.headBytes=100\nlimits.memoryMb=much\n";
+    let faults = read(bad).unwrap_err();
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    assert_eq!(keys, ["limits.memoryMb", "intake.connections", "intake.headBytes"]);
+}
+
 #[test]
 fn every_fault_of_the_settings_is_reported_at_once() {
     let text = "node=front-a-1\nip=10.1.0.9\nlisten.front=here\nportRange=7060\n\
@@ -85,6 +105,18 @@
     assert_eq!(front::job(backwards), Err(Error::Order(0, 0)));
 }
 
+#[test]
+fn a_job_of_too_many_steps_is_rejected_and_errors_quote_little() {
+    let steps =
+        |count: usize| format!("{{\"steps\":[{}]}}", vec!["{\"count\":1}"; count].join(","));
+    assert!(front::job(steps(256).as_bytes()).is_ok());
+    let error = front::job(steps(257).as_bytes()).unwrap_err().to_string();
+    assert!(error.starts_with("a job has 1 to 256 steps, this one more"), "{error}");
+    let quoted = format!("{{\"steps\":\"{}\"}}", "ä".repeat(100_000));
+    assert!(front::job(quoted.as_bytes()).unwrap_err().to_string().len() < 300);
+    assert!(front::job(b"{\"steps\":7}").unwrap_err().to_string().contains("a list of steps"));
+}
+
 #[test]
 fn organisations_are_decoded_and_a_bad_one_is_named() {
     let with = |tenants: &str| {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -24,6 +24,8 @@
     metrics.in_flight(3);
     metrics.applied(12);
     metrics.control_bytes(Direction::Sent, 99);
+    metrics.held(4, 5);
+    metrics.limited("closed_connections", 6);
     let expected = BTreeSet::from(
         [
             "admitted.quick:1|c",
@@ -34,6 +36,9 @@
             "in_flight:3|g",
             "applied:12|g",
             "control_bytes.sent:99|c",
+            "intake.connections:4|g",
+            "intake.body_bytes:5|g",
+            "intake.closed_connections:6|c",
         ]
         .map(|line| format!("carobhitch.entry_a.{line}")),
     );
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -55,6 +55,26 @@
     assert_eq!(lines(text), expected);
 }
 
+#[test]
+fn limits_on_callers_follow_from_memory_and_descriptors() {
+    let intake = |limits: &str| {
+        Settings::parse("entry.toml", &format!("{VALID}[limits]\n{limits}"))
+            .unwrap()
+            .limits
+            .intake()
+    };
+    assert_eq!(intake("").connections, 1_024);
+    assert_eq!(intake("memory_mb = 64").connections, 81);
+    assert_eq!(intake("memory_mb = 64").body_memory, 4_000_000);
+    assert_eq!(intake("descriptors = 400").connections, 100);
+    assert_eq!(intake("connections = 20").connections, 20);
+    assert_eq!(intake("memory_mb = 64\nbody_memory_mb = 9").body_memory, 9_000_000);
+    let text = format!("{VALID}[limits]\nmemory_mb = 1\ndescriptors = 5\nhead_bytes = 1\n");
+    let lines = lines(&text);
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines[0].contains("limits.memory_mb = 1: must be a whole number from 32"), "{lines:?}");
+}
+
 #[test]
 fn missing_keys_get_their_defaults() {
     let settings = Settings::parse("entry.toml", VALID).unwrap();
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -90,7 +90,7 @@
 /// A cell and everything that it communicates with.
 pub struct Simulation {
     pub cell: Cell,
-    bounds: Bounds,
+    pub bounds: Bounds,
     /// Instant at which the clock of the simulation shows zero.
     pub origin: Instant,
     pub now: Duration,
