Settings and counts of each limit on callers; keep relayed bodies' memory reserved

Header fields, stalled connections and the longest deadline get settings of their own; heads that are rejected or late and answers that nobody reads are counted.

--- a/src/bin/carobhitch-entry/app.rs
+++ b/src/bin/carobhitch-entry/app.rs
@@ -33,7 +33,7 @@
         return Ok(());
     }
     match config.role {
-        Role::Requests(settings) => requests(settings),
+        Role::Requests(settings) => requests(*settings),
         Role::Jobs(settings) => jobs(*settings),
     }
 }
--- a/src/bin/carobhitch-entry/config.rs
+++ b/src/bin/carobhitch-entry/config.rs
@@ -9,7 +9,7 @@
 /// Role of the entry, with its validated settings.
 pub(crate) enum Role {
     /// Serves callers' requests at endpoints.
-    Requests(Settings),
+    Requests(Box<Settings>),
     /// Places callers' jobs on runners.
     Jobs(Box<job::settings::Settings>),
 }
@@ -33,7 +33,7 @@
         }
         Role::Jobs(Box::new(settings))
     } else {
-        Role::Requests(Settings::load(&named.unwrap_or_default())?)
+        Role::Requests(Box::new(Settings::load(&named.unwrap_or_default())?))
     };
     Ok(Config { role, check: matches.get_flag("check") })
 }
--- a/src/intake/connections.rs
+++ b/src/intake/connections.rs
@@ -11,13 +11,12 @@
 
 /// Time for which a caller takes nothing of a response before its connection counts as stalled.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
-/// Divisor of the maximum number of connections that gives that of stalled ones.
-const STALLED_SHARE: usize = 16;
 
 /// Open connections of callers.
 #[derive(Clone, Debug)]
 pub struct Connections {
     max: usize,
+    max_stalled: usize,
     next_id: Id,
     open: IndexMap<Id, Phase>,
 }
@@ -44,9 +43,9 @@
 }
 
 impl Connections {
-    /// Begins without connections; at most `max` may be open.
-    pub fn new(max: usize) -> Self {
-        Self { max, next_id: 0, open: IndexMap::new() }
+    /// Begins without connections; at most `max` may be open, and `max_stalled` of them stalled.
+    pub fn new(max: usize, max_stalled: usize) -> Self {
+        Self { max, max_stalled, next_id: 0, open: IndexMap::new() }
     }
 
     /// Admits a new connection; returns its number and that of the connection to be closed for it. Fails if
@@ -95,7 +94,7 @@
         });
         let mut stalled: Vec<_> = stalled.collect();
         stalled.sort_unstable();
-        let excess = stalled.len().saturating_sub((self.max / STALLED_SHARE).max(1));
+        let excess = stalled.len().saturating_sub(self.max_stalled);
         let closed: Vec<_> = stalled.into_iter().take(excess).map(|(_, id)| id).collect();
         closed.iter().for_each(|&id| self.close(id));
         closed
--- a/src/intake/guard.rs
+++ b/src/intake/guard.rs
@@ -5,6 +5,8 @@
     indexmap::IndexMap,
     log::warn,
     std::{
+        error::Error as _,
+        io::{self, ErrorKind},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -49,11 +51,17 @@
     pub displaced_bodies: u64,
     /// Bodies that were too long, late or broken off.
     pub rejected_bodies: u64,
+    /// Heads that were too long or malformed.
+    pub rejected_heads: u64,
+    /// Heads that did not arrive in time, also on connections that were idle.
+    pub late_heads: u64,
+    /// Answers that their callers did not read.
+    pub unread_answers: u64,
 }
 
 impl Counts {
     /// Name and value of each count.
-    pub fn all(&self) -> [(&'static str, u64); 6] {
+    pub fn all(&self) -> [(&'static str, u64); 9] {
         [
             ("refused_connections", self.refused_connections),
             ("closed_connections", self.closed_connections),
@@ -61,6 +69,9 @@
             ("refused_bodies", self.refused_bodies),
             ("displaced_bodies", self.displaced_bodies),
             ("rejected_bodies", self.rejected_bodies),
+            ("rejected_heads", self.rejected_heads),
+            ("late_heads", self.late_heads),
+            ("unread_answers", self.unread_answers),
         ]
     }
 }
@@ -69,7 +80,7 @@
     /// Begins without connections.
     pub fn new(limits: Limits) -> Arc<Self> {
         let state = State {
-            connections: Connections::new(limits.connections),
+            connections: Connections::new(limits.connections, limits.stalled_connections),
             memory: Memory::new(limits.body_memory),
             closing: IndexMap::new(),
             giving_up: IndexMap::new(),
@@ -166,6 +177,18 @@
         }
     }
 
+    /// Counts a connection that the HTTP library has ended with an error.
+    pub fn count_error(&self, error: &hyper::Error) {
+        let counts = &mut self.state().counts;
+        if error.is_timeout() {
+            counts.late_heads += 1;
+        } else if error.is_parse() {
+            counts.rejected_heads += 1;
+        } else if is_write_timeout(error) {
+            counts.unread_answers += 1;
+        }
+    }
+
     /// Logs the growth of the counts, in one line an interval at most.
     pub async fn report_periodically(self: Arc<Self>) {
         let mut reported = Counts::default();
@@ -192,6 +215,12 @@
     }
 }
 
+/// Whether an answer was given up as its caller did not read it.
+fn is_write_timeout(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == ErrorKind::TimedOut)
+}
+
 /// An open connection of a caller, until it is dropped.
 pub struct Connection {
     guard: Arc<Guard>,
--- a/src/intake/http.rs
+++ b/src/intake/http.rs
@@ -1,7 +1,7 @@
 //! Buffers of the HTTP library and the kernel for a connection.
 
 use {
-    super::{Limits, MAX_FIELDS, RECEIVE_BYTES},
+    super::{Limits, RECEIVE_BYTES},
     hyper::server::conn::http1::Builder,
     hyper_util::rt::TokioTimer,
     rustix::{io, net::sockopt},
@@ -17,7 +17,7 @@
         .header_read_timeout(limits.head_timeout)
         // The library takes a head that fills its buffer for too long.
         .max_buf_size(limits.head_bytes + 1)
-        .max_headers(MAX_FIELDS);
+        .max_headers(limits.head_fields);
     builder
 }
 
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -71,8 +71,8 @@
 pub const HEAD_BYTES: usize = 16 << 10;
 /// Longest body of a request by default, in bytes.
 const BODY_BYTES: usize = 256 << 10;
-/// Largest number of header fields in a request.
-pub const MAX_FIELDS: usize = 512;
+/// Largest number of header fields in a request by default.
+pub const HEAD_FIELDS: usize = 512;
 /// Memory for a connection: a head, the receive buffers of the library and the kernel, and its state.
 pub const CONNECTION_BYTES: u64 = 128 << 10;
 /// Part of a body that counts as memory of its connection, in bytes.
@@ -87,6 +87,8 @@
 const FILE_DESCRIPTORS: u64 = 200;
 /// Divisor of the descriptors for sockets that gives those for callers.
 const DESCRIPTORS_SHARE: u64 = 2;
+/// Divisor of the number of connections that gives that of stalled ones.
+const STALLED_SHARE: usize = 16;
 /// Smallest number of connections.
 const MIN_CONNECTIONS: u64 = 16;
 
@@ -96,10 +98,14 @@
 pub struct Limits {
     /// Maximum number of open connections.
     pub connections: usize,
+    /// Maximum number of connections whose callers do not take their responses.
+    pub stalled_connections: usize,
     /// Memory for bodies beyond [`ALLOWANCE_BYTES`] of each, in bytes.
     pub body_memory: usize,
     /// Longest head of a request, in bytes.
     pub head_bytes: usize,
+    /// Largest number of header fields in a request.
+    pub head_fields: usize,
     /// Longest body of a request, in bytes.
     pub body_bytes: usize,
     /// Time for receiving a request's head, counted from the connection's start or its last answer.
@@ -116,10 +122,13 @@
     pub fn new(memory_bytes: u64, descriptors: u64, connection_bytes: u64) -> Self {
         let by_memory = memory_bytes / CONNECTIONS_SHARE / connection_bytes;
         let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTORS_SHARE;
+        let connections = by_memory.min(by_descriptors).max(MIN_CONNECTIONS) as usize;
         Self {
-            connections: by_memory.min(by_descriptors).max(MIN_CONNECTIONS) as usize,
+            connections,
+            stalled_connections: connections / STALLED_SHARE,
             body_memory: (memory_bytes / BODIES_SHARE) as usize,
             head_bytes: HEAD_BYTES,
+            head_fields: HEAD_FIELDS,
             body_bytes: BODY_BYTES,
             head_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(5),
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -37,8 +37,6 @@
 
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
-/// Longest deadline; a longer one is reduced to it.
-const MAX_DEADLINE: Duration = Duration::from_secs(60);
 /// Longest part of a path in a log line, in bytes.
 const MAX_LOGGED_PATH_BYTES: usize = 128;
 /// Part of a deadline that is kept for sending the answer.
@@ -79,6 +77,7 @@
         }
     };
     if let Err(e) = outcome {
+        shared.intake.count_error(&e);
         debug!("front: connection of a caller ended: {e}");
     }
 }
@@ -137,7 +136,8 @@
     let host = header(HOST.as_str()).unwrap_or_default();
     let host = String::from(host.split(':').next().unwrap_or_default());
     let deadline = header(adapter::front::DEADLINE).and_then(|ms| ms.parse().ok());
-    let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis).min(MAX_DEADLINE);
+    let deadline =
+        deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis).min(shared.settings.max_deadline);
     let key = header(adapter::front::KEY).map(Key::new);
     let path = String::from(request.uri().path());
     let limits = shared.intake.limits();
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -67,6 +67,18 @@
     pub key: Option<Key>,
 }
 
+/// Body of a relayed request. The memory of its message stays reserved until it is dropped.
+struct RelayedBody {
+    body: Bytes,
+    _message: Bytes,
+}
+
+impl AsRef<[u8]> for RelayedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Method of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -255,7 +267,10 @@
         return Ok(reply(&shared.status()));
     }
     let answer = match extension::decode::<Relay, Key>(&body) {
-        Ok((relay, key)) => shared.decide(Relay { key, ..relay }).await,
+        Ok((relay, key)) => {
+            let body = Bytes::from_owner(RelayedBody { body: relay.body, _message: body });
+            shared.decide(Relay { key, body, ..relay }).await
+        }
         Err(e) => Answer::Malformed(e.to_string()),
     };
     Ok(reply(&answer))
--- a/src/job/settings.rs
+++ b/src/job/settings.rs
@@ -32,6 +32,8 @@
     pub cores: f64,
     /// Limits on what callers may hold of this VM's memory and descriptors.
     pub intake: intake::Limits,
+    /// Longest deadline of a request; a longer one is reduced to it.
+    pub max_deadline: Duration,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
 }
--- a/src/request/server/mod.rs
+++ b/src/request/server/mod.rs
@@ -237,6 +237,7 @@
         }
     };
     if let Err(error) = ended {
+        guard.count_error(&error);
         debug!("server: Connection from {peer} failed: {error}.");
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,8 @@
 const BODIES_SHARE: u64 = 16;
 /// Values allowed for `head_bytes`.
 const HEAD_BYTES: RangeInclusive<u64> = 8_192..=1 << 20;
+/// Values allowed for `head_fields`.
+const HEAD_FIELDS: RangeInclusive<u32> = 16..=4_096;
 /// Upper bound of `connections`.
 const MAX_CONNECTIONS: u32 = 65_536;
 /// Bytes in a megabyte.
@@ -90,11 +92,15 @@
     pub body_memory_mb: u64,
     /// Longest head of a request, in bytes.
     pub head_bytes: u64,
+    /// Largest number of header fields in a request.
+    pub head_fields: u32,
     /// Longest body of a request, in bytes.
     pub body_bytes: u64,
     /// Maximum number of concurrent connections of callers; it is lower if memory or descriptors allow
     /// only fewer.
     pub connections: u32,
+    /// Maximum number of connections whose callers do not take their responses.
+    pub stalled_connections: u32,
     /// Timeout for receiving a request's head, in milliseconds.
     pub head_ms: u64,
     /// Time without progress after which a body transfer is aborted, in milliseconds.
@@ -115,8 +121,10 @@
             descriptors: 4_096,
             body_memory_mb: 64,
             head_bytes: 16_384,
+            head_fields: 512,
             body_bytes: 16 << 20,
             connections: 1024,
+            stalled_connections: 64,
             head_ms: 5_000,
             idle_ms: 10_000,
             write_ms: 15_000,
@@ -232,8 +240,10 @@
         let sized = intake::Limits::new(memory, self.descriptors.into(), CONNECTION_BYTES);
         intake::Limits {
             connections: sized.connections.min(self.connections as usize),
+            stalled_connections: sized.stalled_connections.min(self.stalled_connections as usize),
             body_memory: (self.body_memory_mb * MB) as usize,
             head_bytes: self.head_bytes as usize,
+            head_fields: self.head_fields as usize,
             body_bytes: self.body_bytes as usize,
             head_timeout: Duration::from_millis(self.head_ms),
             body_timeout: Duration::from_millis(self.idle_ms),
@@ -250,8 +260,14 @@
             body_memory_mb: reader.number("body_memory_mb", 1..=memory_mb, share),
             head_bytes: reader.number("head_bytes", HEAD_BYTES, default.head_bytes),
             descriptors: reader.count("descriptors", DESCRIPTORS, default.descriptors),
+            head_fields: reader.count("head_fields", HEAD_FIELDS, default.head_fields),
             body_bytes: reader.number("body_bytes", 1..=MAX_BODY_BYTES, default.body_bytes),
             connections: reader.count("connections", 1..=MAX_CONNECTIONS, default.connections),
+            stalled_connections: reader.count(
+                "stalled_connections",
+                0..=MAX_CONNECTIONS,
+                default.stalled_connections,
+            ),
             head_ms: reader.number("head_ms", 1..=HOUR_MS, default.head_ms),
             idle_ms: reader.number("idle_ms", 1..=HOUR_MS, default.idle_ms),
             write_ms: reader.number("write_ms", 1..=HOUR_MS, default.write_ms),
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -22,7 +22,7 @@
 #[test]
 fn a_new_connection_replaces_the_one_that_has_waited_for_longest() {
     let now = Instant::now();
-    let mut connections = Connections::new(3);
+    let mut connections = Connections::new(3, 1);
     let ids: Vec<_> = (0..3).map(|n| connections.open(now + SECOND * n).unwrap().0).collect();
     connections.handle(ids[0]);
     let (fourth, closed) = connections.open(now + SECOND * 4).unwrap();
@@ -38,7 +38,7 @@
 #[test]
 fn no_connection_is_closed_while_its_request_is_handled() {
     let now = Instant::now();
-    let mut connections = Connections::new(2);
+    let mut connections = Connections::new(2, 1);
     for _ in 0..2 {
         let (id, _) = connections.open(now).unwrap();
         connections.handle(id);
@@ -53,7 +53,7 @@
 #[test]
 fn only_the_excess_of_stalled_responses_is_closed() {
     let now = Instant::now();
-    let mut connections = Connections::new(64);
+    let mut connections = Connections::new(64, 4);
     let ids: Vec<_> = (0..10).map(|_| connections.open(now).unwrap().0).collect();
     for (n, id) in (0..).zip(&ids[..6]) {
         connections.send(*id, now + SECOND * n);
@@ -147,7 +147,7 @@
         steps in vec((0..6u8, 0..12u64, 0..60usize), 1..200),
     ) {
         let mut now = Instant::now();
-        let mut connections = Connections::new(8);
+        let mut connections = Connections::new(8, 2);
         let mut memory = Memory::new(100);
         for (step, id, bytes) in steps {
             now += SECOND / 4;
