Random crowds with seeds, beside restarts of entries that place jobs

Messages of random kind and length from 240 clients, in four rounds that overlap, at entries that are killed, started again and told to reload meanwhile (job plane).

--- a/standin/tests/clients_jobs.rs
+++ b/standin/tests/clients_jobs.rs
@@ -8,6 +8,7 @@
 
 use {
     crowd::{BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, LOG_BYTES, chunks},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     site::{Site, job, wait},
     std::{
         io::{Read, Write},
@@ -311,6 +312,41 @@
     });
 }
 
+/// Crowds at both entries that come and go while entries are killed and started again.
+#[test]
+fn random_crowds_and_restarts_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    for seed in crowd::seeds() {
+        println!("seed {seed}");
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut site = start(&format!("random-{seed}"));
+        let mut crowds = Vec::new();
+        for round in 0..4 {
+            let entry = rng.random_range(0..2);
+            let mut crowd = Crowd::open(site.entries[entry].callers, CLIENTS);
+            crowd.send(|client| {
+                let mut rng = SmallRng::seed_from_u64(seed << 32 | round << 16 | client as u64);
+                let id = 1 + round * CLIENTS as u64 + client as u64;
+                crowd::random_message(&mut rng, |fields| head(id, fields))
+            });
+            check(&site);
+            crowds.push(crowd);
+            match rng.random_range(0..4) {
+                0 => crowds.clear(),
+                1 => {
+                    let killed = rng.random_range(0..2);
+                    site.kill(killed);
+                    site.launch(killed);
+                }
+                2 => site.signal(entry, "-HUP"),
+                _ => {}
+            }
+            serve_ordinary_caller(&site, entry, ORDINARY + round);
+        }
+        check(&site);
+    }
+}
+
 #[test]
 fn requests_at_the_limits_are_served_in_calm() {
     let _turn = crowd::turn();
--- a/standin/tests/clients_requests.rs
+++ b/standin/tests/clients_requests.rs
@@ -9,6 +9,7 @@
 use {
     crowd::{CLIENTS, Crowd, chunks},
     fleet::{Fleet, wait},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
@@ -199,6 +200,34 @@
     fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
 }
 
+/// Crowds at both entries that come and go.
+#[test]
+fn random_crowds_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    for seed in crowd::seeds() {
+        println!("seed {seed}");
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let fleet = Fleet::with_limits(&format!("crowd-random-{seed}"), ZONES, LIMITS);
+        let mut crowds = Vec::new();
+        for round in 0..4 {
+            let entry = &fleet.entries[rng.random_range(0..2)];
+            let mut crowd = Crowd::open(entry.callers, CLIENTS);
+            crowd.send(|client| {
+                let mut rng = SmallRng::seed_from_u64(seed << 32 | round << 16 | client as u64);
+                let answer_bytes = rng.random_range(0..400_000);
+                crowd::random_message(&mut rng, |fields| head(client, answer_bytes, fields))
+            });
+            check(&fleet, MAX_FDS);
+            crowds.push(crowd);
+            if rng.random_bool(0.3) {
+                crowds.clear();
+            }
+            serve_ordinary_caller(entry.callers);
+        }
+        check(&fleet, MAX_FDS);
+    }
+}
+
 #[test]
 fn long_requests_and_responses_are_served_in_calm() {
     let _turn = crowd::turn();
--- a/standin/tests/crowd/mod.rs
+++ b/standin/tests/crowd/mod.rs
@@ -2,13 +2,16 @@
 
 #![allow(dead_code)]
 
-use std::{
-    fs,
-    io::{ErrorKind, Read, Write},
-    net::{SocketAddr, TcpStream},
-    sync::{Mutex, MutexGuard, PoisonError},
-    thread::sleep,
-    time::{Duration, Instant},
+use {
+    rand::{Rng, rngs::SmallRng},
+    std::{
+        env, fs,
+        io::{ErrorKind, Read, Write},
+        net::{SocketAddr, TcpStream},
+        sync::{Mutex, MutexGuard, PoisonError},
+        thread::sleep,
+        time::{Duration, Instant},
+    },
 };
 
 /// Number of clients in a crowd.
@@ -210,3 +213,37 @@
     }
     chunks
 }
+
+/// Seeds of the random crowds: `CROWD_SEEDS=FIRST..END`, or one.
+pub fn seeds() -> std::ops::Range<u64> {
+    let given = env::var("CROWD_SEEDS").ok();
+    let range = given.as_deref().and_then(|given| {
+        let (first, end) = given.split_once("..")?;
+        Some(first.parse().ok()?..end.parse().ok()?)
+    });
+    range.unwrap_or(1..2)
+}
+
+/// What a random client sends; `head` gives the head of a request with header fields.
+pub fn random_message(rng: &mut SmallRng, head: impl Fn(&str) -> Vec<u8>) -> Vec<u8> {
+    let length = rng.random_range(0..BODY_BYTES);
+    let body = vec![b' '; length];
+    let sent = &body[..rng.random_range(0..=length)];
+    match rng.random_range(0..9) {
+        0 => endless_head(rng.random_range(60..1 << 19)),
+        1 => endless_fields(rng.random_range(60..1 << 19)),
+        2 => b"\r\n".repeat(rng.random_range(0..1 << 18)),
+        3 => [head(&format!("Content-Length: {length}")), sent.to_vec()].concat(),
+        4 => {
+            let size = rng.random_range(1..1 << 16);
+            [head("Transfer-Encoding: chunked"), chunks(sent, size)].concat()
+        }
+        5 => {
+            let sent = &sent[..sent.len().min(1 << 14)];
+            [head("Transfer-Encoding: chunked"), chunks(sent, 1)].concat()
+        }
+        6 => head("Content-Length: 0").repeat(rng.random_range(1..200)),
+        7 => (0..length.min(1 << 14)).map(|_| rng.random()).collect(),
+        _ => Vec::new(),
+    }
+}
