--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -63,10 +63,13 @@
     assert_eq!((set.intake.connections, set.bounds.job_memory), (7, 5_000));
     assert_eq!(set.intake.body_timeout, Duration::from_millis(900));
     assert_eq!(read("").unwrap().intake.connections, 488, "a VM whose size is not told");
-    let bad = "intake.connections=0\nintake.headBytes=100\nlimits.memoryMb=much\n";
+    let bad = "intake.connections=0\nintake.headBytes=100\nlimits.memoryMb=much\nintake.bodyMs=0\n";
     let faults = read(bad).unwrap_err();
     let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
-    assert_eq!(keys, ["limits.memoryMb", "intake.connections", "intake.headBytes"]);
+    assert_eq!(
+        keys,
+        ["limits.memoryMb", "intake.connections", "intake.headBytes", "intake.bodyMs"]
+    );
 }
 
 #[test]
