--- a/src/intake/guard.rs
+++ b/src/intake/guard.rs
@@ -189,12 +189,13 @@
         }
     }
 
-    /// Logs the growth of the counts, in one line an interval at most.
+    /// Logs the growth of the counts, in one line an interval at most. Late heads are left out, as they
+    /// include idle connections.
     pub async fn report_periodically(self: Arc<Self>) {
         let mut reported = Counts::default();
         loop {
             sleep(REPORT_INTERVAL).await;
-            let counts = self.counts();
+            let counts = Counts { late_heads: 0, ..self.counts() };
             if counts != reported {
                 self.report(&reported, &counts);
                 reported = counts;
@@ -204,6 +205,7 @@
 
     fn report(&self, before: &Counts, now: &Counts) {
         let grown = now.all().into_iter().zip(before.all());
+        let grown = grown.filter(|((_, now), (_, before))| now > before);
         let grown = grown.map(|((name, now), (_, before))| format!("{name}={}", now - before));
         let (connections, bytes) = (self.connections(), self.used_bytes());
         let grown = grown.collect::<Vec<_>>().join(" ");
