Call no refused repetition of an order not-run

For a repetition not-run speaks for the earlier requests with the key as well, which may have run. The engine knows that rule; the server before it did not. Such an answer is unknown now.

Evidence: a_refused_repetition_of_an_order_is_not_called_not_run fails without the change (not-run for a repetition), and holds with it.

--- a/src/request/server/mod.rs
+++ b/src/request/server/mod.rs
@@ -18,7 +18,7 @@
         id::AttemptId,
         intake::{self, Buffer, Connection, Guard, Reservation, Stream},
         relay,
-        request::Outcome,
+        request::{Outcome, REPEAT_HEADER},
         settings::Limits,
     },
     crossbeam::channel::Sender,
@@ -277,15 +277,6 @@
     accept(server, request, Origin::Entry, reservation, || ()).await
 }
 
-/// Response to a request whose body was not read.
-fn not_read(error: &intake::Error) -> Response<Body> {
-    if error.is_temporary() {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return response::not_run(status, &error.to_string(), Some(MEMORY_DELAY));
-    }
-    response::not_run(StatusCode::REQUEST_TIMEOUT, &error.to_string(), None)
-}
-
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -305,24 +296,29 @@
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let limits = &server.limits;
+    let is_repeat = parts.headers.contains_key(REPEAT_HEADER);
     let parsed = receive::parse(&parts.uri, &parts.headers, limits, Instant::now());
     let parsed = match parsed {
         Ok(parsed) => parsed,
-        Err(reason) => return response::not_run(StatusCode::BAD_REQUEST, &reason, None),
+        Err(reason) => {
+            return response::not_admitted(StatusCode::BAD_REQUEST, is_repeat, &reason, None);
+        }
     };
     if body.size_hint().lower() > limits.body_bytes {
-        return response::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body exceeds the size limit",
-            None,
-        );
+        let reason = "the body exceeds the size limit";
+        return response::not_admitted(StatusCode::PAYLOAD_TOO_LARGE, is_repeat, reason, None);
     }
     let idle = Duration::from_millis(limits.idle_ms);
     let body = match receive::prefetch(body, idle, Buffer::new(reservation)).await {
         Ok(body) => body,
         Err(error) => {
             server.guard.count_rejection(&error);
-            return not_read(&error);
+            let (status, retry_after) = if error.is_temporary() {
+                (StatusCode::SERVICE_UNAVAILABLE, Some(MEMORY_DELAY))
+            } else {
+                (StatusCode::REQUEST_TIMEOUT, None)
+            };
+            return response::not_admitted(status, is_repeat, &error.to_string(), retry_after);
         }
     };
     read();
--- a/src/request/server/response.rs
+++ b/src/request/server/response.rs
@@ -19,7 +19,8 @@
 pub(super) fn finished(finish: Finish) -> Response<Body> {
     match finish {
         Finish::NotRun { reason, retry_after } => {
-            not_run(StatusCode::SERVICE_UNAVAILABLE, &reason, Some(retry_after))
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            with_outcome(status, Outcome::NotRun, &reason, Some(retry_after))
         }
         Finish::Failed { reason } => {
             with_outcome(StatusCode::BAD_GATEWAY, Outcome::Failed, &reason, None)
@@ -41,13 +42,16 @@
     }
 }
 
-/// Response that the request certainly did not run.
-pub(super) fn not_run(
+/// Response to a request that was not admitted. It did not run, but earlier requests with the key of one
+/// that `is_repeat` may have run.
+pub(super) fn not_admitted(
     status: StatusCode,
+    is_repeat: bool,
     reason: &str,
     retry_after: Option<Duration>,
 ) -> Response<Body> {
-    with_outcome(status, Outcome::NotRun, reason, retry_after)
+    let outcome = if is_repeat { Outcome::Unknown } else { Outcome::NotRun };
+    with_outcome(status, outcome, reason, retry_after)
 }
 
 /// Response with the outcome header and the reason, or an order's stored body, as its body.
--- a/standin/tests/clients_requests.rs
+++ b/standin/tests/clients_requests.rs
@@ -200,6 +200,28 @@
     fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
 }
 
+/// Requests that the entry has no memory for, or whose body stops, are refused. Of a repeated order that
+/// says nothing about its earlier requests.
+#[test]
+fn a_refused_repetition_of_an_order_is_not_called_not_run() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-repeats", ZONES, "memory_mb = 64\nbody_memory_mb = 1\n");
+    let order = "Idempotency-Key: k\r\nContent-Length: 60000";
+    for (repeat, outcome) in [("", "not-run"), ("Carobhitch-Repeat: 1\r\n", "unknown")] {
+        let mut crowd = Crowd::open(fleet.entries[0].callers, 40);
+        crowd.send(|client| head(client, 0, &format!("{repeat}{order}")));
+        crowd.send_all(&[b'q'; 59_999]);
+        let refused = crowd.answers();
+        let refused: Vec<_> = refused.iter().filter(|answer| !answer.is_empty()).collect();
+        assert!(!refused.is_empty(), "40 bodies of 60 kB need more than 1 MB");
+        for answer in refused {
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.contains(&format!("carobhitch-outcome: {outcome}\r\n")), "{answer}");
+            assert!(answer.contains("retry-after: "), "{answer}");
+        }
+    }
+}
+
 /// Crowds at both entries that come and go.
 #[test]
 fn random_crowds_stay_within_an_entry() {
