Claim nothing about earlier requests where a body finds no memory

Since an entry without memory for a body, or the owner for a relayed request, answered 503: nothing will run. But it has not looked at the request: a caller that got no answer sends its job again under the same name, and that job may be stored and run.

Ruled out: to look the job up first, which needs the message that there is no memory for.

Change: Answer::Overloaded, 504 with Retry-After. It is not sent again by the relaying entry. A job that the owner has looked up and has no memory for stays 503.

--- a/src/job/answer.rs
+++ b/src/job/answer.rs
@@ -59,6 +59,13 @@
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// not looked at, so it is not known whether an earlier request was stored: {why}
+    Overloaded {
+        /// Reason.
+        why: String,
+        /// Delay after which the caller should retry.
+        retry_after: Duration,
+    },
 }
 
 impl Answer {
@@ -74,7 +81,7 @@
             Self::OverRate { .. } => 429,
             Self::Method => 405,
             Self::Refused { .. } | Self::NoOwner(_) => 503,
-            Self::Unknown(_) => 504,
+            Self::Unknown(_) | Self::Overloaded { .. } => 504,
         }
     }
 
@@ -89,13 +96,19 @@
     /// Delay after which the caller of a refused request should retry.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after, .. } | Self::OverRate { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            Self::Refused { retry_after, .. }
+            | Self::OverRate { retry_after, .. }
+            | Self::Overloaded { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
     }
 
+    /// Answers a request that was not looked at, for want of memory. Its job may have been stored by an
+    /// earlier request, so it does not say that nothing will run.
+    pub fn overloaded(why: impl Into<String>) -> Self {
+        Self::Overloaded { why: why.into(), retry_after: MIN_RETRY_AFTER }
+    }
+
     /// Refuses a request that hasn't been passed on. `missing` is the time for which the part that
     /// it needs, such as the ledger, has not answered; the caller is told to retry after the same
     /// time again, within bounds.
--- a/src/job/daemon/front.rs
+++ b/src/job/daemon/front.rs
@@ -146,7 +146,7 @@
     let body = intake::read(body, reservation, limits.body_bytes, limits.body_timeout).await;
     let body = match body {
         Ok(body) => body,
-        Err(e) if e.is_temporary() => return Answer::refused(e.to_string(), Duration::ZERO),
+        Err(e) if e.is_temporary() => return Answer::overloaded(e.to_string()),
         Err(e) => return Answer::Malformed(e.to_string()),
     };
     connection.handle();
--- a/src/job/daemon/peer.rs
+++ b/src/job/daemon/peer.rs
@@ -256,7 +256,7 @@
     let body = match intake::read(body, reservation, MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await {
         Ok(body) => body,
         Err(e) if e.is_temporary() && !asks_status => {
-            return Ok(reply(&Answer::refused(e.to_string(), Duration::ZERO)));
+            return Ok(reply(&Answer::overloaded(e.to_string())));
         }
         Err(e) => return Ok(plain(StatusCode::BAD_REQUEST, e.to_string().into_bytes())),
     };
--- a/tests/job_attempt.rs
+++ b/tests/job_attempt.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// What was not looked at for want of memory says nothing about an earlier attempt or request, and tells the
+/// caller when to return. It is not sent again: that would need memory too.
+#[test]
+fn an_overloaded_owner_or_entry_claims_nothing_about_earlier_requests() {
+    let overloaded = Answer::overloaded("no memory");
+    assert_eq!(overloaded.status(), 504);
+    assert_eq!(overloaded.retry_after(), Some(Duration::from_secs(1)));
+    assert!(!overloaded.is_denial());
+    for before in [None, Some(unknown())] {
+        let mut attempts = Attempts::new(true);
+        if let Some(answer) = before {
+            assert_eq!(attempts.decide(answer, true), None);
+        }
+        assert_eq!(attempts.decide(overloaded.clone(), true), Some(overloaded.clone()));
+    }
+}
+
 #[test]
 fn a_query_gets_the_newest_answer() {
     for denial in denials() {
