Bound the requests that wait for the owner

Found by reading what the owner keeps for callers; nobody has seen it. While the store is away a request for an unknown job waits for the ledger, also once its caller has gone, and connections are free again then. So any number could wait.

Change: job::replies bounds them by intake.pendingRequests (one for each 64 KiB of the VM's memory). Above it a new job is refused (503), anything else is answered as not known (504), with Retry-After; event refuse_pending. intake.internalConnections is a setting now.

--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -51,9 +51,6 @@
     },
 };
 
-/// Maximum number of the platform's connections to the readiness check and the metrics.
-const INTERNAL_CONNECTIONS: usize = 32;
-
 /// Result of the daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -87,7 +84,7 @@
     let metrics = listen("metrics", settings.metrics).await?;
     let store = Rc::new(Store::new(settings.store, Rc::clone(&meter)));
     let intake = Guard::new(settings.intake);
-    let internal = intake::Limits { connections: INTERNAL_CONNECTIONS, ..settings.intake };
+    let internal = intake::Limits { connections: settings.internal_connections, ..settings.intake };
     let internal = Guard::new(internal);
     let shared = Rc::new(Shared {
         settings,
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -16,15 +16,15 @@
         },
         job::{
             answer::Answer,
-            cell::{Action, Cell, NoAdvice, RequestId, RunnerId, Tickets},
+            cell::{Action, Cell, NoAdvice, RunnerId, Tickets},
             claim::Epoch,
             clock,
             ledger::{self, Record},
+            replies::Replies,
             spec::Task,
             upkeep,
         },
     },
-    indexmap::IndexMap,
     log::{error, info, warn},
     std::{
         rc::Rc,
@@ -94,8 +94,7 @@
         started: begun,
         last_sequence: 0,
         append_started: None,
-        replies: IndexMap::new(),
-        next_request: 0,
+        replies: Replies::new(shared.settings.max_pending),
         events: sender,
         tasks,
     };
@@ -121,8 +120,7 @@
     /// When the append in progress began.
     append_started: Option<Instant>,
     /// Where the answers to requests in progress go.
-    pub(super) replies: IndexMap<RequestId, oneshot::Sender<Answer>>,
-    pub(super) next_request: RequestId,
+    pub(super) replies: Replies<oneshot::Sender<Answer>>,
     runners: Runners,
     fleet: Option<Rc<Channel>>,
     pub(super) advisor: Option<Rc<Channel>>,
@@ -278,7 +276,7 @@
             self.shared.meter.count_event(action.name());
             match action {
                 Action::Answer(request, answer) => {
-                    if let Some(reply) = self.replies.swap_remove(&request) {
+                    if let Some(reply) = self.replies.take(request) {
                         send(reply, answer);
                     }
                 }
--- a/src/job/daemon/request.rs
+++ b/src/job/daemon/request.rs
@@ -8,12 +8,7 @@
     },
     crate::{
         adapter,
-        job::{
-            access::Name,
-            answer::Answer,
-            cell::{RequestId, Submission},
-            spec,
-        },
+        job::{access::Name, answer::Answer, cell::Submission, spec},
     },
     log::info,
     std::{
@@ -23,6 +18,8 @@
     tokio::sync::oneshot,
 };
 
+/// Reason of an answer to a request for which too many others wait.
+const TOO_MANY_PENDING: &str = "too many requests wait for an answer";
 /// `Retry-After` of a job that this release does not support.
 const UNSUPPORTED_RETRY_AFTER: Duration = Duration::from_secs(3_600);
 impl Driver {
@@ -44,11 +41,14 @@
             }
             Err(answer) => return self.turn_away(&relay, &queue, answer, reply),
         };
+        if self.replies.is_full() {
+            return self.reject_pending(&relay, &rest, reply);
+        }
         if relay.method == Method::Get && rest.is_empty() {
             if let Some(missing) = self.ledger_missing(now) {
                 return send(reply, Answer::refused(LEDGER_UNRESPONSIVE, missing));
             }
-            let request = self.register(reply);
+            let request = self.replies.register(reply);
             return self.cell.count_pending(now, request, &queue);
         }
         let Some(id) = adapter::front::name(&rest) else {
@@ -61,11 +61,11 @@
         match relay.method {
             Method::Post => self.submit(now, &relay, (queue, caller), id, reply),
             Method::Get => {
-                let request = self.register(reply);
+                let request = self.replies.register(reply);
                 self.cell.query(request, caller.as_deref(), id);
             }
             Method::Delete => {
-                let request = self.register(reply);
+                let request = self.replies.register(reply);
                 self.cell.cancel(now, request, caller.as_deref(), id);
             }
             Method::Other => send(reply, Answer::Method),
@@ -124,7 +124,7 @@
         }
         match adapter::front::job(&relay.body) {
             Ok(spec) => {
-                let request = self.register(reply);
+                let request = self.replies.register(reply);
                 let at_ms = wall_ms();
                 let submission = Submission { request, queue, organisation, id, spec, at_ms };
                 self.cell.submit(now, submission);
@@ -143,10 +143,18 @@
         Some((Rc::from(queue.name.as_str()), String::from(rest)))
     }
 
-    fn register(&mut self, reply: oneshot::Sender<Answer>) -> RequestId {
-        self.next_request += 1;
-        self.replies.insert(self.next_request, reply);
-        self.next_request
+    /// Answers a request that can't be decided as too many wait. Only of a job that is not known it is
+    /// certain that nothing will run.
+    fn reject_pending(&self, relay: &Relay, rest: &str, reply: oneshot::Sender<Answer>) {
+        self.shared.meter.count_event("refuse_pending");
+        let id = adapter::front::name(rest).filter(|_| relay.method == Method::Post);
+        let is_new = id.is_some_and(|id| !self.cell.jobs().contains_key(&id));
+        let answer = if is_new {
+            Answer::refused(TOO_MANY_PENDING, Duration::ZERO)
+        } else {
+            Answer::overloaded(TOO_MANY_PENDING)
+        };
+        send(reply, answer);
     }
 }
 
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -21,6 +21,7 @@
 pub mod manifest;
 pub mod place;
 pub mod quota;
+pub mod replies;
 pub mod route;
 pub mod runner;
 pub mod settings;
--- a/src/job/settings.rs
+++ b/src/job/settings.rs
@@ -34,6 +34,10 @@
     pub intake: intake::Limits,
     /// Longest deadline of a request; a longer one is reduced to it.
     pub max_deadline: Duration,
+    /// Maximum number of requests that wait for the owner's answer.
+    pub max_pending: usize,
+    /// Maximum number of the platform's connections to the readiness check and the metrics.
+    pub internal_connections: usize,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
 }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -56,6 +56,8 @@
     assert_eq!((sized.intake.connections, sized.intake.body_memory), (305, 10_000_000));
     assert_eq!((sized.intake.head_bytes, sized.intake.body_bytes), (16_384, 262_144));
     assert_eq!(sized.bounds.job_memory, 40_000_000);
+    assert_eq!((sized.max_pending, sized.internal_connections), (2_441, 32));
+    assert_eq!(sized.max_deadline, Duration::from_secs(60));
     let small = read("limits.memoryMb=64\nlimits.maxFds=300\n").unwrap();
     assert_eq!((small.intake.connections, small.bounds.job_memory), (50, 16_000_000));
     let set =
