Reject names of teams that no declaration can have

The fair queue keeps up to 256 idle teams of a class and service by name, and a name could be as long as a head. Names in a declaration have at most 64 bytes, so a longer one is answered 400 as not-run. Shown by long_names_of_teams_are_rejected.

--- a/src/fault.rs
+++ b/src/fault.rs
@@ -13,7 +13,7 @@
 };
 
 /// Longest name in bytes.
-const MAX_NAME_BYTES: usize = 64;
+pub const MAX_NAME_BYTES: usize = 64;
 /// Jaro-Winkler similarity, from 0 to 1, at which a known key is suggested for an unknown one.
 const MIN_SIMILARITY: f64 = 0.7;
 /// Description of a valid address, for faults.
--- a/src/request/server/receive.rs
+++ b/src/request/server/receive.rs
@@ -5,6 +5,7 @@
     crate::{
         body,
         exchange::Body,
+        fault::MAX_NAME_BYTES,
         intake::{self, Buffer, Error},
         request::{
             CLASS_HEADER, Class, DEADLINE_HEADER, DEFAULT_TEAM, KEY_HEADER, REPEAT_HEADER, Request,
@@ -40,6 +41,9 @@
         return Err(String::from("the path must start with a service name"));
     }
     let team = header(headers, TEAM_HEADER)?.unwrap_or(DEFAULT_TEAM);
+    if team.len() > MAX_NAME_BYTES {
+        return Err(format!("{TEAM_HEADER}: the name is longer than {MAX_NAME_BYTES} bytes"));
+    }
     let key = header(headers, KEY_HEADER)?;
     let class = match header(headers, CLASS_HEADER)? {
         None if key.is_some() => Class::Order,
