--- a/standin/tests/clients_jobs.rs
+++ b/standin/tests/clients_jobs.rs
@@ -98,17 +98,46 @@
     site.wait_complete([id]);
 }
 
+/// Text of an entry's metrics.
+fn scrape(metrics: SocketAddr) -> String {
+    let mut client = TcpStream::connect(metrics).unwrap();
+    client.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+    let mut text = String::new();
+    client.read_to_string(&mut text).unwrap();
+    text
+}
+
 /// Sends a request in pieces over a new connection, and returns the status of the answer.
 fn status(entry: SocketAddr, pieces: &[&[u8]]) -> Option<u16> {
+    answer(entry, pieces)?.split(' ').nth(1)?.parse().ok()
+}
+
+/// The same for the beginning of the answer.
+fn answer(entry: SocketAddr, pieces: &[&[u8]]) -> Option<String> {
     let mut client = TcpStream::connect(entry).ok()?;
     client.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
     for piece in pieces {
+        // An answer may come before the whole request is sent.
+        if client.write_all(piece).is_err() {
+            break;
+        }
+    }
+    let mut answer = [0; 1024];
+    let count = client.read(&mut answer).ok()?;
+    Some(String::from_utf8_lossy(&answer[..count]).into_owned())
+}
+
+/// Sends a request with a pause after each of 20 pieces, and returns the status of the answer.
+fn slow_status(entry: SocketAddr, request: &[u8]) -> Option<u16> {
+    let mut client = TcpStream::connect(entry).ok()?;
+    client.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    for piece in request.chunks(request.len().div_ceil(20)) {
         client.write_all(piece).ok()?;
+        sleep(Duration::from_millis(60));
     }
     let mut answer = [0; 1024];
     let count = client.read(&mut answer).ok()?;
-    let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
-    answer.split(' ').nth(1)?.parse().ok()
+    String::from_utf8_lossy(&answer[..count]).split(' ').nth(1)?.parse().ok()
 }
 
 #[test]
@@ -312,6 +341,113 @@
     });
 }
 
+#[test]
+fn trailers_without_end_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("trailers");
+    let trailers = [b"2\r\n{}\r\n0\r\n".to_vec(), crowd::endless_trailers(390_000)].concat();
+    play(&site, |crowd, first| {
+        crowd.send(|client| chunked(first + client as u64));
+        crowd.send_all(&trailers);
+    });
+}
+
+#[test]
+fn requests_one_behind_the_other_stay_within_a_jobs_entry() {
+    let _turn = crowd::turn();
+    let site = start("pipelined");
+    let body = long_job();
+    play(&site, |crowd, first| {
+        crowd.send(|client| {
+            let request = [with_length(first + client as u64, BODY_BYTES), body.clone()].concat();
+            request.repeat(3)
+        });
+    });
+}
+
+/// The callers' connections are all in use: by clients that send nothing, then by requests that wait for an
+/// owner that is paused.
+#[test]
+fn other_listeners_of_a_jobs_entry_answer_while_callers_connections_are_in_use() {
+    let _turn = crowd::turn();
+    let mut site = start("listeners");
+    let [owner, other] = order(&site);
+    let answers = |site: &Site, entry: usize| {
+        let entry = &site.entries[entry];
+        let ready = status(entry.ready, &[b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n"]);
+        assert!(matches!(ready, Some(200 | 503)), "the readiness check: {ready:?}");
+        let metrics = status(entry.metrics(), &[b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"]);
+        assert_eq!(metrics, Some(200), "the metrics");
+    };
+    let idle = [0, 1].map(|entry| Crowd::open(site.entries[entry].callers, CLIENTS));
+    for entry in 0..2 {
+        answers(&site, entry);
+        serve_ordinary_caller(&site, entry, ORDINARY + entry as u64);
+    }
+    drop(idle);
+    site.signal(owner, "-STOP");
+    let mut handled = Crowd::open(site.entries[other].callers, CLIENTS);
+    handled.send(|client| {
+        let head = head(1 + client as u64, "X-Deadline-Ms: 60000\r\nContent-Length: 2");
+        [head, b"{}".to_vec()].concat()
+    });
+    answers(&site, other);
+    wait("the other entry to take over", || site.owner() == other);
+    answers(&site, other);
+    site.signal(owner, "-CONT");
+    for entry in 0..2 {
+        serve_ordinary_caller(&site, entry, ORDINARY + 2 + entry as u64);
+        answers(&site, entry);
+    }
+    check(&site);
+}
+
+/// A job that is stored runs. Without memory for its repetition it is not said that nothing will run.
+#[test]
+fn a_repetition_without_memory_is_not_called_refused() {
+    let _turn = crowd::turn();
+    let site = Site::start_with("repetition", 2, 2, "intake.bodyMemoryBytes=1024\n");
+    let body = long_job();
+    for (number, entry) in order(&site).into_iter().enumerate() {
+        let (stored, new) = (1 + 2 * number as u64, 2 + 2 * number as u64);
+        site.submit(stored, 1);
+        for id in [stored, new] {
+            let answer =
+                answer(site.entries[entry].callers, &[&with_length(id, BODY_BYTES), &body]);
+            let answer = answer.expect("an answer").to_ascii_lowercase();
+            assert!(answer.starts_with("http/1.1 504"), "{answer}");
+            assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
+        }
+        site.wait_complete([stored]);
+        let response = site.call(entry, "GET", &format!("{new:016x}"), None).unwrap();
+        assert_eq!(response.status, 410, "what was not looked at is not stored");
+    }
+}
+
+/// Requests for jobs that are not known wait for the store, also when their callers have gone.
+#[test]
+fn requests_that_wait_for_the_store_are_bounded_at_the_owner() {
+    let _turn = crowd::turn();
+    let site = Site::start_with("pending", 2, 2, "limits.memoryMb=64\nintake.pendingRequests=20\n");
+    let [owner, other] = order(&site);
+    site.submit(1, 1);
+    site.wait_complete([1]);
+    site.store.start_outage(Duration::from_secs(6));
+    let mut crowd = Crowd::open(site.entries[owner].callers, 100);
+    crowd.send(|client| {
+        let path = format!("/quotes/{:016x}", 100 + client);
+        format!("GET {path} HTTP/1.1\r\nHost: desk.example\r\nX-Deadline-Ms: 100\r\n\r\n")
+            .into_bytes()
+    });
+    drop(crowd);
+    let metrics = || scrape(site.entries[owner].metrics());
+    wait("requests to be refused", || metrics().contains("event=\"refuse_pending\""));
+    for entry in [owner, other] {
+        serve_ordinary_caller(&site, entry, ORDINARY + entry as u64);
+    }
+    check(&site);
+}
+
 /// Crowds at both entries that come and go while entries are killed and started again.
 #[test]
 fn random_crowds_and_restarts_stay_within_a_jobs_entry() {
@@ -370,6 +506,10 @@
         let many = head(id + 4, &format!("{fields}Content-Length: {BODY_BYTES}"));
         assert!(many.len() < HEAD_BYTES);
         assert_eq!(status(entry, &[&many, &body]), Some(200), "many header fields");
+        let slow = [with_length(id + 5, BODY_BYTES), body.clone()].concat();
+        assert_eq!(slow_status(entry, &slow), Some(200), "slowly, by length");
+        let slow = [chunked(id + 6), chunks(&body, 4_096), b"0\r\n\r\n".to_vec()].concat();
+        assert_eq!(slow_status(entry, &slow), Some(200), "slowly, by chunks");
     }
     check(&site);
 }
--- a/standin/tests/clients_requests.rs
+++ b/standin/tests/clients_requests.rs
@@ -13,6 +13,7 @@
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
+        thread::sleep,
         time::Duration,
     },
 };
@@ -105,6 +106,20 @@
     }
 }
 
+/// Sends a request with a pause after each piece; returns whether it was served.
+fn slow_exchange(entry: SocketAddr, head: &[u8], pieces: &[&[u8]]) -> bool {
+    let mut client = TcpStream::connect(entry).expect("connect");
+    client.set_read_timeout(Some(Duration::from_secs(10))).expect("set a timeout");
+    client.write_all(head).expect("send a head");
+    for piece in pieces {
+        client.write_all(piece).expect("send a piece");
+        sleep(Duration::from_millis(100));
+    }
+    let mut answer = [0; 1024];
+    let count = client.read(&mut answer).expect("read an answer");
+    is_served(&answer[..count], 0)
+}
+
 #[test]
 fn heads_over_the_limit_stay_within_an_entry() {
     let _turn = crowd::turn();
@@ -188,6 +203,61 @@
     }
 }
 
+#[test]
+fn trailers_without_end_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-trailers", ZONES, LIMITS);
+    let trailers = [b"4\r\nwork\r\n0\r\n".to_vec(), crowd::endless_trailers(390_000)].concat();
+    play(&fleet, |crowd| {
+        crowd.send(chunked);
+        crowd.send_all(&trailers);
+    });
+}
+
+#[test]
+fn requests_one_behind_the_other_stay_within_an_entry() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-pipelined", ZONES, LIMITS);
+    let body = vec![b'q'; 60_000];
+    play(&fleet, |crowd| {
+        crowd.send(|client| [with_length(client, body.len()), body.clone()].concat().repeat(6));
+    });
+}
+
+/// What is kept of a team outlasts its requests, so its name is as short as declared ones.
+#[test]
+fn long_names_of_teams_are_rejected() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-teams", ZONES, LIMITS);
+    for entry in &fleet.entries {
+        let named = |length: usize| {
+            let team = "t".repeat(length);
+            let head = head(1, 0, &format!("Carobhitch-Team: {team}\r\nContent-Length: 0"));
+            exchange(entry.callers, &[&head]).expect("an answer")
+        };
+        assert!(is_served(&named(64), 0));
+        let long = String::from_utf8_lossy(&named(65)).into_owned();
+        assert!(long.starts_with("HTTP/1.1 400"), "{long}");
+        assert!(long.contains("carobhitch-outcome: not-run"), "{long}");
+    }
+}
+
+#[test]
+fn other_listeners_of_an_entry_answer_while_callers_connections_are_in_use() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-listeners", ZONES, FEW_FDS_LIMITS);
+    let mut crowds: Vec<_> =
+        fleet.entries.iter().map(|entry| Crowd::open(entry.callers, CLIENTS)).collect();
+    for crowd in &mut crowds {
+        crowd.send(|client| with_length(client, 100));
+    }
+    // Operators' calls, the platform's log, and links: a request that is relayed.
+    fleet.command(&["status"]);
+    fleet.declare();
+    fleet.entries.iter().for_each(|entry| serve_ordinary_caller(entry.callers));
+    check(&fleet, FEW_FDS);
+}
+
 #[test]
 fn idle_connections_leave_descriptors_of_an_entry() {
     let _turn = crowd::turn();
@@ -264,6 +334,11 @@
         assert!(served(&[&[&with_length(2, BODY_BYTES)[..]], &pieces[..]].concat(), 0), "pieces");
         let small = [chunked(3), chunks(&body[..100_000], 1), b"0\r\n\r\n".to_vec()].concat();
         assert!(served(&[&small], 0), "chunks of one byte");
+        let slow: Vec<_> = body.chunks(BODY_BYTES / 8).collect();
+        assert!(slow_exchange(entry.callers, &with_length(5, BODY_BYTES), &slow), "slowly");
+        let slow = [chunks(&body[..1 << 20], 65_536), b"0\r\n\r\n".to_vec()].concat();
+        let slow: Vec<_> = slow.chunks(100_000).collect();
+        assert!(slow_exchange(entry.callers, &chunked(6), &slow), "slowly, by chunks");
         let long_answer = head(4, 2 << 20, "Content-Length: 0");
         assert!(served(&[&long_answer], 2 << 20), "a long response");
     }
--- a/standin/tests/crowd/mod.rs
+++ b/standin/tests/crowd/mod.rs
@@ -203,6 +203,19 @@
     head
 }
 
+/// Trailers of a chunked body without end, `length` bytes long.
+pub fn endless_trailers(length: usize) -> Vec<u8> {
+    let mut trailers = Vec::new();
+    for number in 0.. {
+        if trailers.len() >= length {
+            break;
+        }
+        let value = "z".repeat(1_000);
+        trailers.extend_from_slice(format!("X-Trailer-{number}: {value}\r\n").as_bytes());
+    }
+    trailers
+}
+
 /// A body as one chunk after the other of `size` bytes, without the last chunk.
 pub fn chunks(body: &[u8], size: usize) -> Vec<u8> {
     let mut chunks = Vec::new();
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -183,6 +183,13 @@
     ] })
 }
 
+impl Entry {
+    /// Address of its metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        local(self.metrics)
+    }
+}
+
 impl Site {
     /// Starts the platform, `runners` runners and `entries` entries, and waits until they are ready.
     pub fn start(name: &str, entries: usize, runners: usize) -> Self {
