Close requests that trickle once they are passed on

Seen by callers: in the request plane, while 40 clients send long bodies a byte at a time, every request with a body over 8 KiB is refused with 503, without end.

Cause: a body that is too long to be buffered is passed on while the rest of it arrives. The buffered part and the endpoint's slot are held until idle_ms without a byte or the deadline, which the caller chooses. Its connection counted as handled, so it gave way neither to a new connection nor to another body.

Ruled out: wrong accounting of memory (3.94 of 4 MB were in use, by six connections); the first form of the test, in which the clients began all at once, did not show the fault, as they displaced one another.

Change: intake::Pace, by how much a caller is behind a rate (setting body_rate, 8 KiB/s), and a phase of intake::Connections: who is idle_ms behind is closed, and who is 0.5 s behind counts as stalled, with those who take no response. Counted and logged as stalled_connections.

--- a/src/intake/connections.rs
+++ b/src/intake/connections.rs
@@ -17,6 +17,8 @@
 pub struct Connections {
     max: usize,
     max_stalled: usize,
+    /// Time for which a caller may be behind with the rest of its request.
+    body_timeout: Duration,
     next_id: Id,
     open: IndexMap<Id, Phase>,
 }
@@ -30,22 +32,26 @@
     Handling,
     /// Waits until its caller takes more of a response, parts of which are still to come.
     Sending(Instant),
+    /// Waits until its caller sends more of a request that is being passed on; with the time since when the
+    /// caller has been behind.
+    Receiving(Instant),
 }
 
 impl Phase {
     /// Since when the connection has waited for its caller.
     fn waiting_since(self) -> Option<Instant> {
         match self {
-            Self::Waiting(since) | Self::Sending(since) => Some(since),
+            Self::Waiting(since) | Self::Sending(since) | Self::Receiving(since) => Some(since),
             Self::Handling => None,
         }
     }
 }
 
 impl Connections {
-    /// Begins without connections; at most `max` may be open, and `max_stalled` of them stalled.
-    pub fn new(max: usize, max_stalled: usize) -> Self {
-        Self { max, max_stalled, next_id: 0, open: IndexMap::new() }
+    /// Begins without connections; at most `max` may be open, and `max_stalled` of them stalled. A caller may be
+    /// behind with a request that is being passed on for `body_timeout`.
+    pub fn new(max: usize, max_stalled: usize, body_timeout: Duration) -> Self {
+        Self { max, max_stalled, body_timeout, next_id: 0, open: IndexMap::new() }
     }
 
     /// Admits a new connection; returns its number and that of the connection to be closed for it. Fails if
@@ -78,24 +84,43 @@
         self.set(id, Phase::Sending(now));
     }
 
+    /// Records that the rest of a request that is being passed on is awaited, whose caller has been behind since
+    /// `since`. Before the request is passed on, and once its response is, that is of no account.
+    pub fn receive(&mut self, id: Id, since: Instant) {
+        if matches!(self.open.get(&id), Some(Phase::Handling | Phase::Receiving(_))) {
+            self.set(id, Phase::Receiving(since));
+        }
+    }
+
+    /// Records that more of a request has arrived.
+    pub fn received(&mut self, id: Id) {
+        if matches!(self.open.get(&id), Some(Phase::Receiving(_))) {
+            self.set(id, Phase::Handling);
+        }
+    }
+
     /// Records the end of a connection.
     pub fn close(&mut self, id: Id) {
         self.open.swap_remove(&id);
     }
 
-    /// Closes the connections that have stalled for longest, if too many have; returns their numbers.
-    /// A response that its caller does not take keeps its endpoint from other requests.
+    /// Closes the connections that have stalled for longest, if too many have, and those whose callers are too
+    /// late with their requests; returns their numbers. Each keeps an endpoint from other requests.
     pub fn close_stalled(&mut self, now: Instant) -> Vec<Id> {
         let stalled = self.open.iter().filter_map(|(&id, phase)| match *phase {
-            Phase::Sending(since) if now.saturating_duration_since(since) >= STALL_TIME => {
+            Phase::Sending(since) | Phase::Receiving(since)
+                if now.saturating_duration_since(since) >= STALL_TIME =>
+            {
                 Some((since, id))
             }
             _ => None,
         });
-        let mut stalled: Vec<_> = stalled.collect();
+        let (late, mut stalled): (Vec<_>, Vec<_>) =
+            stalled.partition(|&(_, id)| self.is_late(id, now));
         stalled.sort_unstable();
         let excess = stalled.len().saturating_sub(self.max_stalled);
-        let closed: Vec<_> = stalled.into_iter().take(excess).map(|(_, id)| id).collect();
+        let closed = late.into_iter().chain(stalled.into_iter().take(excess));
+        let closed: Vec<_> = closed.map(|(_, id)| id).collect();
         closed.iter().for_each(|&id| self.close(id));
         closed
     }
@@ -110,6 +135,12 @@
         self.open.len()
     }
 
+    /// Whether a connection's caller is too late with its request.
+    fn is_late(&self, id: Id, now: Instant) -> bool {
+        matches!(self.open.get(&id), Some(Phase::Receiving(since))
+            if now.saturating_duration_since(*since) >= self.body_timeout)
+    }
+
     fn set(&mut self, id: Id, phase: Phase) {
         if let Some(current) = self.open.get_mut(&id) {
             *current = phase;
--- a/src/intake/guard.rs
+++ b/src/intake/guard.rs
@@ -43,7 +43,8 @@
     pub refused_connections: u64,
     /// Connections that were closed for new ones.
     pub closed_connections: u64,
-    /// Connections that were closed as too many callers did not take their responses.
+    /// Connections that were closed as too many callers did not take their responses or send the rest of their
+    /// requests, or as one was too late with its request.
     pub stalled_connections: u64,
     /// Bodies that were refused for want of memory.
     pub refused_bodies: u64,
@@ -80,7 +81,11 @@
     /// Begins without connections.
     pub fn new(limits: Limits) -> Arc<Self> {
         let state = State {
-            connections: Connections::new(limits.connections, limits.stalled_connections),
+            connections: Connections::new(
+                limits.connections,
+                limits.stalled_connections,
+                limits.body_timeout,
+            ),
             memory: Memory::new(limits.body_memory),
             closing: IndexMap::new(),
             giving_up: IndexMap::new(),
@@ -253,6 +258,23 @@
         self.guard.freed.notify_one();
     }
 
+    /// Records that the rest of a request that is being passed on is awaited, whose caller has been behind since
+    /// `since`.
+    pub fn receive(&self, since: Instant) {
+        self.guard.state().connections.receive(self.id, since);
+        self.guard.freed.notify_one();
+    }
+
+    /// Records that more of a request that is being passed on has arrived.
+    pub fn received(&self) {
+        self.guard.state().connections.received(self.id);
+    }
+
+    /// Limits on what the connection's caller may hold.
+    pub fn limits(&self) -> &Limits {
+        &self.guard.limits
+    }
+
     /// Records that the connection's request is handled.
     pub fn handle(&self) {
         self.guard.state().connections.handle(self.id);
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -13,7 +13,11 @@
 //!   request is refused as it has not been passed on. A body that is whole keeps its memory until nothing
 //!   refers to it any more.
 //!
-//! [`Connections`] and [`Memory`] decide without input or output. [`Guard`] shares them among the tasks that
+//! A request that is passed on while its body is still arriving holds an endpoint and memory for its caller, as
+//! does a response that is not taken. [`Pace`] tells by how much such a caller is behind, and [`Connections`]
+//! closes those that are for too long, or that are too many.
+//!
+//! [`Connections`], [`Memory`] and [`Pace`] decide without input or output. [`Guard`] shares them among the tasks that
 //! serve connections.
 
 mod body;
@@ -21,6 +25,7 @@
 mod guard;
 mod http;
 mod memory;
+mod pace;
 mod stream;
 
 pub use {
@@ -29,6 +34,7 @@
     guard::{Connection, Counts, Guard, Reservation},
     http::{builder, set_receive_buffer},
     memory::Memory,
+    pace::{BODY_RATE, Pace},
     stream::Stream,
 };
 
@@ -98,7 +104,8 @@
 pub struct Limits {
     /// Maximum number of open connections.
     pub connections: usize,
-    /// Maximum number of connections whose callers do not take their responses.
+    /// Maximum number of connections whose callers neither take their responses nor send the rest of their
+    /// requests.
     pub stalled_connections: usize,
     /// Memory for bodies beyond [`ALLOWANCE_BYTES`] of each, in bytes.
     pub body_memory: usize,
@@ -110,8 +117,11 @@
     pub body_bytes: usize,
     /// Time for receiving a request's head, counted from the connection's start or its last answer.
     pub head_timeout: Duration,
-    /// Time for receiving a request's body.
+    /// Time for receiving a request's body. While a body is being passed on, time by which its caller may be
+    /// behind `body_rate`.
     pub body_timeout: Duration,
+    /// Rate below which the caller of a body that is being passed on falls behind, in bytes a second.
+    pub body_rate: u64,
     /// Time without progress after which an answer that its caller does not read is given up.
     pub write_timeout: Duration,
 }
@@ -132,6 +142,7 @@
             body_bytes: BODY_BYTES,
             head_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(5),
+            body_rate: BODY_RATE,
             write_timeout: Duration::from_secs(15),
         }
     }
--- a/src/request/body.rs
+++ b/src/request/body.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         exchange::{Body, BodyError},
-        intake::Connection,
+        intake::{Connection, Pace},
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
@@ -14,7 +14,7 @@
         result,
         sync::Arc,
         task::{Context, Poll},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{sync::mpsc, time::timeout},
 };
@@ -62,6 +62,52 @@
     body
 }
 
+/// Has a caller's body record on its connection by how much the caller is behind.
+pub(crate) fn paced(inner: Incoming, caller: Arc<Connection>) -> Body {
+    let pace = Pace::new(caller.limits().body_rate);
+    UnsyncBoxBody::new(Paced { inner, caller, pace })
+}
+
+/// Body of a caller's request that records by how much the caller is behind.
+struct Paced {
+    inner: Incoming,
+    caller: Arc<Connection>,
+    pace: Pace,
+}
+
+impl hyper::body::Body for Paced {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<result::Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        let now = Instant::now();
+        match &polled {
+            Poll::Pending => {
+                let since = self.pace.wait(now);
+                self.caller.receive(since);
+            }
+            Poll::Ready(frame) => {
+                let data = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
+                self.pace.receive(now, data.map_or(0, Bytes::len));
+                self.caller.received();
+            }
+        }
+        polled.map(|frame| frame.map(|frame| frame.map_err(BodyError::from)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Converts a body received by `hyper`.
 pub(crate) fn boxed(body: Incoming) -> Body {
     UnsyncBoxBody::new(body.map_err(BodyError::from))
--- a/src/request/server/mod.rs
+++ b/src/request/server/mod.rs
@@ -264,7 +264,7 @@
         _ => {
             let reservation = server.guard.begin_body();
             let read = || caller.handle();
-            let request = request.map(body::boxed);
+            let request = request.map(|body| body::paced(body, Arc::clone(&caller)));
             let response = accept(server, request, Origin::Caller, reservation, read).await;
             response.map(|body| body::tracked(body, caller))
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -99,12 +99,16 @@
     /// Maximum number of concurrent connections of callers; it is lower if memory or descriptors allow
     /// only fewer.
     pub connections: u32,
-    /// Maximum number of connections whose callers do not take their responses.
+    /// Maximum number of connections whose callers neither take their responses nor send the rest of their
+    /// requests.
     pub stalled_connections: u32,
     /// Timeout for receiving a request's head, in milliseconds.
     pub head_ms: u64,
-    /// Time without progress after which a body transfer is aborted, in milliseconds.
+    /// Time without progress after which a body transfer is aborted, in milliseconds. Time by which the caller
+    /// of a long body may be behind `body_rate`.
     pub idle_ms: u64,
+    /// Rate below which the caller of a long body falls behind, in bytes a second.
+    pub body_rate: u64,
     /// Time without progress after which a response that its caller does not read is given up, in
     /// milliseconds.
     pub write_ms: u64,
@@ -127,6 +131,7 @@
             stalled_connections: 64,
             head_ms: 5_000,
             idle_ms: 10_000,
+            body_rate: intake::BODY_RATE,
             write_ms: 15_000,
             deadline_ms: 30_000,
             stop_ms: 30_000,
@@ -247,6 +252,7 @@
             body_bytes: self.body_bytes as usize,
             head_timeout: Duration::from_millis(self.head_ms),
             body_timeout: Duration::from_millis(self.idle_ms),
+            body_rate: self.body_rate,
             write_timeout: Duration::from_millis(self.write_ms),
         }
     }
@@ -270,6 +276,7 @@
             ),
             head_ms: reader.number("head_ms", 1..=HOUR_MS, default.head_ms),
             idle_ms: reader.number("idle_ms", 1..=HOUR_MS, default.idle_ms),
+            body_rate: reader.number("body_rate", 1..=MAX_BODY_BYTES, default.body_rate),
             write_ms: reader.number("write_ms", 1..=HOUR_MS, default.write_ms),
             deadline_ms: reader.number("deadline_ms", 1..=DAY_MS, default.deadline_ms),
             stop_ms: reader.number("stop_ms", 0..=HOUR_MS, default.stop_ms),
--- a/standin/tests/clients_requests.rs
+++ b/standin/tests/clients_requests.rs
@@ -7,7 +7,7 @@
 mod fleet;
 
 use {
-    crowd::{CLIENTS, Crowd, chunks},
+    crowd::{CLIENTS, Crowd, Trickle, chunks},
     fleet::{Fleet, wait},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -33,6 +33,13 @@
 /// Length of a body that is too long to be buffered before it is passed on, in bytes.
 const LONG_BYTES: usize = 1 << 20;
 
+/// Number of clients that send long bodies a byte at a time.
+const TRICKLES: usize = 40;
+/// Pause after the beginning of each, in which the entry reads it.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two of their bytes.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Head of a request of which the endpoint responds with `answer_bytes`.
 fn head(client: usize, answer_bytes: usize, framing: &str) -> Vec<u8> {
     let path = format!("/quotes/work?id=c{client}&work_ms=1&answer_bytes={answer_bytes}");
@@ -170,6 +177,35 @@
     }
 }
 
+/// Bodies that are too long to be buffered hold memory and endpoints from when they are passed on, so these
+/// arrive a byte at a time from then on.
+#[test]
+fn long_bodies_that_trickle_keep_no_ordinary_caller_out() {
+    let _turn = crowd::turn();
+    let fleet = Fleet::with_limits("crowd-trickle", ZONES, LIMITS);
+    let framing = format!("Content-Length: {BODY_BYTES}\r\nCarobhitch-Deadline-Ms: 3600000");
+    let begun = vec![b'q'; LONG_BYTES];
+    for entry in &fleet.entries {
+        // One after the other, so that each finds the memory that is left.
+        let trickle = |_| {
+            let mut client = Crowd::open(entry.callers, 1);
+            client.send(|_| head(0, 0, &framing));
+            client.send_all(&begun);
+            sleep(TRICKLE_PAUSE);
+            client.trickle(TRICKLE_INTERVAL)
+        };
+        let trickles: Vec<_> = (0..TRICKLES).map(trickle).collect();
+        check(&fleet, MAX_FDS);
+        serve_ordinary_caller(entry.callers);
+        let body = [b'q'; 100_000];
+        wait("an ordinary caller with a longer body to be served", || {
+            let answer = exchange(entry.callers, &[&with_length(0, body.len()), &body]);
+            answer.is_some_and(|answer| is_served(&answer, 0))
+        });
+        trickles.into_iter().for_each(Trickle::stop);
+    }
+}
+
 #[test]
 fn large_chunks_short_of_their_end_stay_within_an_entry() {
     let _turn = crowd::turn();
--- a/standin/tests/crowd/mod.rs
+++ b/standin/tests/crowd/mod.rs
@@ -8,8 +8,11 @@
         env, fs,
         io::{ErrorKind, Read, Write},
         net::{SocketAddr, TcpStream},
-        sync::{Mutex, MutexGuard, PoisonError},
-        thread::sleep,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread::{JoinHandle, sleep, spawn},
         time::{Duration, Instant},
     },
 };
@@ -91,6 +94,21 @@
         }
     }
 
+    /// Sends a byte from each client once in `interval`, until it is stopped.
+    pub fn trickle(mut self, interval: Duration) -> Trickle {
+        let stopped = Arc::<AtomicBool>::default();
+        let is_stopped = Arc::clone(&stopped);
+        let thread = spawn(move || {
+            while !is_stopped.load(Ordering::Relaxed) {
+                self.clients.iter_mut().for_each(|client| {
+                    write_some(client, &mut b"q".as_slice());
+                });
+                sleep(interval);
+            }
+        });
+        Trickle { stopped, thread }
+    }
+
     /// Reads the answers that have arrived once none arrives any more; empty without one.
     pub fn answers(&mut self) -> Vec<String> {
         let mut answers = vec![Vec::new(); self.clients.len()];
@@ -107,6 +125,20 @@
     }
 }
 
+/// Thread in which a crowd sends a byte at a time.
+pub struct Trickle {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Trickle {
+    /// Ends it, and closes the crowd's connections.
+    pub fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.thread.join().expect("the crowd's thread");
+    }
+}
+
 /// Writes what a connection takes now; returns whether it took anything.
 fn write_some(client: &mut Option<TcpStream>, message: &mut &[u8]) -> bool {
     let Some(stream) = client else { return false };
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use {
-    carobhitch::intake::{Connections, Error, Guard, Limits, Memory},
+    carobhitch::intake::{Connections, Error, Guard, Limits, Memory, Pace},
     proptest::{
         collection::vec,
         prelude::*,
@@ -13,6 +13,7 @@
 };
 
 const SECOND: Duration = Duration::from_secs(1);
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Limits on a VM of 64 MB.
 fn limits() -> Limits {
@@ -22,7 +23,7 @@
 #[test]
 fn a_new_connection_replaces_the_one_that_has_waited_for_longest() {
     let now = Instant::now();
-    let mut connections = Connections::new(3, 1);
+    let mut connections = Connections::new(3, 1, BODY_TIMEOUT);
     let ids: Vec<_> = (0..3).map(|n| connections.open(now + SECOND * n).unwrap().0).collect();
     connections.handle(ids[0]);
     let (fourth, closed) = connections.open(now + SECOND * 4).unwrap();
@@ -38,7 +39,7 @@
 #[test]
 fn no_connection_is_closed_while_its_request_is_handled() {
     let now = Instant::now();
-    let mut connections = Connections::new(2, 1);
+    let mut connections = Connections::new(2, 1, BODY_TIMEOUT);
     for _ in 0..2 {
         let (id, _) = connections.open(now).unwrap();
         connections.handle(id);
@@ -53,7 +54,7 @@
 #[test]
 fn only_the_excess_of_stalled_responses_is_closed() {
     let now = Instant::now();
-    let mut connections = Connections::new(64, 4);
+    let mut connections = Connections::new(64, 4, BODY_TIMEOUT);
     let ids: Vec<_> = (0..10).map(|_| connections.open(now).unwrap().0).collect();
     for (n, id) in (0..).zip(&ids[..6]) {
         connections.send(*id, now + SECOND * n);
@@ -69,6 +70,62 @@
     assert_eq!(connections.count(), 8, "idle connections have not stalled");
 }
 
+#[test]
+fn requests_that_arrive_too_slowly_are_closed_once_they_are_passed_on() {
+    let now = Instant::now();
+    let mut connections = Connections::new(64, 4, BODY_TIMEOUT);
+    let ids: Vec<_> = (0..3).map(|_| connections.open(now).unwrap().0).collect();
+    connections.receive(ids[0], now);
+    assert_eq!(connections.close_stalled(now + BODY_TIMEOUT), Vec::<u64>::new(), "not passed on");
+    ids.iter().for_each(|&id| connections.handle(id));
+    connections.receive(ids[0], now);
+    connections.receive(ids[1], now);
+    connections.received(ids[1]);
+    let just_before = now + BODY_TIMEOUT - Duration::from_millis(1);
+    assert_eq!(connections.close_stalled(just_before), Vec::<u64>::new());
+    assert_eq!(connections.close_stalled(now + BODY_TIMEOUT), ids[..1]);
+    connections.send(ids[2], now + BODY_TIMEOUT);
+    connections.receive(ids[2], now);
+    let at = now + BODY_TIMEOUT * 2;
+    assert_eq!(connections.close_stalled(at), Vec::<u64>::new(), "its response is taken");
+}
+
+#[test]
+fn requests_and_responses_that_stall_are_counted_together() {
+    let now = Instant::now();
+    let mut connections = Connections::new(2, 1, BODY_TIMEOUT);
+    let ids: Vec<_> = (0..2).map(|_| connections.open(now).unwrap().0).collect();
+    ids.iter().for_each(|&id| connections.handle(id));
+    assert!(!connections.has_room());
+    connections.send(ids[0], now + SECOND);
+    connections.receive(ids[1], now);
+    assert_eq!(connections.close_stalled(now + SECOND * 2), ids[1..]);
+    let (_, closed) = connections.open(now + SECOND * 2).unwrap();
+    assert_eq!(closed, None);
+}
+
+#[test]
+fn a_caller_that_sends_slower_than_the_rate_falls_behind() {
+    let start = Instant::now();
+    let mut pace = Pace::new(1_000);
+    let mut now = start;
+    for _ in 0..10 {
+        assert_eq!(pace.wait(now), start, "nothing is made up for");
+        now += SECOND;
+        pace.receive(now, 0);
+    }
+    pace.receive(now, 4_000);
+    assert_eq!(pace.wait(now), now - SECOND * 6);
+    pace.receive(now, 100_000);
+    now += SECOND;
+    assert_eq!(
+        pace.wait(now),
+        now,
+        "a fast part gains nothing, nor does the time until it is read cost"
+    );
+    assert_eq!(pace.wait(now + SECOND), now);
+}
+
 #[test]
 fn the_body_that_has_been_arriving_for_longest_gives_way() {
     let now = Instant::now();
@@ -144,10 +201,10 @@
 
     #[test]
     fn connections_and_memory_stay_within_their_limits(
-        steps in vec((0..6u8, 0..12u64, 0..60usize), 1..200),
+        steps in vec((0..8u8, 0..12u64, 0..60usize), 1..200),
     ) {
         let mut now = Instant::now();
-        let mut connections = Connections::new(8, 2);
+        let mut connections = Connections::new(8, 2, BODY_TIMEOUT);
         let mut memory = Memory::new(100);
         for (step, id, bytes) in steps {
             now += SECOND / 4;
@@ -157,6 +214,8 @@
                 2 => connections.send(id, now),
                 3 => drop(memory.begin(now)),
                 4 => drop(memory.reserve(id, bytes)),
+                5 => connections.receive(id, now - SECOND / 8 * bytes as u32),
+                6 => connections.received(id),
                 _ if bytes % 3 == 0 => memory.end(id),
                 _ if bytes % 3 == 1 => memory.complete(id),
                 _ => drop(connections.close_stalled(now)),
