Close no transfer for a new connection before its caller has stalled

Seen in the diff, not by callers: at the limit of connections the one that has waited for its caller for longest gives way.

Change: such a connection may give way once it has stalled for 0.5 s. The accepting task is woken when the stalled are looked for, since a connection stalls without an event.

--- a/src/intake/connections.rs
+++ b/src/intake/connections.rs
@@ -38,13 +38,25 @@
 }
 
 impl Phase {
-    /// Since when the connection has waited for its caller.
-    fn waiting_since(self) -> Option<Instant> {
+    /// Since when the connection has waited for its caller, if it may be closed for another one. While a request
+    /// is being passed on, or its response, that takes until the caller has stalled.
+    fn waiting_since(self, now: Instant) -> Option<Instant> {
         match self {
-            Self::Waiting(since) | Self::Sending(since) | Self::Receiving(since) => Some(since),
+            Self::Waiting(since) => Some(since),
+            Self::Sending(_) | Self::Receiving(_) => self.stalled_since(now),
             Self::Handling => None,
         }
     }
+
+    /// Since when the connection has stalled.
+    fn stalled_since(self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::Sending(since) | Self::Receiving(since) => {
+                Some(since).filter(|since| now.saturating_duration_since(*since) >= STALL_TIME)
+            }
+            Self::Waiting(_) | Self::Handling => None,
+        }
+    }
 }
 
 impl Connections {
@@ -59,7 +71,7 @@
     pub fn open(&mut self, now: Instant) -> Result<(Id, Option<Id>)> {
         let mut closed = None;
         if self.open.len() >= self.max {
-            closed = Some(self.longest_waiting().ok_or(Error::Connections(self.max))?);
+            closed = Some(self.longest_waiting(now).ok_or(Error::Connections(self.max))?);
         }
         if let Some(id) = closed {
             self.close(id);
@@ -107,14 +119,8 @@
     /// Closes the connections that have stalled for longest, if too many have, and those whose callers are too
     /// late with their requests; returns their numbers. Each keeps an endpoint from other requests.
     pub fn close_stalled(&mut self, now: Instant) -> Vec<Id> {
-        let stalled = self.open.iter().filter_map(|(&id, phase)| match *phase {
-            Phase::Sending(since) | Phase::Receiving(since)
-                if now.saturating_duration_since(since) >= STALL_TIME =>
-            {
-                Some((since, id))
-            }
-            _ => None,
-        });
+        let stalled =
+            self.open.iter().filter_map(|(&id, phase)| Some((phase.stalled_since(now)?, id)));
         let (late, mut stalled): (Vec<_>, Vec<_>) =
             stalled.partition(|&(_, id)| self.is_late(id, now));
         stalled.sort_unstable();
@@ -126,8 +132,8 @@
     }
 
     /// Whether a new connection would be admitted.
-    pub fn has_room(&self) -> bool {
-        self.open.len() < self.max || self.longest_waiting().is_some()
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.open.len() < self.max || self.longest_waiting(now).is_some()
     }
 
     /// Number of open connections.
@@ -147,9 +153,9 @@
         }
     }
 
-    fn longest_waiting(&self) -> Option<Id> {
+    fn longest_waiting(&self, now: Instant) -> Option<Id> {
         let waiting =
-            self.open.iter().filter_map(|(&id, phase)| Some((phase.waiting_since()?, id)));
+            self.open.iter().filter_map(|(&id, phase)| Some((phase.waiting_since(now)?, id)));
         waiting.min().map(|(_, id)| id)
     }
 }
--- a/src/intake/guard.rs
+++ b/src/intake/guard.rs
@@ -120,7 +120,7 @@
 
     /// Waits until a new connection would be admitted.
     pub async fn room(&self) {
-        while !self.state().connections.has_room() {
+        while !self.state().connections.has_room(Instant::now()) {
             self.freed.notified().await;
         }
     }
@@ -179,6 +179,9 @@
                     closing.notify_one();
                 }
             }
+            drop(state);
+            // A connection that has stalled since may give way to a new one.
+            self.freed.notify_one();
         }
     }
 
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -44,10 +44,10 @@
         let (id, _) = connections.open(now).unwrap();
         connections.handle(id);
     }
-    assert!(!connections.has_room());
+    assert!(!connections.has_room(now));
     assert_eq!(connections.open(now), Err(Error::Connections(2)));
     connections.close(1);
-    assert!(connections.has_room());
+    assert!(connections.has_room(now));
     assert_eq!(connections.open(now).unwrap().1, None);
 }
 
@@ -90,13 +90,29 @@
     assert_eq!(connections.close_stalled(at), Vec::<u64>::new(), "its response is taken");
 }
 
+#[test]
+fn no_connection_is_closed_while_its_caller_sends_or_takes_in_time() {
+    let now = Instant::now();
+    let mut connections = Connections::new(2, 1, BODY_TIMEOUT);
+    let ids: Vec<_> = (0..2).map(|_| connections.open(now).unwrap().0).collect();
+    ids.iter().for_each(|&id| connections.handle(id));
+    connections.send(ids[0], now);
+    connections.receive(ids[1], now - Duration::from_millis(100));
+    let at = now + Duration::from_millis(399);
+    assert!(!connections.has_room(at));
+    assert_eq!(connections.open(at), Err(Error::Connections(2)));
+    let at = now + Duration::from_millis(400);
+    assert!(connections.has_room(at));
+    assert_eq!(connections.open(at).unwrap().1, Some(ids[1]), "it has stalled");
+}
+
 #[test]
 fn requests_and_responses_that_stall_are_counted_together() {
     let now = Instant::now();
     let mut connections = Connections::new(2, 1, BODY_TIMEOUT);
     let ids: Vec<_> = (0..2).map(|_| connections.open(now).unwrap().0).collect();
     ids.iter().for_each(|&id| connections.handle(id));
-    assert!(!connections.has_room());
+    assert!(!connections.has_room(now));
     connections.send(ids[0], now + SECOND);
     connections.receive(ids[1], now);
     assert_eq!(connections.close_stalled(now + SECOND * 2), ids[1..]);
