--- /dev/null
+++ b/review/standin-3/cases.rs
@@ -0,0 +1,315 @@
+//! The cases.
+
+use crate::{
+    Outcome,
+    record::Record,
+    site::{Cloud, Site},
+};
+use std::{
+    sync::Arc,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+type Result = (Arc<Site>, Outcome);
+
+/// Time without any disturbance after which a machine is in touch (`stableMs`).
+const STABLE: Duration = Duration::from_millis(3_000);
+/// Time within which no other holder orders the same machine (`leaseMs`).
+const HOLDER_LEASE: Duration = Duration::from_millis(3_000);
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A rack loses power five times. A job whose work items last is to be restarted each time.
+pub fn crash_loop(record: &Arc<Record>, trouble: bool) -> Result {
+    let site = Site::start(Arc::clone(record), None);
+    let outcome = crash_loop_on(&site, trouble).unwrap_or(Outcome::NotRun);
+    (site, outcome)
+}
+
+/// When the rack crashes, in milliseconds since the job's work items began.
+const CRASHES_MS: [u64; 5] = [2_000, 6_400, 13_400, 20_400, 27_400];
+/// How long it is down each time.
+const DOWN: Duration = Duration::from_millis(2_000);
+
+fn crash_loop_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries = [1, 2, 3];
+    let rack = ["m-1", "m-2", "m-3", "m-4"];
+    rack.iter().for_each(|name| site.add_machine(name, "desk", "b", "r1-1"));
+    for (name, place) in [("m-5", "r1-2"), ("m-6", "r1-2"), ("m-7", "r1-2"), ("m-8", "r1-2")] {
+        site.add_machine(name, "desk", "a", place);
+    }
+    site.put_manifest(&["desk"]);
+    entries.iter().for_each(|number| site.start_entry(*number, 0.25));
+    site.wait_ready(&entries)?;
+    let job = "00000000000000a1";
+    let path = format!("/desk/{job}");
+    let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":1000,\"memMb\":512,\
+                \"estMs\":1000,\"daemon\":true,\"mayMiss\":1,\"requires\":\"b\"}]}";
+    let (status, _) = site.ask(&entries, "POST", &path, body)?;
+    if status != 200 {
+        return None;
+    }
+    let tasks = [format!("{job}.0.0.0"), format!("{job}.0.0.1")];
+    let all_run = || tasks.iter().all(|task| site.machine_of(task).is_some());
+    site.wait(millis(5_000), all_run)?;
+    let begun = Instant::now();
+    for at in CRASHES_MS {
+        sleep(millis(at).saturating_sub(begun.elapsed()));
+        if trouble {
+            site.crash(&rack, DOWN);
+        }
+    }
+    // The rack stays up from now on: there is room, and nobody has cancelled the job.
+    sleep(DOWN + millis(12_000));
+    let (status, body) = site.ask(&entries, "GET", &path, "")?;
+    let running = tasks.iter().filter(|task| site.machine_of(task).is_some()).count();
+    site.record.note(format!("{running} of 2 work items run; no run has ended as failed"));
+    let is_lost = status != 200 || body.contains("failed") || body.contains("cancelled");
+    Some(if is_lost { Outcome::Broken } else { Outcome::Held })
+}
+
+/// A machine is due for upkeep after its runner has restarted while the list of machines was unavailable.
+pub fn wave(record: &Arc<Record>, trouble: bool) -> Result {
+    let site = Site::start(Arc::clone(record), None);
+    let outcome = wave_on(&site, trouble).unwrap_or(Outcome::NotRun);
+    (site, outcome)
+}
+
+fn wave_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries = [1, 2, 3];
+    site.add_machine("m-1", "desk", "b", "r1-1");
+    site.add_machine("m-2", "desk", "b", "r1-1");
+    site.add_machine("m-3", "desk", "a", "r1-2");
+    site.add_machine("m-4", "desk", "a", "r1-2");
+    site.put_manifest(&["desk"]);
+    entries.iter().for_each(|number| site.start_entry(*number, 0.25));
+    site.wait_ready(&entries)?;
+    let job = "00000000000000b1";
+    let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":3,\"cpu\":2000,\"memMb\":512,\
+                \"estMs\":1000,\"daemon\":true,\"mayMiss\":1,\"requires\":\"b\"}]}";
+    let (status, _) = site.ask(&entries, "POST", &format!("/desk/{job}"), body)?;
+    if status != 200 {
+        return None;
+    }
+    let tasks: Vec<String> = (0..3).map(|index| format!("{job}.0.0.{index}")).collect();
+    let all_work = || {
+        let works = |task: &String| site.machine_of(task).is_some_and(|(_, run)| run.is_at_work());
+        tasks.iter().all(works)
+    };
+    site.wait(millis(5_000), all_work)?;
+    sleep(millis(2_000));
+    let begun = Instant::now();
+    if trouble {
+        site.record.note("platform: machine calls are refused with 503");
+        *site.cloud.lock().expect("cloud") = Cloud::Refuses;
+        sleep(millis(300));
+        site.crash(&["m-1", "m-2"], millis(1_000));
+        sleep(millis(1_000));
+    }
+    site.wait(millis(4_000), all_work)?;
+    sleep(millis(1_500));
+    let (machine, _) = site.machine_of(&tasks[0])?;
+    site.put_wave(1, &[machine.as_str()], 20, 1);
+    sleep(millis(5_000).saturating_sub(begun.elapsed()));
+    site.record.note("platform: machine calls are answered");
+    *site.cloud.lock().expect("cloud") = Cloud::Sound;
+    sleep(millis(8_000));
+    let orders = site.orders.lock().expect("orders").clone();
+    let ended = |runs: &[(String, crate::runner::Run)]| {
+        runs.iter().filter(|(task, run)| task.starts_with(job) && run.is_at_work()).count()
+    };
+    let most = orders.iter().map(|order| ended(&order.ended)).max().unwrap_or(0);
+    site.record.note(format!("most work items at work that one upkeep has ended: {most}; may miss 1"));
+    Some(if most > 1 { Outcome::Broken } else { Outcome::Held })
+}
+
+/// The owner is killed, and a machine with fewer cores takes over. While the load turns from one queue to
+/// another, it hands over to one with more cores.
+pub fn hand_over(record: &Arc<Record>, trouble: bool) -> Result {
+    let site = Site::start(Arc::clone(record), Some("spare"));
+    let outcome = hand_over_on(&site, trouble).unwrap_or(Outcome::NotRun);
+    (site, outcome)
+}
+
+/// Entries with half a core, and those with a quarter.
+const STRONG: [u8; 2] = [1, 2];
+const WEAK: [u8; 5] = [3, 4, 5, 6, 7];
+
+fn hand_over_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries: Vec<u8> = STRONG.iter().chain(&WEAK).copied().collect();
+    let names: Vec<String> = entries.iter().map(|number| format!("front-{number}")).collect();
+    site.add_machine("m-1", "one", "a", "r1-1");
+    site.add_machine("m-2", "two", "a", "r1-1");
+    site.add_machine("m-3", "spare", "a", "r1-2");
+    site.add_machine("m-4", "spare", "a", "r1-2");
+    site.put_manifest(&["one", "two"]);
+    let start = |number: u8| {
+        site.start_entry(number, if STRONG.contains(&number) { 0.5 } else { 0.25 });
+    };
+    entries.iter().for_each(|number| start(*number));
+    site.wait_ready(&entries)?;
+    sleep(STABLE);
+    let owner = || site.newest_owner(&names);
+    let is_weak = |name: &str| WEAK.iter().any(|number| name == format!("front-{number}"));
+    let mut first = owner()?;
+    if trouble {
+        for _ in 0..10 {
+            let former = owner()?;
+            site.kill_entry(&former);
+            site.wait(millis(5_000), || owner().is_some_and(|name| name != former))?;
+            first = owner()?;
+            let number = former.strip_prefix("front-")?.parse().ok()?;
+            if is_weak(&first) {
+                site.record.note(format!("{first} owns the cell"));
+                break;
+            }
+            sleep(millis(500));
+            start(number);
+            site.wait_ready(&entries)?;
+            sleep(STABLE);
+        }
+        if !is_weak(&first) {
+            return None;
+        }
+    }
+    let others: Vec<u8> =
+        entries.iter().copied().filter(|number| site.entry_age(&format!("front-{number}")).is_some()).collect();
+    sleep(millis(1_150));
+    let body = "{\"spec\":\"work=8000\",\"steps\":[{\"count\":3,\"cpu\":12000,\"memMb\":1024,\
+                \"estMs\":8000}]}";
+    site.ask(&others, "POST", "/one/00000000000000c1", body)?;
+    site.wait(millis(1_500), || owner().is_some_and(|name| name != first));
+    site.record.note(format!("{} owns the cell", owner()?));
+    site.ask(&others, "DELETE", "/one/00000000000000c1", "")?;
+    site.ask(&others, "POST", "/two/00000000000000c2", body)?;
+    sleep(millis(6_000));
+    let orders = site.orders.lock().expect("orders").clone();
+    let mut broken = false;
+    for (at, order) in orders.iter().enumerate() {
+        let before = orders[..at].iter().rev().find(|other| other.machine == order.machine);
+        let Some(before) = before else { continue };
+        let gap = order.at - before.at;
+        // Both have run for `stableMs` before their orders, and since.
+        let now = site.record.elapsed();
+        let in_touch = |holder: &str, at: Duration| {
+            site.entry_age(holder).is_some_and(|age| age + at > now + STABLE)
+        };
+        if before.holder != order.holder
+            && gap < HOLDER_LEASE
+            && in_touch(&before.holder, before.at)
+            && in_touch(&order.holder, order.at)
+        {
+            broken = true;
+            site.record.note(format!(
+                "machine {}: {} by {}, and {} ms later {} by {}, both in touch",
+                order.machine,
+                before.what,
+                before.holder,
+                gap.as_millis(),
+                order.what,
+                order.holder
+            ));
+        }
+    }
+    Some(if broken { Outcome::Broken } else { Outcome::Held })
+}
+
+/// A machine is added while the list of machines is unavailable, and is due for upkeep.
+pub fn added_machine(record: &Arc<Record>, trouble: bool) -> Result {
+    let site = Site::start(Arc::clone(record), None);
+    let outcome = added_machine_on(&site, trouble).unwrap_or(Outcome::NotRun);
+    (site, outcome)
+}
+
+fn added_machine_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries = [1, 2, 3];
+    ["m-1", "m-2", "m-3"].iter().for_each(|name| site.add_machine(name, "desk", "a", "r1-1"));
+    site.put_manifest(&["desk"]);
+    entries.iter().for_each(|number| site.start_entry(*number, 0.25));
+    site.wait_ready(&entries)?;
+    sleep(STABLE);
+    let begun = Instant::now();
+    if trouble {
+        site.record.note("platform: machine calls are refused with 503");
+        *site.cloud.lock().expect("cloud") = Cloud::Refuses;
+        sleep(millis(500));
+    }
+    site.add_machine("m-4", "desk", "a", "r1-1");
+    sleep(millis(2_000));
+    site.put_wave(1, &["m-4"], 20, 1);
+    sleep(millis(4_500).saturating_sub(begun.elapsed()));
+    site.record.note("platform: machine calls are answered");
+    *site.cloud.lock().expect("cloud") = Cloud::Sound;
+    let status = || site.store.newest("keyed.status", "wave/1");
+    let is_complete = || status().is_some_and(|value| value.contains("complete"));
+    site.wait(millis(20_000), is_complete);
+    sleep(millis(3_000));
+    let had_upkeep = site.orders.lock().expect("orders").iter().any(|o| o.machine == "m-4");
+    site.record.note(format!(
+        "status/wave/1: {}; upkeep of m-4 has begun: {had_upkeep}",
+        status().unwrap_or_default()
+    ));
+    Some(if is_complete() && !had_upkeep { Outcome::Broken } else { Outcome::Held })
+}
+
+/// A rack crashes twice. Then it is sound and idle, and a job whose work items last has room there.
+pub fn idle_rack(record: &Arc<Record>, trouble: bool) -> Result {
+    let site = Site::start(Arc::clone(record), None);
+    let outcome = idle_rack_on(&site, trouble).unwrap_or(Outcome::NotRun);
+    (site, outcome)
+}
+
+/// Calm time before the span in which a work item has nothing running.
+const CALM: Duration = Duration::from_millis(4_000);
+/// Time since its last run from which on that counts.
+const SINCE_LAST_RUN: Duration = Duration::from_millis(6_000);
+/// Length of that span.
+const SPAN: Duration = Duration::from_millis(3_000);
+
+fn idle_rack_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries = [1, 2, 3];
+    let rack = ["m-1", "m-2", "m-3", "m-4"];
+    site.add_machine("m-5", "desk", "a", "r1-2");
+    site.put_manifest(&["desk"]);
+    entries.iter().for_each(|number| site.start_entry(*number, 0.25));
+    site.wait_ready(&entries)?;
+    let work = "{\"spec\":\"work=60000\",\"steps\":[{\"count\":1,\"cpu\":15500,\"memMb\":512,\
+                \"estMs\":60000}]}";
+    site.ask(&entries, "POST", "/desk/00000000000000d2", work)?;
+    site.wait(millis(5_000), || site.machine_of("00000000000000d2.0.0.0").is_some())?;
+    rack.iter().for_each(|name| site.add_machine(name, "desk", "a", "r1-1"));
+    sleep(millis(2_000));
+    let lasting = "{\"spec\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":512,\
+                   \"estMs\":1000,\"daemon\":true}]}";
+    site.ask(&entries, "POST", "/desk/00000000000000d1", lasting)?;
+    let task = "00000000000000d1.0.0.0";
+    let runs = || site.machine_of(task).is_some();
+    site.wait(millis(5_000), runs)?;
+    if trouble {
+        for _ in 0..2 {
+            site.wait(millis(6_000), runs)?;
+            sleep(millis(2_000));
+            site.crash(&rack, DOWN);
+        }
+    }
+    let crashed = Instant::now();
+    let from = (DOWN + CALM).max(SINCE_LAST_RUN);
+    let mut missing_since: Option<Instant> = None;
+    let mut longest = Duration::ZERO;
+    while crashed.elapsed() < millis(30_000) {
+        sleep(millis(20));
+        if runs() || crashed.elapsed() < from {
+            missing_since = None;
+            continue;
+        }
+        longest = longest.max(missing_since.get_or_insert_with(Instant::now).elapsed());
+    }
+    site.record.note(format!(
+        "longest calm time in which the work item has not run, with 4 of 5 machines idle: {} ms",
+        longest.as_millis()
+    ));
+    Some(if longest > SPAN { Outcome::Broken } else { Outcome::Held })
+}
