--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     Outcome,
-    record::Record,
     site::{Cloud, Site},
 };
 use std::{
@@ -11,7 +10,27 @@
     time::{Duration, Instant},
 };
 
-type Result = (Arc<Site>, Outcome);
+/// A case.
+pub struct Case {
+    /// Name of the spare pool, if the installation has one.
+    pub spare: Option<&'static str>,
+    /// Runs it with or without its disruption; none if it couldn't run.
+    pub run: fn(&Arc<Site>, bool) -> Option<Outcome>,
+}
+
+/// The case with a name.
+pub fn find(name: &str) -> Option<Case> {
+    let (spare, run): (_, fn(&Arc<Site>, bool) -> Option<Outcome>) = match name {
+        "crash-loop" => (None, crash_loop),
+        "hand-over" => (Some("spare"), hand_over),
+        "added-machine" => (None, added_machine),
+        "wave" => (None, wave),
+        "drain" => (Some("spare"), drain),
+        "idle-rack" => (None, idle_rack),
+        _ => return None,
+    };
+    Some(Case { spare, run })
+}
 
 /// Time without any disturbance after which a machine is in touch (`stableMs`).
 const STABLE: Duration = Duration::from_millis(3_000);
@@ -22,19 +41,13 @@
     Duration::from_millis(ms)
 }
 
-/// A rack loses power five times. A job whose work items last is to be restarted each time.
-pub fn crash_loop(record: &Arc<Record>, trouble: bool) -> Result {
-    let site = Site::start(Arc::clone(record), None);
-    let outcome = crash_loop_on(&site, trouble).unwrap_or(Outcome::NotRun);
-    (site, outcome)
-}
-
 /// When the rack crashes, in milliseconds since the job's work items began.
 const CRASHES_MS: [u64; 5] = [2_000, 6_400, 13_400, 20_400, 27_400];
 /// How long it is down each time.
 const DOWN: Duration = Duration::from_millis(2_000);
 
-fn crash_loop_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+/// A rack loses power five times. A job whose work items last is to be restarted each time.
+fn crash_loop(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries = [1, 2, 3];
     let rack = ["m-1", "m-2", "m-3", "m-4"];
     rack.iter().for_each(|name| site.add_machine(name, "desk", "b", "r1-1"));
@@ -72,13 +85,7 @@
 }
 
 /// A machine is due for upkeep after its runner has restarted while the list of machines was unavailable.
-pub fn wave(record: &Arc<Record>, trouble: bool) -> Result {
-    let site = Site::start(Arc::clone(record), None);
-    let outcome = wave_on(&site, trouble).unwrap_or(Outcome::NotRun);
-    (site, outcome)
-}
-
-fn wave_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+fn wave(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries = [1, 2, 3];
     site.add_machine("m-1", "desk", "b", "r1-1");
     site.add_machine("m-2", "desk", "b", "r1-1");
@@ -126,19 +133,13 @@
     Some(if most > 1 { Outcome::Broken } else { Outcome::Held })
 }
 
-/// The owner is killed, and a machine with fewer cores takes over. While the load turns from one queue to
-/// another, it hands over to one with more cores.
-pub fn hand_over(record: &Arc<Record>, trouble: bool) -> Result {
-    let site = Site::start(Arc::clone(record), Some("spare"));
-    let outcome = hand_over_on(&site, trouble).unwrap_or(Outcome::NotRun);
-    (site, outcome)
-}
-
 /// Entries with half a core, and those with a quarter.
 const STRONG: [u8; 2] = [1, 2];
 const WEAK: [u8; 5] = [3, 4, 5, 6, 7];
 
-fn hand_over_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+/// The owner is killed, and a machine with fewer cores takes over. While the load turns from one queue to
+/// another, it hands over to one with more cores.
+fn hand_over(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries: Vec<u8> = STRONG.iter().chain(&WEAK).copied().collect();
     let names: Vec<String> = entries.iter().map(|number| format!("front-{number}")).collect();
     site.add_machine("m-1", "one", "a", "r1-1");
@@ -218,13 +219,7 @@
 }
 
 /// A machine is added while the list of machines is unavailable, and is due for upkeep.
-pub fn added_machine(record: &Arc<Record>, trouble: bool) -> Result {
-    let site = Site::start(Arc::clone(record), None);
-    let outcome = added_machine_on(&site, trouble).unwrap_or(Outcome::NotRun);
-    (site, outcome)
-}
-
-fn added_machine_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+fn added_machine(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries = [1, 2, 3];
     ["m-1", "m-2", "m-3"].iter().for_each(|name| site.add_machine(name, "desk", "a", "r1-1"));
     site.put_manifest(&["desk"]);
@@ -255,13 +250,6 @@
     Some(if is_complete() && !had_upkeep { Outcome::Broken } else { Outcome::Held })
 }
 
-/// A rack crashes twice. Then it is sound and idle, and a job whose work items last has room there.
-pub fn idle_rack(record: &Arc<Record>, trouble: bool) -> Result {
-    let site = Site::start(Arc::clone(record), None);
-    let outcome = idle_rack_on(&site, trouble).unwrap_or(Outcome::NotRun);
-    (site, outcome)
-}
-
 /// Calm time before the span in which a work item has nothing running.
 const CALM: Duration = Duration::from_millis(4_000);
 /// Time since its last run from which on that counts.
@@ -269,7 +257,8 @@
 /// Length of that span.
 const SPAN: Duration = Duration::from_millis(3_000);
 
-fn idle_rack_on(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+/// A rack crashes twice. Then it is sound and idle, and a job whose work items last has room there.
+fn idle_rack(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries = [1, 2, 3];
     let rack = ["m-1", "m-2", "m-3", "m-4"];
     site.add_machine("m-5", "desk", "a", "r1-2");
@@ -313,3 +302,49 @@
     ));
     Some(if longest > SPAN { Outcome::Broken } else { Outcome::Held })
 }
+
+/// A machine is due for upkeep. Two work items that last are on it, of which one may be missed, and the other
+/// machine of the pool has no memory left for them, while four machines are spare.
+fn drain(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
+    let entries = [1, 2, 3];
+    ["m-1", "m-2"].iter().for_each(|name| site.add_machine(name, "desk", "a", "r1-1"));
+    ["m-3", "m-4", "m-5", "m-6"].iter().for_each(|name| site.add_machine(name, "spare", "a", "r1-2"));
+    site.put_manifest(&["desk"]);
+    entries.iter().for_each(|number| site.start_entry(*number, 0.25));
+    site.wait_ready(&entries)?;
+    let job = |count: u32| {
+        format!(
+            "{{\"spec\":\"lasts\",\"steps\":[{{\"count\":{count},\"cpu\":1100,\"memMb\":6000,\
+             \"estMs\":1000,\"daemon\":true,\"mayMiss\":1}}]}}"
+        )
+    };
+    site.ask(&entries, "POST", "/desk/00000000000000f1", &job(8))?;
+    let last_of = |id: &str, count: u32| site.machine_of(&format!("{id}.0.0.{}", count - 1)).is_some();
+    site.wait(millis(5_000), || last_of("00000000000000f1", 8))?;
+    site.ask(&entries, "POST", "/desk/00000000000000f2", &job(4))?;
+    let tasks: Vec<String> = (0..4).map(|index| format!("00000000000000f2.0.0.{index}")).collect();
+    site.wait(millis(5_000), || tasks.iter().all(|task| site.machine_of(task).is_some()))?;
+    sleep(STABLE);
+    let (machine, _) = site.machine_of(&tasks[3])?;
+    if trouble {
+        site.put_wave(1, &[machine.as_str()], 26, 1);
+    }
+    let begun = Instant::now();
+    let mut last_run = vec![Instant::now(); tasks.len()];
+    let mut longest = Duration::ZERO;
+    while begun.elapsed() < millis(30_000) {
+        sleep(millis(20));
+        for (task, last) in tasks.iter().zip(&mut last_run) {
+            if site.machine_of(task).is_some() {
+                *last = Instant::now();
+            }
+            longest = longest.max(last.elapsed());
+        }
+    }
+    let status = site.store.newest("keyed.status", "wave/1").unwrap_or_default();
+    site.record.note(format!(
+        "longest time in which a work item has not run: {} ms; status/wave/1: {status}",
+        longest.as_millis()
+    ));
+    Some(if longest > SINCE_LAST_RUN + SPAN { Outcome::Broken } else { Outcome::Held })
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -13,7 +13,19 @@
 mod site;
 mod store;
 
-use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
+use site::Site;
+use std::{
+    env,
+    panic::{AssertUnwindSafe, catch_unwind},
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+/// Time after which a case that has not ended is given up.
+const LIMIT: Duration = Duration::from_secs(112);
 
 /// Outcome of a case.
 pub enum Outcome {
@@ -34,17 +46,20 @@
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(record::Record::new(&PathBuf::from(folder).join("record.txt")));
     record.note(format!("case {case}, disruption: {trouble}"));
-    let (site, outcome) = match case.as_str() {
-        "crash-loop" => cases::crash_loop(&record, trouble),
-        "wave" => cases::wave(&record, trouble),
-        "added-machine" => cases::added_machine(&record, trouble),
-        "idle-rack" => cases::idle_rack(&record, trouble),
-        "hand-over" => cases::hand_over(&record, trouble),
-        _ => {
-            eprintln!("there is no case {case}");
-            return ExitCode::from(2);
-        }
+    let Some(case_run) = cases::find(&case) else {
+        eprintln!("there is no case {case}");
+        return ExitCode::from(2);
     };
+    let site = Site::start(Arc::clone(&record), case_run.spare);
+    let ending = Arc::clone(&site);
+    thread::spawn(move || {
+        thread::sleep(LIMIT);
+        ending.record.note("the case takes too long");
+        ending.finish(None);
+        std::process::exit(2);
+    });
+    let run = || (case_run.run)(&site, trouble);
+    let outcome = catch_unwind(AssertUnwindSafe(run)).ok().flatten().unwrap_or(Outcome::NotRun);
     site.finish(env::var("KEEP_LOGS").ok().map(PathBuf::from).as_deref());
     let (status, text) = match outcome {
         Outcome::Held => (0, "the rule held"),
