--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -129,7 +129,8 @@
         runs.iter().filter(|(task, run)| task.starts_with(job) && run.is_at_work()).count()
     };
     let most = orders.iter().map(|order| ended(&order.ended)).max().unwrap_or(0);
-    site.record.note(format!("most work items at work that one upkeep has ended: {most}; may miss 1"));
+    site.record
+        .note(format!("most work items at work that one upkeep has ended: {most}; may miss 1"));
     Some(if most > 1 { Outcome::Broken } else { Outcome::Held })
 }
 
@@ -176,8 +177,11 @@
             return None;
         }
     }
-    let others: Vec<u8> =
-        entries.iter().copied().filter(|number| site.entry_age(&format!("front-{number}")).is_some()).collect();
+    let others: Vec<u8> = entries
+        .iter()
+        .copied()
+        .filter(|number| site.entry_age(&format!("front-{number}")).is_some())
+        .collect();
     sleep(millis(1_150));
     let body = "{\"spec\":\"work=8000\",\"steps\":[{\"count\":3,\"cpu\":12000,\"memMb\":1024,\
                 \"estMs\":8000}]}";
@@ -308,7 +312,9 @@
 fn drain(site: &Arc<Site>, trouble: bool) -> Option<Outcome> {
     let entries = [1, 2, 3];
     ["m-1", "m-2"].iter().for_each(|name| site.add_machine(name, "desk", "a", "r1-1"));
-    ["m-3", "m-4", "m-5", "m-6"].iter().for_each(|name| site.add_machine(name, "spare", "a", "r1-2"));
+    ["m-3", "m-4", "m-5", "m-6"]
+        .iter()
+        .for_each(|name| site.add_machine(name, "spare", "a", "r1-2"));
     site.put_manifest(&["desk"]);
     entries.iter().for_each(|number| site.start_entry(*number, 0.25));
     site.wait_ready(&entries)?;
@@ -319,7 +325,8 @@
         )
     };
     site.ask(&entries, "POST", "/desk/00000000000000f1", &job(8))?;
-    let last_of = |id: &str, count: u32| site.machine_of(&format!("{id}.0.0.{}", count - 1)).is_some();
+    let last_of =
+        |id: &str, count: u32| site.machine_of(&format!("{id}.0.0.{}", count - 1)).is_some();
     site.wait(millis(5_000), || last_of("00000000000000f1", 8))?;
     site.ask(&entries, "POST", "/desk/00000000000000f2", &job(4))?;
     let tasks: Vec<String> = (0..4).map(|index| format!("00000000000000f2.0.0.{index}")).collect();
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -22,7 +22,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let number = (0..3).fold(0u32, |sum, at| sum << 8 | u32::from(*chunk.get(at).unwrap_or(&0)));
+        let number =
+            (0..3).fold(0u32, |sum, at| sum << 8 | u32::from(*chunk.get(at).unwrap_or(&0)));
         for at in 0..4 {
             let digit = DIGITS[(number >> (18 - 6 * at) & 63) as usize];
             text.push(if at <= chunk.len() { char::from(digit) } else { '=' });
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -34,7 +34,11 @@
 
 impl Run {
     fn percent(&self) -> u64 {
-        if self.text == "lasts" { if self.begun.elapsed() >= STARTUP { 100 } else { 0 } } else { 50 }
+        if self.text == "lasts" {
+            if self.begun.elapsed() >= STARTUP { 100 } else { 0 }
+        } else {
+            50
+        }
     }
 
     fn is_done(&self) -> bool {
@@ -127,8 +131,12 @@
         let mut state = self.state();
         let lapsed = state.lease_until_ms <= clock_ms;
         let due = |run: &Run| lapsed || run.is_done();
-        let due: Vec<String> =
-            state.running.iter().filter(|(_, run)| due(run)).map(|(task, _)| task.clone()).collect();
+        let due: Vec<String> = state
+            .running
+            .iter()
+            .filter(|(_, run)| due(run))
+            .map(|(task, _)| task.clone())
+            .collect();
         for task in due {
             let done = state.running[&task].is_done();
             self.end(&mut state, &task, if done { "done" } else { "lapsed" });
@@ -175,7 +183,9 @@
                 }
                 let text = field(body, "spec").unwrap_or_default();
                 state.latest.insert(task.clone(), run);
-                state.running.insert(task.clone(), Run { number: run, begun: Instant::now(), text });
+                state
+                    .running
+                    .insert(task.clone(), Run { number: run, begun: Instant::now(), text });
                 self.record.note(format!("start {task} run {run} on {} fence {fence}", self.id));
                 json(200, format!("{{\"clockMs\":{clock_ms}}}"))
             }
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -23,7 +23,8 @@
 };
 
 /// Command of the deploy file.
-const ENTRY: (&str, &[&str]) = ("target/release/carobhitch-entry", &["--jobs", "--metrics-port", "9100"]);
+const ENTRY: (&str, &[&str]) =
+    ("target/release/carobhitch-entry", &["--jobs", "--metrics-port", "9100"]);
 /// Time between two check-ins of a runner (`heartbeatMs`).
 const CHECK_IN: Duration = Duration::from_millis(1_500);
 /// Time for which a machine is away for a move (`moveS`) and for its upkeep (`upkeepS`).
@@ -123,7 +124,11 @@
         let store = Arc::clone(&site.store);
         http::serve(store_port, ended(&site), Arc::new(move |request| store.handle(request)));
         let platform = Arc::clone(&site);
-        http::serve(cloud_port, ended(&site), Arc::new(move |request| platform.machine_call(request)));
+        http::serve(
+            cloud_port,
+            ended(&site),
+            Arc::new(move |request| platform.machine_call(request)),
+        );
         let checking = Arc::clone(&site);
         thread::spawn(move || {
             while !checking.ended.load(Ordering::SeqCst) {
@@ -192,7 +197,12 @@
                  \"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"machine\":\"{}\",\"born\":{},\
                  \"headroom\":{{\"cpu\":16000,\"memMb\":65536,\"gpu\":0}},\
                  \"labels\":[\"{}\",\"{}\"],\"clockMs\":0,\"seq\":{number}}}",
-                machine.pool, runner.address, machine.name, runner.born_ms, machine.kind, machine.rack
+                machine.pool,
+                runner.address,
+                machine.name,
+                runner.born_ms,
+                machine.kind,
+                machine.rack
             );
             self.store.put("keyed.servers", &runner.id, &entry);
         }
@@ -234,7 +244,8 @@
 
     fn list(&self) -> Response {
         let row = |machine: &Machine| {
-            let id = machine.runner.as_ref().map_or(String::from("null"), |r| format!("\"{}\"", r.id));
+            let id =
+                machine.runner.as_ref().map_or(String::from("null"), |r| format!("\"{}\"", r.id));
             format!(
                 "{{\"machine\":\"{}\",\"pool\":\"{}\",\"state\":\"{}\",\"zone\":\"zone-a\",\
                  \"labels\":[\"{}\",\"{}\"],\
@@ -411,11 +422,18 @@
     }
 
     /// A consumer's call about a job, at the entries in turn until it is answered.
-    pub fn ask(&self, numbers: &[u8], method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub fn ask(
+        &self,
+        numbers: &[u8],
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         for number in numbers.iter().cycle().take(12) {
             let limit = Duration::from_secs(3);
             let answer = http::call(self.front(*number), method, HOST, path, body, limit);
-            let told = answer.as_ref().map_or(String::from("no answer"), |(s, b)| format!("{s} {b}"));
+            let told =
+                answer.as_ref().map_or(String::from("no answer"), |(s, b)| format!("{s} {b}"));
             self.record.note(format!("consumer: {method} {path} at front-{number}: {told}"));
             match answer {
                 Some((429 | 500.., _)) | None => sleep(Duration::from_millis(1_000)),
