A wave is complete only once the platform has answered for its VMs

Cause: the owner took the VMs of a wave that it did not know for done. It knows a VM since the last list that it read; one that was added since, that a list is late to show or slips between two pages looked like one that was removed for good, and a wave with nothing remaining was complete for good.

Ruled out: that it needs an outage (half a second between two lists is enough), and that a fresh list is evidence (one in part had the same effect).

Change: the maintenance of a VM is due until the platform has answered the call for it: carried out, not of this wave, or no such VM. What lists leave out for 1.5 s is asked for like any other VM, after the runner that has registered from it is drained. `No such VM` is stored for later owners, and is taken back when a list shows the VM. The state of waves is a module of its own (cell::progress).

--- /dev/null
+++ b/src/job/cell/missing.rs
@@ -0,0 +1,77 @@
+//! VMs of maintenance waves that the platform's lists leave out.
+//!
+//! A list does not show a VM that was added after the list was read, that it is late to show, or that
+//! it skipped since VMs were removed between two of its pages; nor does it show a VM that was removed
+//! for good. So a list alone does not tell whether the maintenance of such a VM is still due. Once lists
+//! have left it out for a while, the platform is asked for its maintenance as for any other VM: it
+//! carries it out, or answers that there is no such VM.
+
+use {
+    super::{
+        Cell, Effect, RunnerId, Worker,
+        vm::{LIST_LAG, Record},
+    },
+    crate::id::VmId,
+    indexmap::IndexSet,
+    log::info,
+    std::time::Instant,
+};
+
+impl Cell {
+    /// Takes note of the VMs with due maintenance that a list leaves out whose read was sent at `sent`,
+    /// and has the platform asked about those that lists have left out for long enough.
+    pub(super) fn note_missing_vms(&mut self, sent: Instant, listed: &IndexSet<VmId>) {
+        let missing = self.due_vms_outside(sent, listed);
+        self.pools.waves.missing.retain(|vm, _| missing.contains(vm));
+        for vm in missing {
+            let since = *self.pools.waves.missing.entry(vm.clone()).or_insert(sent);
+            let waited = sent.saturating_duration_since(since) >= LIST_LAG;
+            if waited && !self.pools.vms.contains_key(&vm) && !self.may_have_unknown_runner() {
+                let runner = self.registered_runner(&vm);
+                info!("vm: id={vm} listed=false runner={runner:?}");
+                let runner = runner.as_deref().map(String::from);
+                self.pools.vms.insert(vm.clone(), Record::unlisted(vm, runner));
+            }
+        }
+    }
+
+    /// VMs with due maintenance that are not in `listed`. The list tells nothing about waves that were
+    /// not known yet when its read was sent.
+    fn due_vms_outside(&self, sent: Instant, listed: &IndexSet<VmId>) -> IndexSet<VmId> {
+        let mut missing = IndexSet::new();
+        for (number, progress) in &self.pools.waves.known {
+            if progress.complete || sent < progress.known_since {
+                continue;
+            }
+            let is_missing =
+                |vm: &&VmId| !listed.contains(*vm) && self.pools.waves.is_due(*number, vm);
+            missing.extend(progress.wave.vms.iter().filter(is_missing).cloned());
+        }
+        missing
+    }
+
+    /// Whether there is a runner with tasks of which only the ledger tells, so that it could be on any
+    /// VM. This ends with its lease at the latest.
+    fn may_have_unknown_runner(&self) -> bool {
+        let is_unknown =
+            |worker: &Worker| worker.registration.is_none() && !worker.tasks.is_empty();
+        self.workers.values().any(is_unknown)
+    }
+
+    /// Newest runner that has registered from a VM.
+    pub(super) fn registered_runner(&self, vm: &str) -> Option<RunnerId> {
+        let on_vm = self.workers.iter().filter(|(_, worker)| worker.vm() == vm);
+        on_vm.max_by_key(|(_, worker)| worker.incarnation).map(|(id, _)| RunnerId::clone(id))
+    }
+
+    /// Makes the maintenance of a VM due again for which it was gone, since a list shows it now.
+    pub(super) fn reopen_waves_of(&mut self, vm: &str) {
+        for number in self.pools.waves.restore_gone(vm) {
+            info!("wave: number={number} vm={vm} gone=false");
+            let Some(progress) = self.pools.waves.known.get_mut(&number) else { continue };
+            if std::mem::take(&mut progress.complete) {
+                self.effects.push(Effect::ReportWave(number, false));
+            }
+        }
+    }
+}
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -9,6 +9,7 @@
     super::{
         Cell, Effect, RunnerId,
         job::State,
+        progress::Waves,
         vm::{Plan, Record, Stage, Target},
     },
     crate::{
@@ -17,7 +18,7 @@
             ledger,
             runner::Registration,
             spec::Task,
-            upkeep::{self, Action, Refusal, Vm},
+            upkeep::{Action, Listing, Refusal},
         },
     },
     indexmap::{IndexMap, IndexSet},
@@ -40,27 +41,15 @@
 #[derive(Clone, Debug)]
 pub struct Pools {
     pub(super) vms: IndexMap<VmId, Record>,
-    pub(super) waves: IndexMap<upkeep::Number, Progress>,
-    /// VMs of each wave whose maintenance was carried out, or permanently refused.
-    pub(super) upkeep_done: IndexMap<upkeep::Number, Vec<VmId>>,
-    /// VMs of each wave for which a call may have been carried out, but was not answered yet.
-    pub(super) upkeep_begun: IndexMap<upkeep::Number, Vec<VmId>>,
+    pub(super) waves: Waves,
     /// Number of VMs in each pool when the cell was first owned.
     pub(super) initial_sizes: IndexMap<String, usize>,
     /// Number of VMs that each service should have, by the last balance.
     pub(super) targets: IndexMap<String, usize>,
     /// When the pools were last balanced.
     pub(super) balanced_at: Instant,
-    /// Whether the ledger's record is out of date.
-    changed: bool,
-}
-
-/// Progress of a maintenance wave that the operators have ordered.
-#[derive(Clone, Debug)]
-pub(super) struct Progress {
-    pub(super) wave: upkeep::Request,
-    pub(super) begun: Instant,
-    pub(super) complete: bool,
+    /// Whether the ledger's record of the initial sizes is out of date.
+    sizes_changed: bool,
 }
 
 impl Pools {
@@ -68,68 +57,34 @@
     pub fn new(now: Instant) -> Self {
         Self {
             vms: IndexMap::new(),
-            waves: IndexMap::new(),
-            upkeep_done: IndexMap::new(),
-            upkeep_begun: IndexMap::new(),
+            waves: Waves::default(),
             initial_sizes: IndexMap::new(),
             targets: IndexMap::new(),
             balanced_at: now,
-            changed: false,
+            sizes_changed: false,
         }
     }
 
     /// Restores what a previous owner has stored.
     pub(super) fn restore(&mut self, stored: ledger::Upkeep) {
-        self.upkeep_done = stored.waves;
-        self.upkeep_begun = stored.begun;
-        self.initial_sizes = stored.sizes;
+        self.initial_sizes.clone_from(&stored.sizes);
+        self.waves.restore(stored);
     }
 
     /// Record for the ledger.
     pub(super) fn to_ledger(&self) -> ledger::Upkeep {
-        ledger::Upkeep {
-            waves: self.upkeep_done.clone(),
-            begun: self.upkeep_begun.clone(),
-            sizes: self.initial_sizes.clone(),
-        }
+        ledger::Upkeep { sizes: self.initial_sizes.clone(), ..self.waves.to_ledger() }
     }
 
     /// Whether the ledger's record is out of date.
     pub(super) fn changed(&self) -> bool {
-        self.changed
-    }
-
-    /// Whether a call for a VM's maintenance in this wave may have been carried out without an
-    /// answer.
-    pub(super) fn upkeep_may_have_begun(&self, wave: upkeep::Number, vm: &str) -> bool {
-        self.upkeep_begun.get(&wave).is_some_and(|begun| begun.iter().any(|id| id == vm))
-    }
-
-    fn mark_upkeep_begun(&mut self, wave: upkeep::Number, vm: &str) {
-        if !self.upkeep_may_have_begun(wave, vm) {
-            self.upkeep_begun.entry(wave).or_default().push(String::from(vm));
-            self.changed = true;
-        }
+        self.sizes_changed || self.waves.changed
     }
 
     /// Whether the ledger's record is out of date; from now on it counts as up to date.
     pub(super) fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.changed)
-    }
-
-    /// Whether a VM's maintenance in this wave has been carried out, or permanently refused.
-    pub(super) fn is_upkeep_done(&self, wave: upkeep::Number, vm: &str) -> bool {
-        self.upkeep_done.get(&wave).is_some_and(|done| done.iter().any(|id| id == vm))
-    }
-
-    pub(super) fn mark_upkeep_done(&mut self, wave: upkeep::Number, vm: &str) {
-        if !self.is_upkeep_done(wave, vm) {
-            self.upkeep_done.entry(wave).or_default().push(String::from(vm));
-            if let Some(begun) = self.upkeep_begun.get_mut(&wave) {
-                begun.retain(|id| id != vm);
-            }
-            self.changed = true;
-        }
+        let waves_changed = std::mem::take(&mut self.waves.changed);
+        std::mem::take(&mut self.sizes_changed) || waves_changed
     }
 
     /// Records the initial sizes of the pools, once the VMs are first known.
@@ -137,18 +92,22 @@
         if !self.initial_sizes.is_empty() || self.vms.is_empty() {
             return;
         }
-        for record in self.vms.values() {
+        for record in self.vms.values().filter(|record| !record.unlisted) {
             *self.initial_sizes.entry(record.listed.pool.clone()).or_default() += 1;
         }
-        self.changed = true;
+        self.sizes_changed = true;
     }
 }
 
 impl Cell {
     /// Updates the VMs from the platform's list.
-    pub fn update_vms(&mut self, now: Instant, vms: Vec<Vm>) {
+    pub fn update_vms(&mut self, now: Instant, listing: Listing) {
+        let Listing { vms, sent } = listing;
         let listed: IndexSet<VmId> = vms.iter().map(|vm| vm.id.clone()).collect();
         for vm in vms {
+            if self.pools.vms.get(&vm.id).is_none_or(|record| record.unlisted) {
+                self.reopen_waves_of(&vm.id);
+            }
             match self.pools.vms.get_mut(&vm.id) {
                 Some(record) => record.update(now, vm),
                 None => {
@@ -156,7 +115,12 @@
                 }
             }
         }
-        self.pools.vms.retain(|id, record| listed.contains(id) || record.plan.is_some());
+        self.note_missing_vms(sent, &listed);
+        let missing = &self.pools.waves.missing;
+        self.pools.vms.retain(|id, record| {
+            let is_needed = record.unlisted && missing.contains_key(id);
+            listed.contains(id) || record.plan.is_some() || is_needed
+        });
         self.mark_replaced_runners();
         self.pools.record_initial_sizes();
         self.finish_actions(now);
@@ -213,6 +177,9 @@
 
     /// Plans an action on a VM, which gets no new tasks from now on.
     pub(super) fn plan_action(&mut self, now: Instant, action: Action) {
+        if !self.pools.vms.contains_key(action.vm()) {
+            return;
+        }
         let runner = self.runner_of(action.vm());
         if let Some(worker) = runner.as_ref().and_then(|id| self.workers.get_mut(id)) {
             worker.vm_draining = true;
@@ -296,11 +263,11 @@
         let mut resumes = false;
         if let Action::Upkeep { wave, .. } = action {
             let (wave, max_down) = (*wave, self.max_down(*wave));
-            resumes = self.pools.upkeep_may_have_begun(wave, vm);
+            resumes = self.pools.waves.may_have_begun(wave, vm);
             if !resumes && self.count_down(wave) >= max_down {
                 return;
             }
-            self.pools.mark_upkeep_begun(wave, vm);
+            self.pools.waves.mark_begun(wave, vm);
         }
         let target = self.target_of(vm);
         if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
@@ -333,7 +300,7 @@
                 let (target, may_be_done) = (plan.target.take(), plan.may_be_done);
                 record.complete_action(now, action, target.clone(), self.bounds.upkeep_time);
                 if let Action::Upkeep { wave, .. } = action {
-                    self.pools.mark_upkeep_done(*wave, vm);
+                    self.pools.waves.mark_done(*wave, vm);
                 }
                 if let Some(target) = target.filter(|_| !may_be_done) {
                     self.runner_ended(now, &target);
@@ -346,10 +313,14 @@
         };
         if is_final {
             warn!("vm: id={vm} given_up={action:?} why={outcome:?}");
-            if let (Action::Upkeep { wave, .. }, Err(Refusal::Wave | Refusal::Impossible)) =
-                (action, &outcome)
-            {
-                self.pools.mark_upkeep_done(*wave, vm);
+            match (action, &outcome) {
+                (Action::Upkeep { wave, .. }, Err(Refusal::Wave)) => {
+                    self.pools.waves.mark_done(*wave, vm);
+                }
+                (Action::Upkeep { wave, .. }, Err(Refusal::Impossible)) => {
+                    self.pools.waves.mark_gone(*wave, vm);
+                }
+                _ => {}
             }
             if let (Action::Move { pool, .. }, Err(Refusal::Busy | Refusal::Impossible)) =
                 (action, &outcome)
--- /dev/null
+++ b/src/job/cell/progress.rs
@@ -0,0 +1,126 @@
+//! State of the maintenance waves (`upkeep` on the wire): what the platform has answered about each VM.
+//!
+//! The maintenance of a VM is due until the platform has answered the call for it: that it was carried
+//! out, that the VM is not of this wave, or that there is no such VM. Nothing else shows it, so a VM of
+//! which nothing is known keeps its wave open.
+
+use {
+    crate::{
+        id::VmId,
+        job::{
+            ledger,
+            upkeep::{Number, Request},
+        },
+    },
+    indexmap::IndexMap,
+    std::time::Instant,
+};
+
+/// VMs of waves, by the number of the wave.
+type Vms = IndexMap<Number, Vec<VmId>>;
+
+/// State of the maintenance waves.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Waves {
+    /// Waves that this owner knows.
+    pub(super) known: IndexMap<Number, Progress>,
+    /// VMs whose maintenance was carried out, or which are not of the wave.
+    pub(super) done: Vms,
+    /// VMs for which a call may have been carried out, but was not answered yet.
+    begun: Vms,
+    /// VMs that the platform does not have.
+    gone: Vms,
+    /// VMs with due maintenance that the platform's lists leave out, and when the first of these lists
+    /// was asked for.
+    pub(super) missing: IndexMap<VmId, Instant>,
+    /// Whether the ledger's record is out of date.
+    pub(super) changed: bool,
+}
+
+/// Progress of a maintenance wave that the operators have ordered.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    pub(super) wave: Request,
+    /// When its allowed time began.
+    pub(super) begun: Instant,
+    /// When this owner learned of it.
+    pub(super) known_since: Instant,
+    pub(super) complete: bool,
+}
+
+impl Waves {
+    /// Restores what a previous owner has stored.
+    pub(super) fn restore(&mut self, stored: ledger::Upkeep) {
+        self.done = stored.waves;
+        self.begun = stored.begun;
+        self.gone = stored.gone;
+    }
+
+    /// Record for the ledger, without the sizes of pools.
+    pub(super) fn to_ledger(&self) -> ledger::Upkeep {
+        ledger::Upkeep {
+            waves: self.done.clone(),
+            begun: self.begun.clone(),
+            gone: self.gone.clone(),
+            ..ledger::Upkeep::default()
+        }
+    }
+
+    /// Whether a VM's maintenance in this wave is due.
+    pub(super) fn is_due(&self, wave: Number, vm: &str) -> bool {
+        !names(&self.done, wave, vm) && !names(&self.gone, wave, vm)
+    }
+
+    /// Whether a call for a VM's maintenance in this wave may have been carried out without an answer.
+    pub(super) fn may_have_begun(&self, wave: Number, vm: &str) -> bool {
+        names(&self.begun, wave, vm)
+    }
+
+    /// Takes note that a call for a VM's maintenance is going to be sent.
+    pub(super) fn mark_begun(&mut self, wave: Number, vm: &str) {
+        if !self.may_have_begun(wave, vm) {
+            self.begun.entry(wave).or_default().push(String::from(vm));
+            self.changed = true;
+        }
+    }
+
+    /// Takes note that a VM's maintenance was carried out, or that the VM is not of this wave.
+    pub(super) fn mark_done(&mut self, wave: Number, vm: &str) {
+        if self.is_due(wave, vm) {
+            self.done.entry(wave).or_default().push(String::from(vm));
+            self.forget_call(wave, vm);
+        }
+    }
+
+    /// Takes note that the platform does not have a VM of this wave.
+    pub(super) fn mark_gone(&mut self, wave: Number, vm: &str) {
+        if self.is_due(wave, vm) {
+            self.gone.entry(wave).or_default().push(String::from(vm));
+            self.forget_call(wave, vm);
+        }
+    }
+
+    fn forget_call(&mut self, wave: Number, vm: &str) {
+        if let Some(begun) = self.begun.get_mut(&wave) {
+            begun.retain(|id| id != vm);
+        }
+        self.changed = true;
+    }
+
+    /// Makes the maintenance of a VM due again in the waves that have missed it; returns these waves.
+    pub(super) fn restore_gone(&mut self, vm: &str) -> Vec<Number> {
+        let missed: Vec<Number> =
+            self.gone.keys().copied().filter(|wave| names(&self.gone, *wave, vm)).collect();
+        for wave in &missed {
+            if let Some(gone) = self.gone.get_mut(wave) {
+                gone.retain(|id| id != vm);
+            }
+            self.changed = true;
+        }
+        missed
+    }
+}
+
+fn names(vms: &Vms, wave: Number, vm: &str) -> bool {
+    vms.get(&wave).is_some_and(|vms| vms.iter().any(|id| id == vm))
+}
--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -9,9 +9,12 @@
 
 use {
     super::RunnerId,
-    crate::job::{
-        runner::{Incarnation, Registration},
-        upkeep::{Action, State, Vm},
+    crate::{
+        id::VmId,
+        job::{
+            runner::{Incarnation, Registration},
+            upkeep::{Action, State, Vm},
+        },
     },
     indexmap::{IndexMap, IndexSet},
     log::info,
@@ -35,6 +38,8 @@
 pub(super) struct Record {
     /// State that the platform listed last, updated by actions that were carried out since.
     pub(super) listed: Vm,
+    /// Whether no list has shown the VM; it is known only from a wave.
+    pub(super) unlisted: bool,
     /// Planned action.
     pub(super) plan: Option<Plan>,
     /// Last action that was carried out, until the VM's new runner is known.
@@ -142,7 +147,21 @@
 impl Record {
     /// Record of a VM that the platform lists.
     pub(super) fn new(listed: Vm) -> Self {
-        Self { listed, plan: None, last_action: None, refused_pools: IndexMap::new() }
+        Self {
+            listed,
+            unlisted: false,
+            plan: None,
+            last_action: None,
+            refused_pools: IndexMap::new(),
+        }
+    }
+
+    /// Record of a VM that no list shows. It counts as down, except for its maintenance.
+    pub(super) fn unlisted(id: VmId, runner: Option<String>) -> Self {
+        let (pool, zone) = (String::new(), String::new());
+        let state = State::Down;
+        let listed = Vm { id, pool, state, zone, labels: Vec::new(), runner };
+        Self { unlisted: true, ..Self::new(listed) }
     }
 
     /// Takes note that the platform has refused a move to a pool, so that other VMs are tried.
@@ -157,6 +176,7 @@
 
     /// Sets the state that the platform lists, unless it is from before the last action.
     pub(super) fn update(&mut self, now: Instant, vm: Vm) {
+        self.unlisted = false;
         let is_older = |action: &Completion| {
             let recent = now.saturating_duration_since(action.at) < LIST_LAG;
             let runner = vm.runner.as_deref();
@@ -239,6 +259,11 @@
         !domains.is_empty() && own().any(|domain| domains.contains(domain.as_str()))
     }
 
+    /// Whether the VM may be taken down for maintenance now, as far as its own state tells.
+    pub(super) fn may_begin_upkeep(&self) -> bool {
+        self.last_action.is_none() && (self.unlisted || self.listed.state == State::Up)
+    }
+
     /// Whether the VM is down, or an action on it is not complete yet.
     pub(super) fn is_down(&self) -> bool {
         self.listed.state != State::Up || self.last_action.is_some()
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -5,7 +5,7 @@
 //! once than it needs to be complete early enough, so that more of each pool is left for bursts.
 
 use {
-    super::{Cell, Effect, pools::Progress, vm::Record},
+    super::{Cell, Effect, progress::Progress, vm::Record},
     crate::{
         id::VmId,
         job::upkeep::{Action, Number, Request},
@@ -25,7 +25,7 @@
     /// that a previous owner has worked on, half of the allowed time counts as passed.
     pub fn add_wave(&mut self, now: Instant, request: Request) {
         let number = request.number;
-        if self.pools.waves.contains_key(&number) {
+        if self.pools.waves.known.contains_key(&number) {
             return;
         }
         info!(
@@ -34,11 +34,14 @@
             request.max_at_once,
             request.within.as_secs_f64()
         );
-        let resumed = self.pools.upkeep_done.contains_key(&number);
+        let resumed = self.pools.waves.done.contains_key(&number);
         let passed = if resumed { request.within / 2 } else { Duration::ZERO };
         let begun = now.checked_sub(passed).unwrap_or(now);
-        self.pools.waves.insert(number, Progress { wave: request, begun, complete: false });
-        self.effects.push(Effect::ReportWave(number, false));
+        let progress = Progress { wave: request, begun, known_since: now, complete: false };
+        self.pools.waves.known.insert(number, progress);
+        if !self.remaining_vms(number).is_empty() {
+            self.effects.push(Effect::ReportWave(number, false));
+        }
     }
 
     /// Number of VMs of a wave that are or may be down for their maintenance.
@@ -46,19 +49,20 @@
         let of_wave = |id: &str| {
             self.pools
                 .waves
+                .known
                 .get(&wave)
                 .is_some_and(|progress| progress.wave.vms.iter().any(|vm| vm == id))
         };
         let down = |record: &&Record| {
             let id = record.listed.id.as_str();
-            self.pools.upkeep_may_have_begun(wave, id) || record.may_be_in_upkeep() && of_wave(id)
+            self.pools.waves.may_have_begun(wave, id) || record.may_be_in_upkeep() && of_wave(id)
         };
         self.pools.vms.values().filter(down).count()
     }
 
     /// Largest number of VMs of a wave that may be down at once.
     pub(super) fn max_down(&self, wave: Number) -> usize {
-        self.pools.waves.get(&wave).map_or(1, |progress| progress.wave.max_at_once)
+        self.pools.waves.known.get(&wave).map_or(1, |progress| progress.wave.max_at_once)
     }
 
     /// Plans the maintenance of further VMs of each wave, and reports waves that are complete.
@@ -66,6 +70,7 @@
         let open: Vec<Number> = self
             .pools
             .waves
+            .known
             .iter()
             .filter(|(_, progress)| !progress.complete)
             .map(|(number, _)| *number)
@@ -79,20 +84,17 @@
     /// which a call may have been carried out already come first, whatever they cost.
     fn advance_wave(&mut self, now: Instant, number: Number) {
         let remaining = self.remaining_vms(number);
-        if self.pools.vms.is_empty() {
-            return;
-        }
         if remaining.is_empty() {
             return self.complete_wave(now, number);
         }
         for vm in &remaining {
-            if self.pools.upkeep_may_have_begun(number, vm) && !self.has_plan(vm) {
+            if self.pools.waves.may_have_begun(number, vm) && !self.has_plan(vm) {
                 let vm = vm.clone();
                 self.plan_action(now, Action::Upkeep { vm, wave: number });
             }
         }
         let draining =
-            |id: &&VmId| self.has_plan(id) && !self.pools.upkeep_may_have_begun(number, id);
+            |id: &&VmId| self.has_plan(id) && !self.pools.waves.may_have_begun(number, id);
         let busy = remaining.iter().filter(draining).count() + self.count_down(number);
         let room = self.target_down(now, number, remaining.len()).saturating_sub(busy);
         if room == 0 {
@@ -110,27 +112,26 @@
         }
     }
 
-    /// Known VMs of a wave whose maintenance is still due.
+    /// VMs of a wave whose maintenance is still due, whether a list shows them or not.
     fn remaining_vms(&self, number: Number) -> Vec<VmId> {
-        let Some(progress) = self.pools.waves.get(&number) else { return Vec::new() };
-        let due =
-            |id: &&VmId| !self.pools.is_upkeep_done(number, id) && self.pools.vms.contains_key(*id);
+        let Some(progress) = self.pools.waves.known.get(&number) else { return Vec::new() };
+        let due = |id: &&VmId| self.pools.waves.is_due(number, id);
         progress.wave.vms.iter().filter(due).cloned().collect()
     }
 
     /// Whether the maintenance of a VM is due and its wave should be complete by now.
     pub(super) fn is_overdue(&self, now: Instant, vm: &str) -> bool {
-        self.pools.waves.iter().any(|(number, progress)| {
+        self.pools.waves.known.iter().any(|(number, progress)| {
             let past_target = now.saturating_duration_since(progress.begun)
                 > progress.wave.within.mul_f64(TARGET_FRACTION);
             let due = || progress.wave.vms.iter().any(|id| id == vm);
-            !progress.complete && past_target && due() && !self.pools.is_upkeep_done(*number, vm)
+            !progress.complete && past_target && due() && self.pools.waves.is_due(*number, vm)
         })
     }
 
     /// Marks a wave as complete and reports it.
     fn complete_wave(&mut self, now: Instant, number: Number) {
-        let Some(progress) = self.pools.waves.get_mut(&number) else { return };
+        let Some(progress) = self.pools.waves.known.get_mut(&number) else { return };
         let ms = now.saturating_duration_since(progress.begun).as_millis();
         info!("wave: number={number} complete=true ms={ms}");
         progress.complete = true;
@@ -143,7 +144,7 @@
 
     /// Number of VMs to have down or being drained at once, so that the wave is complete in time.
     fn target_down(&self, now: Instant, number: Number, remaining: usize) -> usize {
-        let Some(progress) = self.pools.waves.get(&number) else { return 0 };
+        let Some(progress) = self.pools.waves.known.get(&number) else { return 0 };
         let passed = now.saturating_duration_since(progress.begun);
         let time = progress.wave.within.mul_f64(TARGET_FRACTION).saturating_sub(passed);
         if time.is_zero() {
@@ -159,7 +160,7 @@
     /// cores in use. None if the VM can't be taken down now.
     fn upkeep_cost(&self, pressures: &IndexMap<String, f64>, vm: &str) -> Option<u64> {
         let record = self.pools.vms.get(vm)?;
-        if record.is_down() {
+        if !record.may_begin_upkeep() {
             return None;
         }
         let Some(runner) = self.runner_of(vm) else { return Some(0) };
--- a/src/job/daemon/event.rs
+++ b/src/job/daemon/event.rs
@@ -10,7 +10,7 @@
             manifest::Manifest,
             runner::{self, Registration, Report},
             spec::Task,
-            upkeep::{self, Vm},
+            upkeep::{self, Listing},
         },
     },
     std::time::Instant,
@@ -42,7 +42,7 @@
     /// A wave that the operators ask for.
     Wave(upkeep::Request),
     /// The platform's list of VMs.
-    Vms(Vec<Vm>),
+    Vms(Listing),
     /// Outcome of an action on a VM.
     VmChanged(upkeep::Action, Result<(), upkeep::Refusal>),
 }
--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -5,7 +5,7 @@
     super::{channel::Channel, event::Event, shared::Shared, store::Store},
     crate::{
         adapter::{self, manifest, runner, store::Error},
-        job::{clock, ledger::Record},
+        job::{clock, ledger::Record, upkeep::Listing},
     },
     indexmap::IndexSet,
     log::{info, warn},
@@ -156,11 +156,11 @@
     let mut unavailable = false;
     loop {
         match list(&channel).await {
-            Ok(vms) => {
+            Ok(listing) => {
                 if std::mem::take(&mut unavailable) {
                     info!("fleet: answers=true");
                 }
-                if events.send(Event::Vms(vms)).is_err() {
+                if events.send(Event::Vms(listing)).is_err() {
                     return;
                 }
             }
@@ -175,7 +175,8 @@
 }
 
 /// Reads all pages of the list of VMs.
-async fn list(channel: &Channel) -> Result<Vec<crate::job::upkeep::Vm>, String> {
+async fn list(channel: &Channel) -> Result<Listing, String> {
+    let sent = clock::now();
     let mut vms = Vec::new();
     let mut token: Option<String> = None;
     loop {
@@ -185,7 +186,7 @@
         vms.extend(page.vms);
         match page.next {
             Some(next) => token = Some(next),
-            None => return Ok(vms),
+            None => return Ok(Listing { vms, sent }),
         }
     }
 }
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -222,7 +222,7 @@
             Event::Manifest(manifest) => self.cell.update_manifest(manifest),
             Event::RecordsRead(sent) => self.cell.records_read(sent),
             Event::Wave(request) => self.cell.add_wave(now, request),
-            Event::Vms(vms) => self.cell.update_vms(now, vms),
+            Event::Vms(listing) => self.cell.update_vms(now, listing),
             Event::VmChanged(action, outcome) => {
                 self.cell.vm_action_answered(now, &action, outcome)
             }
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -153,12 +153,15 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Upkeep {
-    /// VMs of each wave whose maintenance was carried out, or permanently refused.
+    /// VMs of each wave whose maintenance was carried out, or which are not of that wave.
     pub waves: IndexMap<upkeep::Number, Vec<VmId>>,
     /// VMs of each wave for which a call may have been carried out, but was not answered yet.
     pub begun: IndexMap<upkeep::Number, Vec<VmId>>,
     /// Number of VMs in each pool when the cell got its first owner.
     pub sizes: IndexMap<String, usize>,
+    /// VMs of each wave that the platform does not have. They are stored as an extension of the record.
+    #[serde(skip)]
+    pub gone: IndexMap<upkeep::Number, Vec<VmId>>,
 }
 
 /// Content of a record.
@@ -208,7 +211,8 @@
 
 /// Encodes the record of waves and pools.
 pub fn upkeep(content: &Upkeep) -> Result<Record> {
-    encode(String::from(UPKEEP), content)
+    let gone = Some(&content.gone).filter(|gone| !gone.is_empty());
+    encode_extended(String::from(UPKEEP), content, gone)
 }
 
 /// Record without content. Its successful append shows that the writer still owns the cell.
@@ -238,7 +242,8 @@
         return decode(record).map(Content::Former);
     }
     if record.key == UPKEEP {
-        return decode(record).map(Content::Upkeep);
+        let (upkeep, gone) = decode_extended(record)?;
+        return Ok(Content::Upkeep(Upkeep { gone: gone.unwrap_or_default(), ..upkeep }));
     }
     if record.key == BARRIER {
         return Ok(Content::Barrier);
--- a/src/job/upkeep.rs
+++ b/src/job/upkeep.rs
@@ -6,7 +6,7 @@
     crate::id::VmId,
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Number of a wave.
@@ -30,6 +30,15 @@
     pub runner: Option<String>,
 }
 
+/// The platform's list of VMs, complete as far as the platform shows.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// VMs.
+    pub vms: Vec<Vm>,
+    /// When the read of the list was sent.
+    pub sent: Instant,
+}
+
 /// State of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/tests/job_ledger.rs
+++ b/tests/job_ledger.rs
@@ -8,7 +8,7 @@
 use {
     carobhitch::job::{
         extension,
-        ledger::{self, Content, Progress, Record, Task, fragment::Divider},
+        ledger::{self, Content, Progress, Record, Task, Upkeep, fragment::Divider},
         suspicion::History,
     },
     indexmap::IndexMap,
@@ -24,6 +24,20 @@
     assert_eq!(ledger::read(&record).unwrap(), Content::Progress(7, progress));
 }
 
+#[test]
+fn vms_that_the_platform_does_not_have_are_read_as_they_were_stored_and_ignored_by_a_former_release()
+ {
+    let plain = Upkeep { waves: [(1, vec!["m0".into()])].into(), ..Upkeep::default() };
+    let upkeep = Upkeep { gone: [(1, vec!["m9".into()])].into(), ..plain.clone() };
+    let record = ledger::upkeep(&upkeep).unwrap();
+    assert_eq!(ledger::read(&record).unwrap(), Content::Upkeep(upkeep));
+    let former: (Upkeep, Option<()>) = extension::decode(&record.value).unwrap();
+    assert_eq!(former.0, plain);
+    let stored = ledger::upkeep(&plain).unwrap();
+    assert_eq!(stored.value, extension::encode(&plain, None::<&()>).unwrap());
+    assert_eq!(ledger::read(&stored).unwrap(), Content::Upkeep(plain));
+}
+
 #[test]
 fn the_crashes_of_a_task_are_read_as_they_were_stored_and_ignored_by_a_former_release() {
     let steps = vec![vec![Task::default()], vec![Task { run: 2, ..Task::default() }]];
--- /dev/null
+++ b/tests/job_waves.rs
@@ -0,0 +1,242 @@
+//! When a maintenance wave is complete, while the owner's knowledge of its VMs is late, in part or gone.
+//!
+//! The simulation asserts at each report of a complete wave that every VM of it that there is has had
+//! its maintenance. The tests here take away what the owner knows, and also check that each wave ends.
+
+#![allow(clippy::unwrap_used)]
+
+mod simulation;
+
+use {
+    carobhitch::job::{
+        cell::Action,
+        spec::Step,
+        upkeep::{self, Request, State},
+    },
+    simulation::{Simulation, spec, step},
+    std::time::Duration,
+};
+
+/// Time within which a wave of few VMs ends once nothing disturbs it.
+const END_TIME: Duration = Duration::from_secs(20);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn wave(number: u64, vms: &[&str]) -> Request {
+    let vms = vms.iter().map(|id| String::from(*id)).collect();
+    Request { number, vms, within: Duration::from_secs(20), max_at_once: 1 }
+}
+
+/// Simulation with as many VMs, whose list was read.
+fn simulation(vms: usize) -> Simulation {
+    let mut sim = Simulation::new(vms);
+    sim.move_time = Some(seconds(2.0));
+    sim.update_vms();
+    sim.run(seconds(0.5));
+    sim
+}
+
+/// How often the maintenance of a VM in a wave was asked for.
+fn calls(sim: &Simulation, number: u64, id: &str) -> usize {
+    let is_call = |action: &&Action| {
+        let Action::ChangeVm(upkeep::Action::Upkeep { vm, wave }) = action else { return false };
+        vm == id && *wave == number
+    };
+    sim.actions.iter().filter(is_call).count()
+}
+
+fn is_complete(sim: &Simulation, number: u64) -> bool {
+    sim.wave_reports.get(&number).copied().unwrap_or_default()
+}
+
+/// Lets a wave end.
+fn finish(sim: &mut Simulation, number: u64) {
+    sim.run_with_lists(END_TIME);
+    assert!(is_complete(sim, number), "wave {number} never ends");
+}
+
+/// Guards against a wave that is complete at once, as the VM was added after the last list (review 14).
+#[test]
+fn a_wave_waits_for_a_vm_that_was_added_after_the_last_list() {
+    let mut sim = simulation(3);
+    sim.add_runner("r3", "desk", "m3", 1);
+    sim.order_wave(wave(1, &["m3"]));
+    sim.run(seconds(0.4));
+    assert!(!is_complete(&sim, 1));
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m3"), 1);
+}
+
+/// Guards against the same while the platform answers no call about VMs.
+#[test]
+fn a_wave_waits_while_the_list_is_away() {
+    let mut sim = simulation(3);
+    sim.vm_actions_down = true;
+    sim.add_runner("r3", "desk", "m3", 1);
+    sim.order_wave(wave(1, &["m0", "m3"]));
+    sim.run(seconds(30.0));
+    assert!(!is_complete(&sim, 1));
+    sim.vm_actions_down = false;
+    finish(&mut sim, 1);
+}
+
+/// Guards against a conclusion from a list that was asked for before the wave was ordered.
+#[test]
+fn a_list_from_before_a_wave_tells_nothing_of_its_vms() {
+    let mut sim = simulation(3);
+    let before = sim.instant();
+    sim.run(seconds(3.0));
+    sim.order_wave(wave(1, &["m9"]));
+    sim.run(seconds(0.1));
+    for _ in 0..10 {
+        sim.update_vms_as_of(before);
+        sim.run(seconds(0.5));
+    }
+    assert_eq!(calls(&sim, 1, "m9"), 0);
+    assert!(!is_complete(&sim, 1));
+    finish(&mut sim, 1);
+}
+
+/// Guards against a wave that is complete since one list has skipped a VM between two pages.
+#[test]
+fn a_list_in_part_completes_no_wave() {
+    let mut sim = simulation(3);
+    sim.unlisted_vms.insert("m1".into());
+    sim.update_vms();
+    sim.order_wave(wave(1, &["m1"]));
+    sim.run_with_lists(seconds(1.0));
+    assert!(!is_complete(&sim, 1));
+    sim.unlisted_vms.clear();
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m1"), 1);
+}
+
+/// Guards against a wave that waits for a list that never shows its VM. Its runner is drained first.
+#[test]
+fn a_vm_that_no_list_shows_is_drained_and_maintained() {
+    let mut sim = simulation(2);
+    sim.unlisted_vms.insert("m1".into());
+    let step = Step { endless: true, per_runner: 1, max_unavailable: 1, ..step(2, 1_000) };
+    sim.submit(7, spec(vec![step]));
+    sim.run_with_lists(seconds(3.0));
+    assert!(!sim.runners["r1"].running.is_empty());
+    sim.order_wave(wave(1, &["m1"]));
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m1"), 1);
+}
+
+/// Guards against a wave that never ends as a VM of it was removed for good.
+#[test]
+fn a_wave_ends_though_a_vm_of_it_is_removed() {
+    for removed_after in [0.0, 0.3, 2.0, 4.0] {
+        let mut sim = simulation(4);
+        sim.order_wave(wave(1, &["m0", "m1", "m2"]));
+        sim.run_with_lists(seconds(removed_after));
+        sim.remove_vm("m1");
+        finish(&mut sim, 1);
+        assert_eq!(calls(&sim, 1, "m2"), 1);
+    }
+}
+
+/// Guards against a wave that never ends as the platform has no VM any more.
+#[test]
+fn a_wave_ends_though_all_vms_are_removed() {
+    let mut sim = simulation(2);
+    sim.remove_vm("m0");
+    sim.remove_vm("m1");
+    sim.order_wave(wave(1, &["m0", "m1"]));
+    finish(&mut sim, 1);
+}
+
+/// Guards against a wave that never ends as another writer names a runner of a VM that there is not.
+#[test]
+fn a_wave_ends_though_a_foreign_registration_names_its_removed_vm() {
+    let mut sim = simulation(2);
+    sim.remove_vm("m1");
+    let mut foreign = sim.registration("r0");
+    foreign.vm = "m1".into();
+    foreign.incarnation = Some(9);
+    let now = sim.instant();
+    sim.cell.update_registration(now, "x1", Some(foreign));
+    sim.order_wave(wave(1, &["m1"]));
+    finish(&mut sim, 1);
+}
+
+/// Guards against an answer from the platform that there is no such VM, which is taken for good.
+#[test]
+fn a_wave_is_open_again_when_a_vm_of_it_is_added_later() {
+    let mut sim = simulation(2);
+    sim.order_wave(wave(1, &["m0", "m9"]));
+    finish(&mut sim, 1);
+    sim.vm_actions_down = true;
+    sim.add_runner("r9", "desk", "m9", 1);
+    sim.update_vms();
+    sim.run(seconds(0.1));
+    assert!(!is_complete(&sim, 1));
+    sim.vm_actions_down = false;
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m0"), 1);
+}
+
+/// Guards against a new owner that knows neither what the platform answered nor which VMs there are.
+#[test]
+fn a_new_owner_neither_completes_a_wave_early_nor_asks_again() {
+    for taken_over_after in [0.1, 0.6, 1.0, 2.5, 4.0, 6.0, 9.0] {
+        let mut sim = simulation(2);
+        sim.order_wave(wave(1, &["m0", "m7", "m9"]));
+        sim.run_with_lists(seconds(0.2));
+        sim.add_runner("r9", "desk", "m9", 1);
+        sim.run_with_lists(seconds(taken_over_after));
+        let gone = calls(&sim, 1, "m7");
+        sim.take_over();
+        sim.run(seconds(0.3));
+        finish(&mut sim, 1);
+        assert!(calls(&sim, 1, "m7") <= gone.max(1), "the answer was stored");
+        sim.take_over();
+        sim.run(seconds(0.2));
+        assert!(is_complete(&sim, 1), "the next owner needs no list");
+    }
+}
+
+/// Guards against a wave that counts as complete while its VM is in maintenance for another wave.
+#[test]
+fn each_of_two_waves_maintains_a_vm_that_both_name() {
+    let mut sim = simulation(2);
+    sim.order_wave(wave(1, &["m0"]));
+    sim.run_with_lists(seconds(0.5));
+    assert_eq!(sim.vms["m0"].state, State::Upkeep);
+    sim.order_wave(wave(2, &["m0"]));
+    finish(&mut sim, 2);
+    assert_eq!((calls(&sim, 1, "m0"), calls(&sim, 2, "m0")), (1, 1));
+}
+
+/// Guards against a wave that skips a VM on its way between two pools.
+#[test]
+fn a_wave_waits_for_a_vm_that_moves() {
+    let mut sim = simulation(1);
+    sim.add_spare("s0");
+    sim.update_vms();
+    sim.submit(1, spec(vec![Step { endless: true, ..step(11, 1_600) }]));
+    sim.run_with_lists(seconds(1.0));
+    assert_eq!(sim.vms["s0"].state, State::Moving);
+    sim.order_wave(wave(1, &["s0"]));
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "s0"), 1);
+}
+
+/// Guards against a wave that never ends, or ends early, as a call for it was not answered.
+#[test]
+fn a_wave_ends_after_calls_without_answer_for_a_vm_that_is_removed() {
+    let mut sim = simulation(2);
+    sim.vm_answer_delay = seconds(5.0);
+    sim.order_wave(wave(1, &["m0", "m1"]));
+    sim.run_with_lists(seconds(0.5));
+    sim.remove_vm("m0");
+    sim.run_with_lists(seconds(3.0));
+    sim.take_over();
+    sim.run_with_lists(seconds(1.0));
+    sim.vm_answer_delay = Duration::ZERO;
+    finish(&mut sim, 1);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -18,7 +18,7 @@
         runner::{self, End, Exit, Poll, Registration, Rejection, Report, Running, Start},
         settings::Bounds,
         spec::{Resources, Spec, Step, Task},
-        upkeep::{self, State, Vm},
+        upkeep::{self, Listing, Request, State, Vm},
     },
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -99,6 +99,14 @@
     pub store_down: bool,
     pub runners: IndexMap<String, Runner>,
     pub vms: IndexMap<String, Vm>,
+    /// VMs that the platform's list leaves out.
+    pub unlisted_vms: IndexSet<String>,
+    /// Whether the platform refuses all actions on VMs for now.
+    pub vm_actions_down: bool,
+    /// Waves that the operators have ordered with [`Simulation::order_wave`].
+    pub waves: IndexMap<u64, Request>,
+    /// Whether each wave was last reported as complete.
+    pub wave_reports: IndexMap<u64, bool>,
     pub answers: IndexMap<u64, Answer>,
     /// All actions of the cell so far.
     pub actions: Vec<Action>,
@@ -213,6 +221,10 @@
             store_down: false,
             runners: IndexMap::new(),
             vms: IndexMap::new(),
+            unlisted_vms: IndexSet::new(),
+            vm_actions_down: false,
+            waves: IndexMap::new(),
+            wave_reports: IndexMap::new(),
             answers: IndexMap::new(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -342,9 +354,57 @@
 
     /// Gives the cell the platform's list of VMs.
     pub fn update_vms(&mut self) {
-        let vms = self.vms.values().cloned().collect();
+        let sent = self.instant();
+        self.update_vms_as_of(sent);
+    }
+
+    /// Gives the cell the platform's list of VMs, whose read was sent at `sent`.
+    pub fn update_vms_as_of(&mut self, sent: Instant) {
+        let listed = self.vms.values().filter(|vm| !self.unlisted_vms.contains(&vm.id));
+        let listing = Listing { vms: listed.cloned().collect(), sent };
+        let now = self.instant();
+        self.cell.update_vms(now, listing);
+    }
+
+    /// Lets `time` pass, while the list of VMs is read every half second.
+    pub fn run_with_lists(&mut self, time: Duration) {
+        let interval = Duration::from_millis(500);
+        let mut left = time;
+        while !left.is_zero() {
+            let part = left.min(interval);
+            self.run(part);
+            self.update_vms();
+            left -= part;
+        }
+    }
+
+    /// Removes a VM and its runner for good; the store's list names the runner no longer.
+    pub fn remove_vm(&mut self, vm: &str) {
+        let removed = self.vms.swap_remove(vm).and_then(|vm| vm.runner);
+        self.moving.retain(|(_, id)| id != vm);
+        if let Some(id) = removed {
+            self.runners.swap_remove(&id);
+            let now = self.instant();
+            self.cell.update_registration(now, &id, None);
+        }
+    }
+
+    /// Has the operators order a wave. Later owners learn of it as well.
+    pub fn order_wave(&mut self, request: Request) {
+        self.waves.insert(request.number, request.clone());
         let now = self.instant();
-        self.cell.update_vms(now, vms);
+        self.cell.add_wave(now, request);
+    }
+
+    /// Takes note of a report on a wave; all of its VMs that there are must have had their maintenance
+    /// when it is said to be complete.
+    fn report_wave(&mut self, number: u64, complete: bool) {
+        self.wave_reports.insert(number, complete);
+        let Some(wave) = self.waves.get(&number).filter(|_| complete) else { return };
+        for vm in wave.vms.iter().filter(|vm| self.vms.contains_key(*vm)) {
+            let maintained = self.maintained.contains(&(number, vm.clone()));
+            assert!(maintained, "wave {number} is complete, and {vm} had no maintenance");
+        }
     }
 
     fn request(&mut self) -> u64 {
@@ -426,6 +486,9 @@
         for id in self.runners.keys() {
             cell.update_registration(now, id, Some(self.registration(id)));
         }
+        for wave in self.waves.values() {
+            cell.add_wave(now, wave.clone());
+        }
         self.cell = cell;
     }
 
@@ -620,7 +683,8 @@
                     self.cell.advice_answered(now, &step, &asked, answer);
                 }
                 Action::ChangeVm(action) => self.change_vm(&action),
-                Action::Pace(..) | Action::ReportWave(..) => {}
+                Action::ReportWave(number, complete) => self.report_wave(number, complete),
+                Action::Pace(..) => {}
             }
         }
     }
@@ -738,7 +802,11 @@
             runner.into_iter().for_each(|runner| runner.unresponsive = true);
             return;
         }
-        if self.refused_vms.contains(action.vm()) {
+        if self.vm_actions_down {
+            let now = self.instant();
+            return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Later));
+        }
+        if self.refused_vms.contains(action.vm()) || !self.vms.contains_key(action.vm()) {
             let now = self.instant();
             return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Impossible));
         }
