Count a VM as down for its maintenance though no list shows it

What callers would see: a wave of one VM at a time takes a second one down (LIMIT) while the first one is in maintenance.

Cause: count_down went over records, and a list that leaves a VM out dropped its record right after the platform had confirmed the maintenance; a new owner had none for a VM whose call it knew from the ledger.

Change: the VMs of the wave are counted, with or without a record.

Measured: two new tests in tests/job_waves.rs, both fail without the change; the simulation now asserts at each maintenance that its wave has fewer VMs down than it may. Without the part about former owners the second one fails as well.

--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -48,6 +48,8 @@
     pub(super) targets: IndexMap<String, usize>,
     /// When the pools were last balanced.
     pub(super) balanced_at: Instant,
+    /// When this owner began.
+    pub(super) owned_since: Instant,
     /// Whether the ledger's record of the initial sizes is out of date.
     sizes_changed: bool,
 }
@@ -61,6 +63,7 @@
             initial_sizes: IndexMap::new(),
             targets: IndexMap::new(),
             balanced_at: now,
+            owned_since: now,
             sizes_changed: false,
         }
     }
@@ -116,10 +119,11 @@
             }
         }
         self.note_missing_vms(sent, &listed);
+        let longest_upkeep = self.longest_upkeep();
         let missing = &self.pools.waves.missing;
         self.pools.vms.retain(|id, record| {
             let is_needed = record.unlisted && missing.contains_key(id);
-            listed.contains(id) || record.plan.is_some() || is_needed
+            listed.contains(id) || record.is_changing(now, longest_upkeep) || is_needed
         });
         self.mark_replaced_runners();
         self.pools.record_initial_sizes();
@@ -264,7 +268,7 @@
         if let Action::Upkeep { wave, .. } = action {
             let (wave, max_down) = (*wave, self.max_down(*wave));
             resumes = self.pools.waves.may_have_begun(wave, vm);
-            if !resumes && self.count_down(wave) >= max_down {
+            if !resumes && self.count_down(now, wave) >= max_down {
                 return;
             }
             self.pools.waves.mark_begun(wave, vm);
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -66,9 +66,14 @@
         }
     }
 
+    /// Whether a VM's maintenance in this wave was carried out, or the VM is not of it.
+    pub(super) fn is_done(&self, wave: Number, vm: &str) -> bool {
+        names(&self.done, wave, vm)
+    }
+
     /// Whether a VM's maintenance in this wave is due.
     pub(super) fn is_due(&self, wave: Number, vm: &str) -> bool {
-        !names(&self.done, wave, vm) && !names(&self.gone, wave, vm)
+        !self.is_done(wave, vm) && !names(&self.gone, wave, vm)
     }
 
     /// Whether a call for a VM's maintenance in this wave may have been carried out without an answer.
--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -259,6 +259,13 @@
         !domains.is_empty() && own().any(|domain| domains.contains(domain.as_str()))
     }
 
+    /// Whether there is a plan for the VM, or an action was carried out less than `period` ago, so that the
+    /// record must be kept although a list leaves the VM out.
+    pub(super) fn is_changing(&self, now: Instant, period: Duration) -> bool {
+        let recent = |action: &Completion| now.saturating_duration_since(action.at) < period;
+        self.plan.is_some() || self.last_action.as_ref().is_some_and(recent)
+    }
+
     /// Whether the VM may be taken down for maintenance now, as far as its own state tells.
     pub(super) fn may_begin_upkeep(&self) -> bool {
         self.last_action.is_none() && (self.unlisted || self.listed.state == State::Up)
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -5,7 +5,7 @@
 //! once than it needs to be complete early enough, so that more of each pool is left for bursts.
 
 use {
-    super::{Cell, Effect, progress::Progress, vm::Record},
+    super::{Cell, Effect, progress::Progress, vm::LIST_LAG},
     crate::{
         id::VmId,
         job::upkeep::{Action, Number, Request},
@@ -45,19 +45,26 @@
     }
 
     /// Number of VMs of a wave that are or may be down for their maintenance.
-    pub(super) fn count_down(&self, wave: Number) -> usize {
-        let of_wave = |id: &str| {
-            self.pools
-                .waves
-                .known
-                .get(&wave)
-                .is_some_and(|progress| progress.wave.vms.iter().any(|vm| vm == id))
-        };
-        let down = |record: &&Record| {
-            let id = record.listed.id.as_str();
-            self.pools.waves.may_have_begun(wave, id) || record.may_be_in_upkeep() && of_wave(id)
-        };
-        self.pools.vms.values().filter(down).count()
+    pub(super) fn count_down(&self, now: Instant, wave: Number) -> usize {
+        let Some(progress) = self.pools.waves.known.get(&wave) else { return 0 };
+        progress.wave.vms.iter().filter(|vm| self.may_be_down(now, wave, vm)).count()
+    }
+
+    /// Whether a VM of a wave is or may be down for its maintenance. If no list shows it, it may still be
+    /// down for what a previous owner has done.
+    fn may_be_down(&self, now: Instant, wave: Number, vm: &str) -> bool {
+        let waves = &self.pools.waves;
+        let by_former_owner = now.saturating_duration_since(self.pools.owned_since)
+            < self.longest_upkeep()
+            && waves.is_done(wave, vm);
+        let record = self.pools.vms.get(vm);
+        waves.may_have_begun(wave, vm)
+            || record.map_or(by_former_owner, |record| record.may_be_in_upkeep())
+    }
+
+    /// Time after the platform's answer for which a VM may be down for maintenance though no list shows it.
+    pub(super) fn longest_upkeep(&self) -> Duration {
+        self.bounds.upkeep_time + LIST_LAG
     }
 
     /// Largest number of VMs of a wave that may be down at once.
@@ -95,7 +102,7 @@
         }
         let draining =
             |id: &&VmId| self.has_plan(id) && !self.pools.waves.may_have_begun(number, id);
-        let busy = remaining.iter().filter(draining).count() + self.count_down(number);
+        let busy = remaining.iter().filter(draining).count() + self.count_down(now, number);
         let room = self.target_down(now, number, remaining.len()).saturating_sub(busy);
         if room == 0 {
             return;
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -240,3 +240,37 @@
     sim.vm_answer_delay = Duration::ZERO;
     finish(&mut sim, 1);
 }
+
+/// Guards against a second VM taken down as a list has skipped the one that is down.
+#[test]
+fn a_vm_in_maintenance_that_a_list_leaves_out_counts_as_down() {
+    for left_out_after in [0.1, 0.5, 1.0, 1.8] {
+        let mut sim = simulation(3);
+        sim.move_time = Some(seconds(4.0));
+        sim.order_wave(wave(1, &["m0", "m1", "m2"]));
+        sim.run_with_lists(seconds(left_out_after));
+        sim.unlisted_vms.insert("m0".into());
+        sim.run_with_lists(seconds(1.5));
+        sim.unlisted_vms.clear();
+        finish(&mut sim, 1);
+    }
+}
+
+/// Guards against the same where the call for it got no answer, or the next owner knows only that it was made.
+#[test]
+fn a_vm_whose_maintenance_may_have_begun_counts_as_down_though_no_list_shows_it() {
+    for delay in [0.0, 0.4, 5.0] {
+        let mut sim = simulation(3);
+        sim.vm_answer_delay = seconds(delay);
+        sim.order_wave(wave(1, &["m0", "m1", "m2"]));
+        sim.run(seconds(0.1));
+        assert_eq!(calls(&sim, 1, "m0"), 1);
+        sim.unlisted_vms.insert("m0".into());
+        sim.take_over();
+        sim.update_vms();
+        sim.run_with_lists(seconds(1.4));
+        sim.unlisted_vms.clear();
+        sim.vm_answer_delay = Duration::ZERO;
+        finish(&mut sim, 1);
+    }
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -838,7 +838,21 @@
         }
     }
 
+    /// Checks that a wave has not as many VMs down as it may before another one is taken down.
+    fn check_vms_down(&self, number: u64, vm: &str) {
+        let Some(wave) = self.waves.get(&number) else { return };
+        let is_down = |id: &&String| {
+            self.maintained.contains(&(number, (*id).clone()))
+                && self.vms.get(*id).is_some_and(|vm| vm.state == State::Upkeep)
+        };
+        let down: Vec<_> = wave.vms.iter().filter(|id| *id != vm).filter(is_down).collect();
+        assert!(down.len() < wave.max_at_once, "{vm} is taken down beside {down:?}");
+    }
+
     fn carry_out_vm_action(&mut self, action: &upkeep::Action) {
+        if let upkeep::Action::Upkeep { vm, wave } = action {
+            self.check_vms_down(*wave, vm);
+        }
         let vm = self.vms.get_mut(action.vm()).unwrap();
         match action {
             upkeep::Action::Move { pool, .. } => {
