Drain a VM of the tasks of each runner that has registered from it

Cause: a VM whose listed runner the owner does not know counted as empty. The list may be away or late while the VM's next runner, which has another name, has registered and got tasks. Moves and new owners had the same fault.

Change: a VM is empty once none of the listed runner and those that have registered from it has tasks. All of them get no new tasks during the drain.

--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        Cell, Effect, RunnerId,
+        Cell, Effect, RunnerId, Worker,
         job::State,
         progress::Waves,
         vm::{Plan, Record, Stage, Target},
@@ -132,16 +132,25 @@
 
     /// Forgets actions whose VMs are up again, and lets their runners take tasks.
     fn finish_actions(&mut self, now: Instant) {
-        for record in self.pools.vms.values_mut() {
-            if !record.finish_last_action(now) {
-                continue;
+        let mut finished = Vec::new();
+        for (id, record) in &mut self.pools.vms {
+            if record.finish_last_action(now) {
+                finished.push(id.clone());
             }
-            let runner = record.listed.runner.as_deref();
-            if let Some(worker) = runner.and_then(|id| self.workers.get_mut(id)) {
-                worker.vm_draining = false;
-                self.place_due = true;
+        }
+        for vm in finished {
+            self.set_draining(&vm, false);
+        }
+    }
+
+    /// Sets whether the runners of a VM are kept free of new tasks.
+    fn set_draining(&mut self, vm: &str, draining: bool) {
+        for runner in self.runners_on(vm) {
+            if let Some(worker) = self.workers.get_mut(&runner) {
+                worker.vm_draining = draining;
             }
         }
+        self.place_due |= !draining;
     }
 
     /// Handles the first registration of an incarnation of a runner; returns whether its VM is being
@@ -172,11 +181,22 @@
         }
     }
 
-    /// Runner of a VM; none if it has none or it is not known.
+    /// Runner of a VM: the listed one, or the newest that has registered from it if the listed one is not
+    /// known. None if the list names none, or none is known.
     pub(super) fn runner_of(&self, vm: &str) -> Option<RunnerId> {
         let record = self.pools.vms.get(vm)?;
         let id = record.listed.runner.as_deref()?;
-        self.workers.get_key_value(id).map(|(id, _)| Rc::clone(id))
+        let listed = self.workers.get_key_value(id).map(|(id, _)| Rc::clone(id));
+        listed.or_else(|| self.registered_runner(vm))
+    }
+
+    /// Runners that may be on a VM: the listed one, and all that have registered from it, as the list may
+    /// be older than their registrations.
+    fn runners_on(&self, vm: &str) -> Vec<RunnerId> {
+        let listed = self.pools.vms.get(vm).and_then(|record| record.listed.runner.as_deref());
+        let is_on =
+            |(id, worker): &(&RunnerId, &Worker)| Some(&***id) == listed || worker.vm() == vm;
+        self.workers.iter().filter(is_on).map(|(id, _)| Rc::clone(id)).collect()
     }
 
     /// Plans an action on a VM, which gets no new tasks from now on.
@@ -185,9 +205,7 @@
             return;
         }
         let runner = self.runner_of(action.vm());
-        if let Some(worker) = runner.as_ref().and_then(|id| self.workers.get_mut(id)) {
-            worker.vm_draining = true;
-        }
+        self.set_draining(action.vm(), true);
         let Some(record) = self.pools.vms.get_mut(action.vm()) else { return };
         info!("vm: id={} plan={action:?} runner={runner:?}", record.listed.id);
         record.plan = Some(Plan::new(action, now));
@@ -204,16 +222,17 @@
             .map(|(id, _)| id.clone())
             .collect();
         for vm in planned {
-            let runner = self.runner_of(&vm);
             let Some(plan) = self.pools.vms.get(&vm).and_then(|record| record.plan.clone()) else {
                 continue;
             };
             match plan.stage {
                 Stage::Draining => {
-                    let worker = runner.as_ref().and_then(|id| self.workers.get(id));
-                    if worker.is_none_or(|worker| worker.tasks.is_empty()) {
+                    let mut runners = self.runners_on(&vm);
+                    runners.retain(|id| self.workers.get(id).is_some_and(|w| !w.tasks.is_empty()));
+                    if runners.is_empty() {
                         self.send_action(now, &vm, &plan.action);
-                    } else if let Some(runner) = runner {
+                    }
+                    for runner in runners {
                         self.stop_endless_tasks(now, &runner);
                     }
                 }
@@ -245,9 +264,7 @@
         if plan.target == self.target_of(vm) {
             return self.send_action(now, vm, &plan.action);
         }
-        if let Some(worker) = self.runner_of(vm).and_then(|id| self.workers.get_mut(&id)) {
-            worker.vm_draining = true;
-        }
+        self.set_draining(vm, true);
         if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
             plan.stage = Stage::Draining;
             plan.may_be_done = true;
@@ -343,11 +360,7 @@
         if let Some(record) = self.pools.vms.get_mut(vm) {
             record.plan = None;
         }
-        for worker in self.workers.values_mut() {
-            let is_on_vm = worker.registration.as_ref().is_some_and(|found| found.vm == vm);
-            worker.vm_draining &= !is_on_vm;
-        }
-        self.place_due = true;
+        self.set_draining(vm, false);
     }
 
     /// Handles the end of the runner of a VM on which an action was carried out. Another incarnation
