Store the reports on waves in their order

What operators would see: a complete wave that is shown as running for good, or the reverse once a wave goes on.

Cause: each report was a task that repeated it without a condition until it was confirmed, so that a repetition, a late append or one of a former owner replaced newer reports.

Ruled out: a condition on the end of the topic, as the answer to it does not tell whether an append without an answer was carried out.

Change: one task stores them one after the other, in a sequence of the owner's epoch, like the ledger's batches.

Measured: standin/tests/waves.rs with real entries: a_repeated_report_replaces_no_newer_one fails on (running after complete), and holds now; so do the two others, about removed, unlisted and added VMs.

--- a/src/job/daemon/mod.rs
+++ b/src/job/daemon/mod.rs
@@ -18,6 +18,7 @@
 mod monitor;
 mod owner;
 mod peer;
+mod report;
 mod request;
 mod runners;
 mod shared;
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -6,8 +6,16 @@
 
 use {
     super::{
-        append, channel::Channel, event::Event, follow, runners::Runners, shared::Shared,
-        store::Store, suspension::Detector, takeover,
+        append,
+        channel::Channel,
+        event::Event,
+        follow,
+        report::{self, Report},
+        runners::Runners,
+        shared::Shared,
+        store::Store,
+        suspension::Detector,
+        takeover,
     },
     crate::{
         adapter::{
@@ -18,14 +26,13 @@
             answer::Answer,
             cell::{Action, Cell, NoAdvice, RunnerId, Tickets},
             claim::Epoch,
-            clock,
-            ledger::{self, Record},
+            clock, ledger,
             replies::Replies,
             spec::Task,
             upkeep,
         },
     },
-    log::{error, info, warn},
+    log::{info, warn},
     std::{
         rc::Rc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -36,7 +43,7 @@
             oneshot,
         },
         task::JoinSet,
-        time::{sleep, timeout},
+        time::timeout,
     },
 };
 
@@ -75,6 +82,7 @@
         return;
     }
     follow::spawn_vms(&mut tasks, &shared, &sender);
+    let reports = report::spawn(&mut tasks, &store, epoch);
     *shared.owner_events.borrow_mut() = Some(sender.clone());
     let ms = clock::elapsed(begun).as_millis();
     let (jobs, runners) = (cell.jobs().len(), cell.workers().len());
@@ -96,6 +104,7 @@
         append_started: None,
         replies: Replies::new(shared.settings.max_pending),
         events: sender,
+        reports,
         tasks,
     };
     driver.run(receiver).await;
@@ -125,6 +134,8 @@
     fleet: Option<Rc<Channel>>,
     pub(super) advisor: Option<Rc<Channel>>,
     events: UnboundedSender<Event>,
+    /// Where reports on waves go.
+    reports: UnboundedSender<Report>,
     tasks: JoinSet<()>,
 }
 
@@ -282,7 +293,11 @@
                 }
                 Action::AskAdvisor(step, runners) => self.ask_advisor(step, runners),
                 Action::ChangeVm(action) => self.change_vm(action),
-                Action::ReportWave(number, complete) => self.report_wave(number, complete),
+                Action::ReportWave(wave, complete) => {
+                    if self.reports.send(Report { wave, complete }).is_err() {
+                        log::debug!("upkeep: a newer owner reports on waves");
+                    }
+                }
                 other => self.call_runner(other),
             }
         }
@@ -341,21 +356,6 @@
             let _ = events.send(Event::VmChanged(action, outcome));
         });
     }
-
-    fn report_wave(&mut self, number: upkeep::Number, complete: bool) {
-        let store = Rc::clone(&self.store);
-        self.tasks.spawn_local(async move {
-            let (key, value) = adapter::manifest::wave_status(number, complete);
-            let record = Record { key, value };
-            while let Err(e) = store.append_any(adapter::manifest::STATUS_TOPIC, &record).await {
-                if matches!(e, Error::Rejected(_)) {
-                    return error!("upkeep: report wave={number} complete={complete}: {e}");
-                }
-                warn!("upkeep: report wave={number} complete={complete}: {e}");
-                sleep(Duration::from_millis(300)).await;
-            }
-        });
-    }
 }
 
 async fn fetch_tickets(
--- a/src/job/daemon/store.rs
+++ b/src/job/daemon/store.rs
@@ -117,9 +117,9 @@
         store::appended(&self.call_append("claim", store::append_at(topic, record, at)).await?)
     }
 
-    /// Appends a record unconditionally.
-    pub async fn append_any(&self, topic: &str, record: &Record) -> Result<u64> {
-        let call = store::append_any(topic, record);
+    /// Appends a report to the operators under the epoch of the writer.
+    pub async fn report(&self, topic: &str, record: &Record, at: Sequence) -> Result<u64> {
+        let call = store::append(topic, std::slice::from_ref(record), at);
         store::appended(&self.call("report", call, Duration::ZERO, MAX_ANSWER_TIME).await?)
     }
 
--- a/standin/src/job/store.rs
+++ b/standin/src/job/store.rs
@@ -6,7 +6,7 @@
         server::{self, Call, Handle, Reply, lock},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde_json::json,
     std::{
         net::SocketAddr,
@@ -37,6 +37,8 @@
     /// How long an answer takes, and until when.
     delay: Option<(Duration, Instant)>,
     responses_to_lose: u32,
+    /// Topics whose next append is carried out without a response.
+    topics_to_lose: IndexSet<String>,
     max_record_bytes: usize,
     max_call_bytes: usize,
 }
@@ -47,6 +49,7 @@
             topics: IndexMap::new(),
             outage_until: None,
             responses_to_lose: 0,
+            topics_to_lose: IndexSet::new(),
             max_record_bytes: MAX_RECORD_BYTES,
             delay: None,
             max_call_bytes: MAX_CALL_BYTES,
@@ -110,6 +113,11 @@
         lock(&self.0).responses_to_lose = count;
     }
 
+    /// Carries out the next append to a topic without a response.
+    pub fn lose_response_of(&self, topic: &str) {
+        lock(&self.0).topics_to_lose.insert(String::from(topic));
+    }
+
     /// Sets the size in bytes up to which records are accepted in appends.
     pub fn limit_records(&self, max_bytes: usize) {
         lock(&self.0).max_record_bytes = max_bytes;
@@ -171,8 +179,9 @@
         if largest > state.max_record_bytes || bytes > state.max_call_bytes {
             return Reply::text(400, "too large");
         }
-        let lose_response = state.responses_to_lose > 0;
         let name = call.param::<String>("topic").unwrap_or_default();
+        let lose_any = state.responses_to_lose > 0;
+        let lose_response = state.topics_to_lose.swap_remove(&name) || lose_any;
         let topic = state.topics.entry(name).or_default();
         let end = topic.end();
         if call.param::<u64>("at").is_some_and(|at| at != end) {
@@ -204,7 +213,7 @@
         topic.records.extend(records);
         let last = topic.end();
         if lose_response {
-            state.responses_to_lose -= 1;
+            state.responses_to_lose -= u32::from(lose_any);
             return Reply::Close;
         }
         Reply::json(200, &json!({ "offset": end, "end": last }))
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -9,7 +9,7 @@
             Checker,
             runner::{self, Config, Runner},
             store::Store,
-            vms,
+            vms::Vms,
         },
         server::Handle,
     },
@@ -57,6 +57,7 @@
 pub struct Site {
     pub store: Store,
     pub checker: Checker,
+    pub vms: Vms,
     pub runners: Vec<Runner>,
     pub entries: Vec<Entry>,
     /// Key that callers send for a job's name; none if it is empty.
@@ -206,7 +207,8 @@
         store.limit_records(MAX_RECORD_BYTES);
         store.limit_calls(MAX_CALL_BYTES);
         let store_handle = store.serve(local(0)).expect("start the store");
-        let fleet = vms::serve(local(0)).expect("start the list of VMs");
+        let vms = Vms::default();
+        let fleet = vms.serve(local(0)).expect("start the list of VMs");
         store.put("keyed.op", "config", manifest(3).to_string().as_bytes());
         let directory =
             std::env::temp_dir().join(format!("carobhitch-{name}-{}", std::process::id()));
@@ -216,6 +218,7 @@
             fleet_address: fleet.address,
             store,
             checker,
+            vms,
             runners: Vec::new(),
             entries: Vec::new(),
             key_of: |_| "",
