Let no VM keep its wave waiting for good, or hold up the others

What operators would see: a wave that never ends as a runner of it is cut off, or says that it is leaving and stays; and a wave of one VM at a time that maintains no other VM while one is busy.

Cause: upkeep_cost left out VMs whose runner does not answer or is leaving, without an end. A VM that the platform refused as busy was given up after 4 s, went on to count as down and was first in the order again.

Ruled out: to ask for such VMs at once. They mostly come back or are removed soon, and a refusal takes up one of the VMs that may be down at once.

Change: such VMs are asked for once the wave should be complete, last of all. A busy VM comes last for 8 s and counts as down only if a call for it got no answer. The handling of answers is split in three.

Measured: two new tests in tests/job_waves.rs, both fail without the change.

--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -293,6 +293,7 @@
         let target = self.target_of(vm);
         if let Some(plan) = self.pools.vms.get_mut(vm).and_then(|record| record.plan.as_mut()) {
             let is_retry = plan.stage != Stage::Draining;
+            plan.unanswered |= resumes && !is_retry;
             plan.may_be_done |= resumes && !is_retry;
             if !is_retry && !plan.may_be_done {
                 plan.first_sent = Some(now);
@@ -315,44 +316,61 @@
         let Some(plan) = record.plan.as_mut().filter(|plan| plan.action == *action) else {
             return;
         };
-        let is_final = match outcome {
-            Ok(()) => {
-                info!("vm: id={vm} done={action:?}");
-                let (target, may_be_done) = (plan.target.take(), plan.may_be_done);
-                record.complete_action(now, action, target.clone(), self.bounds.upkeep_time);
-                if let Action::Upkeep { wave, .. } = action {
-                    self.pools.waves.mark_done(*wave, vm);
-                }
-                if let Some(target) = target.filter(|_| !may_be_done) {
-                    self.runner_ended(now, &target);
-                }
-                return;
-            }
-            Err(Refusal::Later | Refusal::Unknown(_)) => false,
-            Err(Refusal::Busy) => now.saturating_duration_since(plan.since) > BUSY_LIMIT,
-            Err(Refusal::Fence | Refusal::Impossible | Refusal::Wave) => true,
+        let refusal = match outcome {
+            Ok(()) => return self.complete_action(now, action),
+            Err(refusal) => refusal,
+        };
+        plan.unanswered |= matches!(refusal, Refusal::Unknown(_));
+        let is_final = match refusal {
+            Refusal::Later | Refusal::Unknown(_) => false,
+            Refusal::Busy => now.saturating_duration_since(plan.since) > BUSY_LIMIT,
+            Refusal::Fence | Refusal::Impossible | Refusal::Wave => true,
         };
         if is_final {
-            warn!("vm: id={vm} given_up={action:?} why={outcome:?}");
-            match (action, &outcome) {
-                (Action::Upkeep { wave, .. }, Err(Refusal::Wave)) => {
-                    self.pools.waves.mark_done(*wave, vm);
-                }
-                (Action::Upkeep { wave, .. }, Err(Refusal::Impossible)) => {
-                    self.pools.waves.mark_gone(*wave, vm);
-                }
-                _ => {}
-            }
-            if let (Action::Move { pool, .. }, Err(Refusal::Busy | Refusal::Impossible)) =
-                (action, &outcome)
-                && let Some(record) = self.pools.vms.get_mut(vm)
-            {
+            warn!("vm: id={vm} given_up={action:?} why={refusal:?}");
+            return self.give_up_action(now, action, &refusal);
+        }
+        info!("vm: id={vm} again={action:?} why={refusal:?}");
+        plan.stage = Stage::RetryAt(now + RETRY_DELAY);
+    }
+
+    /// Handles that the planned action on a VM was carried out.
+    fn complete_action(&mut self, now: Instant, action: &Action) {
+        let vm = action.vm();
+        let Some(record) = self.pools.vms.get_mut(vm) else { return };
+        let Some(plan) = record.plan.as_mut() else { return };
+        info!("vm: id={vm} done={action:?}");
+        let (target, may_be_done) = (plan.target.take(), plan.may_be_done);
+        record.complete_action(now, action, target.clone(), self.bounds.upkeep_time);
+        if let Action::Upkeep { wave, .. } = action {
+            self.pools.waves.mark_done(*wave, vm);
+        }
+        if let Some(target) = target.filter(|_| !may_be_done) {
+            self.runner_ended(now, &target);
+        }
+    }
+
+    /// Drops the plan for an action that the platform refuses, and takes note of what that shows.
+    fn give_up_action(&mut self, now: Instant, action: &Action, refusal: &Refusal) {
+        let vm = action.vm();
+        let Some(record) = self.pools.vms.get_mut(vm) else { return };
+        let all_refused = record.plan.as_ref().is_some_and(|plan| !plan.unanswered);
+        if *refusal == Refusal::Busy {
+            record.mark_busy(now);
+        }
+        let waves = &mut self.pools.waves;
+        match (action, refusal) {
+            (Action::Move { pool, .. }, Refusal::Busy | Refusal::Impossible) => {
                 record.refuse_pool(now, pool);
             }
-            return self.abandon_plan(vm);
+            (Action::Upkeep { wave, .. }, Refusal::Wave) => waves.mark_done(*wave, vm),
+            (Action::Upkeep { wave, .. }, Refusal::Impossible) => waves.mark_gone(*wave, vm),
+            (Action::Upkeep { wave, .. }, Refusal::Busy) if all_refused => {
+                waves.retract_begun(*wave, vm);
+            }
+            _ => {}
         }
-        info!("vm: id={vm} again={action:?} why={outcome:?}");
-        plan.stage = Stage::RetryAt(now + RETRY_DELAY);
+        self.abandon_plan(vm);
     }
 
     /// Drops the plan for a VM, so that it gets tasks again.
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -105,6 +105,13 @@
         }
     }
 
+    /// Takes note that no call for a VM's maintenance has been carried out.
+    pub(super) fn retract_begun(&mut self, wave: Number, vm: &str) {
+        if self.may_have_begun(wave, vm) {
+            self.forget_call(wave, vm);
+        }
+    }
+
     fn forget_call(&mut self, wave: Number, vm: &str) {
         if let Some(begun) = self.begun.get_mut(&wave) {
             begun.retain(|id| id != vm);
--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -30,6 +30,8 @@
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after an action for which a VM without a runner counts as down.
 const SWITCH_TIME: Duration = Duration::from_millis(2_400);
+/// Time for which a VM that the platform found busy comes after all others.
+const BUSY_TIME: Duration = Duration::from_secs(8);
 /// Time for which a VM is not moved to a pool that the platform has refused.
 const REFUSED_POOL_TIME: Duration = Duration::from_secs(30);
 
@@ -46,6 +48,8 @@
     pub(super) last_action: Option<Completion>,
     /// Pools that the platform does not let the VM join, and until when that counts.
     refused_pools: IndexMap<String, Instant>,
+    /// When an action was last given up as the platform found the VM busy.
+    busy_at: Option<Instant>,
 }
 
 /// An action that was carried out.
@@ -70,6 +74,8 @@
     pub(super) target: Option<Target>,
     /// When the action was first sent, unless it may have been carried out before.
     pub(super) first_sent: Option<Instant>,
+    /// Whether a call for the action, by this owner or a former one, got no answer.
+    pub(super) unanswered: bool,
     /// Whether the action may have been carried out before the target registered, so that its
     /// confirmation does not show that the target has ended.
     pub(super) may_be_done: bool,
@@ -97,7 +103,15 @@
     /// Plan whose VM is to be drained from `now` on.
     pub(super) fn new(action: Action, now: Instant) -> Self {
         let stage = Stage::Draining;
-        Self { action, since: now, stage, target: None, first_sent: None, may_be_done: false }
+        Self {
+            action,
+            since: now,
+            stage,
+            target: None,
+            first_sent: None,
+            unanswered: false,
+            may_be_done: false,
+        }
     }
 
     /// Whether the action was sent, so that it may have been carried out.
@@ -153,6 +167,7 @@
             plan: None,
             last_action: None,
             refused_pools: IndexMap::new(),
+            busy_at: None,
         }
     }
 
@@ -169,6 +184,16 @@
         self.refused_pools.insert(String::from(pool), now + REFUSED_POOL_TIME);
     }
 
+    /// Takes note that the platform found the VM busy for so long that the action was given up.
+    pub(super) fn mark_busy(&mut self, now: Instant) {
+        self.busy_at = Some(now);
+    }
+
+    /// Whether an action was given up lately as the platform found the VM busy.
+    pub(super) fn was_busy_lately(&self, now: Instant) -> bool {
+        self.busy_at.is_some_and(|at| now.saturating_duration_since(at) < BUSY_TIME)
+    }
+
     /// Whether the VM may join a pool, as far as is known.
     pub(super) fn may_join(&self, now: Instant, pool: &str) -> bool {
         self.listed.pool != pool && self.refused_pools.get(pool).is_none_or(|until| *until <= now)
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -111,7 +111,7 @@
         let mut ready: Vec<(u64, VmId)> = remaining
             .into_iter()
             .filter(|id| !self.has_plan(id))
-            .filter_map(|id| self.upkeep_cost(&pressures, &id).map(|cost| (cost, id)))
+            .filter_map(|id| self.upkeep_cost(now, &pressures, &id).map(|cost| (cost, id)))
             .collect();
         ready.sort_unstable();
         for (_, vm) in ready.into_iter().take(room) {
@@ -164,16 +164,25 @@
     }
 
     /// Cost of taking a VM down now: the pressure on its pool, endless tasks that must move, and
-    /// cores in use. None if the VM can't be taken down now.
-    fn upkeep_cost(&self, pressures: &IndexMap<String, f64>, vm: &str) -> Option<u64> {
+    /// cores in use. None if the VM can't be taken down now. One whose runner does not answer or is
+    /// leaving is left alone until it is overdue, and then comes last, as does one that was busy.
+    fn upkeep_cost(
+        &self,
+        now: Instant,
+        pressures: &IndexMap<String, f64>,
+        vm: &str,
+    ) -> Option<u64> {
         let record = self.pools.vms.get(vm)?;
         if !record.may_begin_upkeep() {
             return None;
         }
+        if record.was_busy_lately(now) {
+            return Some(u64::MAX);
+        }
         let Some(runner) = self.runner_of(vm) else { return Some(0) };
         let worker = self.workers.get(&runner)?;
         if worker.unresponsive_since.is_some() || worker.is_draining() {
-            return None;
+            return (record.unlisted || self.is_overdue(now, vm)).then_some(u64::MAX);
         }
         let endless = worker.tasks.keys().filter(|task| self.step(task).is_some_and(|s| s.endless));
         let pressure = pressures.get(&record.listed.pool).copied().unwrap_or_default();
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -274,3 +274,40 @@
         finish(&mut sim, 1);
     }
 }
+
+/// Guards against a wave that never ends as a runner is cut off, or never leaves though it says so.
+#[test]
+fn a_wave_ends_though_a_runner_of_it_does_not_answer_or_does_not_leave() {
+    for draining in [false, true] {
+        let mut sim = simulation(3);
+        sim.submit(7, spec(vec![Step { endless: true, ..step(2, 1_000) }]));
+        sim.run(seconds(2.0));
+        if draining {
+            let mut registration = sim.registration("r0");
+            registration.draining = true;
+            let now = sim.instant();
+            sim.cell.update_registration(now, "r0", Some(registration));
+        } else {
+            sim.runners["r0"].partitioned = true;
+        }
+        sim.run_with_lists(seconds(1.0));
+        sim.order_wave(wave(1, &["m0", "m1"]));
+        sim.run_with_lists(seconds(9.0));
+        assert_eq!(calls(&sim, 1, "m1"), 1, "it need not wait for the other VM");
+        sim.run_with_lists(END_TIME);
+        finish(&mut sim, 1);
+    }
+}
+
+/// Guards against a wave that waits for one VM, which is leaving, before it maintains the others.
+#[test]
+fn a_vm_that_the_platform_refuses_as_busy_holds_up_no_other_vm() {
+    let mut sim = simulation(3);
+    sim.busy_vms.insert("m0".into());
+    sim.order_wave(wave(1, &["m0", "m1", "m2"]));
+    sim.run_with_lists(seconds(14.0));
+    assert_eq!((calls(&sim, 1, "m1"), calls(&sim, 1, "m2")), (1, 1));
+    assert!(!is_complete(&sim, 1));
+    sim.busy_vms.clear();
+    finish(&mut sim, 1);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -143,6 +143,8 @@
     pub vm_answers_lost: bool,
     /// VMs for which the platform refuses all actions as impossible.
     pub refused_vms: IndexSet<String>,
+    /// VMs for which the platform refuses all actions as they are busy.
+    pub busy_vms: IndexSet<String>,
     /// Time after which actions on VMs are answered, if not at once. A call that gets no answer in
     /// [`TIMEOUT`] is reported to the cell as unanswered.
     pub vm_answer_delay: Duration,
@@ -244,6 +246,7 @@
             tail_ms: 0,
             vm_answers_lost: false,
             refused_vms: IndexSet::new(),
+            busy_vms: IndexSet::new(),
             vm_answer_delay: Duration::ZERO,
             vm_answers: Vec::new(),
             maintained: IndexSet::new(),
@@ -806,6 +809,10 @@
             let now = self.instant();
             return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Later));
         }
+        if self.busy_vms.contains(action.vm()) {
+            let now = self.instant();
+            return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Busy));
+        }
         if self.refused_vms.contains(action.vm()) || !self.vms.contains_key(action.vm()) {
             let now = self.instant();
             return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Impossible));
