End a wave whose removed VM the platform calls busy

What operators would see: a wave that never ends since a VM of it was removed for good.

Cause: the platform answers a call for a VM that was removed there with 409 busy ("not up, leaving"), not with 400, so the owner asked for it without end.

Ruled out: to take one such answer, or the lists alone, for the end of the VM. A VM may be busy and skipped by lists for a moment.

It is asked for once a second and holds no place among those that may be down meanwhile. A list that shows it takes all of this back, also later. VMs of waves are kept in sets, since they are looked up at each tick; the stored record stays the same.

--- a/src/job/cell/missing.rs
+++ b/src/job/cell/missing.rs
@@ -3,20 +3,29 @@
 //! A list does not show a VM that was added after the list was read, that it is late to show, or that
 //! it skipped since VMs were removed between two of its pages; nor does it show a VM that was removed
 //! for good. So a list alone does not tell whether the maintenance of such a VM is still due. Once lists
-//! have left it out for a while, the platform is asked for its maintenance as for any other VM: it
-//! carries it out, or answers that there is no such VM.
+//! have left it out for a while, the platform is asked for its maintenance as for any other VM. It
+//! carries it out, or answers that there is no such VM. If it finds the VM busy instead, that is not up or
+//! leaving, the VM is gone once lists have left it out, and the calls were refused, for long enough.
 
 use {
     super::{
         Cell, Effect, RunnerId, Worker,
+        progress::Missing,
         vm::{LIST_LAG, Record},
     },
-    crate::id::VmId,
+    crate::{id::VmId, job::upkeep::Number},
     indexmap::IndexSet,
     log::info,
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
+/// Interval between two calls for the maintenance of a VM that lists leave out and that is busy.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of a wave's allowed time, as a divisor, after which such a VM is gone.
+const REFUSED_PART: f64 = 4.0;
+/// Longest time after which such a VM is gone, unless maintenance may take longer.
+const MAX_REFUSED_TIME: Duration = Duration::from_secs(8);
+
 impl Cell {
     /// Takes note of the VMs with due maintenance that a list leaves out whose read was sent at `sent`,
     /// and has the platform asked about those that lists have left out for long enough.
@@ -24,8 +33,10 @@
         let missing = self.due_vms_outside(sent, listed);
         self.pools.waves.missing.retain(|vm, _| missing.contains(vm));
         for vm in missing {
-            let since = *self.pools.waves.missing.entry(vm.clone()).or_insert(sent);
-            let waited = sent.saturating_duration_since(since) >= LIST_LAG;
+            let new = Missing { since: sent, until: sent, refused: None };
+            let known = self.pools.waves.missing.entry(vm.clone()).or_insert(new);
+            known.until = known.until.max(sent);
+            let waited = sent.saturating_duration_since(known.since) >= LIST_LAG;
             if waited && !self.pools.vms.contains_key(&vm) && !self.may_have_unknown_runner() {
                 let runner = self.registered_runner(&vm);
                 info!("vm: id={vm} listed=false runner={runner:?}");
@@ -58,6 +69,27 @@
         self.workers.values().any(is_unknown)
     }
 
+    /// Handles that the platform finds a VM that lists leave out busy.
+    pub(super) fn missing_vm_refused(&mut self, now: Instant, wave: Number, vm: &str) {
+        let least = self.longest_upkeep();
+        let waves = &mut self.pools.waves;
+        let Some(missing) = waves.missing.get_mut(vm) else { return };
+        let first = missing.refused.map_or(now, |(first, _)| first);
+        missing.refused = Some((first, now));
+        let within = waves.known.get(&wave).map_or(least, |progress| progress.wave.within);
+        let limit = within.div_f64(REFUSED_PART).clamp(least, least.max(MAX_REFUSED_TIME));
+        if missing.until.saturating_duration_since(first) >= limit {
+            info!("vm: id={vm} gone=true wave={wave}");
+            waves.mark_gone(wave, vm);
+        }
+    }
+
+    /// Whether the platform has just found a VM busy that lists leave out.
+    pub(super) fn was_missing_vm_refused(&self, now: Instant, vm: &str) -> bool {
+        let refused = self.pools.waves.missing.get(vm).and_then(|missing| missing.refused);
+        refused.is_some_and(|(_, last)| now.saturating_duration_since(last) < ASK_INTERVAL)
+    }
+
     /// Newest runner that has registered from a VM.
     pub(super) fn registered_runner(&self, vm: &str) -> Option<RunnerId> {
         let on_vm = self.workers.iter().filter(|(_, worker)| worker.vm() == vm);
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -323,7 +323,10 @@
         plan.unanswered |= matches!(refusal, Refusal::Unknown(_));
         let is_final = match refusal {
             Refusal::Later | Refusal::Unknown(_) => false,
-            Refusal::Busy => now.saturating_duration_since(plan.since) > BUSY_LIMIT,
+            Refusal::Busy => {
+                let missing = self.pools.waves.missing.contains_key(vm);
+                missing || now.saturating_duration_since(plan.since) > BUSY_LIMIT
+            }
             Refusal::Fence | Refusal::Impossible | Refusal::Wave => true,
         };
         if is_final {
@@ -365,8 +368,11 @@
             }
             (Action::Upkeep { wave, .. }, Refusal::Wave) => waves.mark_done(*wave, vm),
             (Action::Upkeep { wave, .. }, Refusal::Impossible) => waves.mark_gone(*wave, vm),
-            (Action::Upkeep { wave, .. }, Refusal::Busy) if all_refused => {
-                waves.retract_begun(*wave, vm);
+            (Action::Upkeep { wave, .. }, Refusal::Busy) => {
+                if all_refused {
+                    waves.retract_begun(*wave, vm);
+                }
+                self.missing_vm_refused(now, *wave, vm);
             }
             _ => {}
         }
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -1,8 +1,8 @@
 //! State of the maintenance waves (`upkeep` on the wire): what the platform has answered about each VM.
 //!
 //! The maintenance of a VM is due until the platform has answered the call for it: that it was carried
-//! out, that the VM is not of this wave, or that there is no such VM. Nothing else shows it, so a VM of
-//! which nothing is known keeps its wave open.
+//! out, that the VM is not of this wave, or that there is no such VM, or none that is up while lists
+//! leave it out as well. Nothing else shows it, so a VM of which nothing is known keeps its wave open.
 
 use {
     crate::{
@@ -12,12 +12,12 @@
             upkeep::{Number, Request},
         },
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::time::Instant,
 };
 
 /// VMs of waves, by the number of the wave.
-type Vms = IndexMap<Number, Vec<VmId>>;
+type Vms = IndexMap<Number, IndexSet<VmId>>;
 
 /// State of the maintenance waves.
 #[derive(Clone, Debug, Default)]
@@ -30,9 +30,8 @@
     begun: Vms,
     /// VMs that the platform does not have.
     gone: Vms,
-    /// VMs with due maintenance that the platform's lists leave out, and when the first of these lists
-    /// was asked for.
-    pub(super) missing: IndexMap<VmId, Instant>,
+    /// VMs with due maintenance that the platform's lists leave out.
+    pub(super) missing: IndexMap<VmId, Missing>,
     /// Whether the ledger's record is out of date.
     pub(super) changed: bool,
 }
@@ -48,6 +47,18 @@
     pub(super) complete: bool,
 }
 
+/// What is known of a VM that the platform's lists leave out.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Missing {
+    /// When the first of these lists was asked for.
+    pub(super) since: Instant,
+    /// When the last of them was asked for.
+    pub(super) until: Instant,
+    /// When the platform first and last refused the VM's maintenance as the VM is busy, that is not up or
+    /// leaving.
+    pub(super) refused: Option<(Instant, Instant)>,
+}
+
 impl Waves {
     /// Restores what a previous owner has stored.
     pub(super) fn restore(&mut self, stored: ledger::Upkeep) {
@@ -84,7 +95,7 @@
     /// Takes note that a call for a VM's maintenance is going to be sent.
     pub(super) fn mark_begun(&mut self, wave: Number, vm: &str) {
         if !self.may_have_begun(wave, vm) {
-            self.begun.entry(wave).or_default().push(String::from(vm));
+            self.begun.entry(wave).or_default().insert(String::from(vm));
             self.changed = true;
         }
     }
@@ -92,7 +103,7 @@
     /// Takes note that a VM's maintenance was carried out, or that the VM is not of this wave.
     pub(super) fn mark_done(&mut self, wave: Number, vm: &str) {
         if self.is_due(wave, vm) {
-            self.done.entry(wave).or_default().push(String::from(vm));
+            self.done.entry(wave).or_default().insert(String::from(vm));
             self.forget_call(wave, vm);
         }
     }
@@ -100,7 +111,7 @@
     /// Takes note that the platform does not have a VM of this wave.
     pub(super) fn mark_gone(&mut self, wave: Number, vm: &str) {
         if self.is_due(wave, vm) {
-            self.gone.entry(wave).or_default().push(String::from(vm));
+            self.gone.entry(wave).or_default().insert(String::from(vm));
             self.forget_call(wave, vm);
         }
     }
@@ -114,7 +125,7 @@
 
     fn forget_call(&mut self, wave: Number, vm: &str) {
         if let Some(begun) = self.begun.get_mut(&wave) {
-            begun.retain(|id| id != vm);
+            begun.shift_remove(vm);
         }
         self.changed = true;
     }
@@ -125,7 +136,7 @@
             self.gone.keys().copied().filter(|wave| names(&self.gone, *wave, vm)).collect();
         for wave in &missed {
             if let Some(gone) = self.gone.get_mut(wave) {
-                gone.retain(|id| id != vm);
+                gone.shift_remove(vm);
             }
             self.changed = true;
         }
@@ -134,5 +145,5 @@
 }
 
 fn names(vms: &Vms, wave: Number, vm: &str) -> bool {
-    vms.get(&wave).is_some_and(|vms| vms.iter().any(|id| id == vm))
+    vms.get(&wave).is_some_and(|vms| vms.contains(vm))
 }
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -173,7 +173,7 @@
         vm: &str,
     ) -> Option<u64> {
         let record = self.pools.vms.get(vm)?;
-        if !record.may_begin_upkeep() {
+        if !record.may_begin_upkeep() || self.was_missing_vm_refused(now, vm) {
             return None;
         }
         if record.was_busy_lately(now) {
--- a/src/job/ledger.rs
+++ b/src/job/ledger.rs
@@ -18,7 +18,7 @@
     crate::id::VmId,
     bincode::error::{DecodeError, EncodeError},
     displaydoc::Display,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
 
@@ -154,14 +154,14 @@
 #[serde(deny_unknown_fields)]
 pub struct Upkeep {
     /// VMs of each wave whose maintenance was carried out, or which are not of that wave.
-    pub waves: IndexMap<upkeep::Number, Vec<VmId>>,
+    pub waves: IndexMap<upkeep::Number, IndexSet<VmId>>,
     /// VMs of each wave for which a call may have been carried out, but was not answered yet.
-    pub begun: IndexMap<upkeep::Number, Vec<VmId>>,
+    pub begun: IndexMap<upkeep::Number, IndexSet<VmId>>,
     /// Number of VMs in each pool when the cell got its first owner.
     pub sizes: IndexMap<String, usize>,
     /// VMs of each wave that the platform does not have. They are stored as an extension of the record.
     #[serde(skip)]
-    pub gone: IndexMap<upkeep::Number, Vec<VmId>>,
+    pub gone: IndexMap<upkeep::Number, IndexSet<VmId>>,
 }
 
 /// Content of a record.
