Take a VM for gone only as long as no list shows it

What callers would see: a wave said to be complete while a VM of it was added between the platform's answer that there is no such VM and the report, and stays (MIXED).

Cause: the answer was final until a list showed the VM for the first time. A VM whose record was still there from an old list never counted as shown for the first time; and the answer may be old by the time the last VM of the wave is done.

Ruled out: to ask for gone VMs again before each report. It tells no more than the next list does.

Change: a wave with gone VMs is complete once a list that was asked for after its last VM was settled leaves them out.

--- a/src/job/cell/missing.rs
+++ b/src/job/cell/missing.rs
@@ -80,7 +80,7 @@
         let limit = within.div_f64(REFUSED_PART).clamp(least, least.max(MAX_REFUSED_TIME));
         if missing.until.saturating_duration_since(first) >= limit {
             info!("vm: id={vm} gone=true wave={wave}");
-            waves.mark_gone(wave, vm);
+            waves.mark_gone(now, wave, vm);
         }
     }
 
@@ -96,8 +96,14 @@
         on_vm.max_by_key(|(_, worker)| worker.incarnation).map(|(id, _)| RunnerId::clone(id))
     }
 
-    /// Makes the maintenance of a VM due again for which it was gone, since a list shows it now.
-    pub(super) fn reopen_waves_of(&mut self, vm: &str) {
+    /// Makes the maintenance of a VM due again for which it was gone, since a list shows it whose read was
+    /// sent at `sent`. A list that follows closely on the platform's answer may be older than it.
+    pub(super) fn reopen_waves_of(&mut self, sent: Instant, vm: &str) {
+        let is_new = self.pools.vms.get(vm).is_none_or(|record| record.unlisted);
+        let gone_at = self.pools.waves.gone_at.get(vm);
+        if !is_new && gone_at.is_none_or(|at| sent < *at + LIST_LAG) {
+            return;
+        }
         for number in self.pools.waves.restore_gone(vm) {
             info!("wave: number={number} vm={vm} gone=false");
             let Some(progress) = self.pools.waves.known.get_mut(&number) else { continue };
--- a/src/job/cell/pools.rs
+++ b/src/job/cell/pools.rs
@@ -42,6 +42,8 @@
 pub struct Pools {
     pub(super) vms: IndexMap<VmId, Record>,
     pub(super) waves: Waves,
+    /// When the newest list of VMs was asked for.
+    pub(super) listed_at: Option<Instant>,
     /// Number of VMs in each pool when the cell was first owned.
     pub(super) initial_sizes: IndexMap<String, usize>,
     /// Number of VMs that each service should have, by the last balance.
@@ -60,6 +62,7 @@
         Self {
             vms: IndexMap::new(),
             waves: Waves::default(),
+            listed_at: None,
             initial_sizes: IndexMap::new(),
             targets: IndexMap::new(),
             balanced_at: now,
@@ -108,9 +111,7 @@
         let Listing { vms, sent } = listing;
         let listed: IndexSet<VmId> = vms.iter().map(|vm| vm.id.clone()).collect();
         for vm in vms {
-            if self.pools.vms.get(&vm.id).is_none_or(|record| record.unlisted) {
-                self.reopen_waves_of(&vm.id);
-            }
+            self.reopen_waves_of(sent, &vm.id);
             match self.pools.vms.get_mut(&vm.id) {
                 Some(record) => record.update(now, vm),
                 None => {
@@ -119,6 +120,7 @@
             }
         }
         self.note_missing_vms(sent, &listed);
+        self.pools.listed_at = self.pools.listed_at.max(Some(sent));
         let longest_upkeep = self.longest_upkeep();
         let missing = &self.pools.waves.missing;
         self.pools.vms.retain(|id, record| {
@@ -367,7 +369,7 @@
                 record.refuse_pool(now, pool);
             }
             (Action::Upkeep { wave, .. }, Refusal::Wave) => waves.mark_done(*wave, vm),
-            (Action::Upkeep { wave, .. }, Refusal::Impossible) => waves.mark_gone(*wave, vm),
+            (Action::Upkeep { wave, .. }, Refusal::Impossible) => waves.mark_gone(now, *wave, vm),
             (Action::Upkeep { wave, .. }, Refusal::Busy) => {
                 if all_refused {
                     waves.retract_begun(*wave, vm);
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -30,6 +30,8 @@
     begun: Vms,
     /// VMs that the platform does not have.
     gone: Vms,
+    /// When this owner learned last that the platform does not have a VM.
+    pub(super) gone_at: IndexMap<VmId, Instant>,
     /// VMs with due maintenance that the platform's lists leave out.
     pub(super) missing: IndexMap<VmId, Missing>,
     /// Whether the ledger's record is out of date.
@@ -44,6 +46,8 @@
     pub(super) begun: Instant,
     /// When this owner learned of it.
     pub(super) known_since: Instant,
+    /// Since when no maintenance is due.
+    pub(super) settled_since: Option<Instant>,
     pub(super) complete: bool,
 }
 
@@ -87,6 +91,11 @@
         !self.is_done(wave, vm) && !names(&self.gone, wave, vm)
     }
 
+    /// VMs of this wave that the platform does not have.
+    pub(super) fn gone(&self, wave: Number) -> impl Iterator<Item = &VmId> {
+        self.gone.get(&wave).into_iter().flatten()
+    }
+
     /// Whether a call for a VM's maintenance in this wave may have been carried out without an answer.
     pub(super) fn may_have_begun(&self, wave: Number, vm: &str) -> bool {
         names(&self.begun, wave, vm)
@@ -109,7 +118,8 @@
     }
 
     /// Takes note that the platform does not have a VM of this wave.
-    pub(super) fn mark_gone(&mut self, wave: Number, vm: &str) {
+    pub(super) fn mark_gone(&mut self, now: Instant, wave: Number, vm: &str) {
+        self.gone_at.insert(String::from(vm), now);
         if self.is_due(wave, vm) {
             self.gone.entry(wave).or_default().insert(String::from(vm));
             self.forget_call(wave, vm);
@@ -132,6 +142,7 @@
 
     /// Makes the maintenance of a VM due again in the waves that have missed it; returns these waves.
     pub(super) fn restore_gone(&mut self, vm: &str) -> Vec<Number> {
+        self.gone_at.swap_remove(vm);
         let missed: Vec<Number> =
             self.gone.keys().copied().filter(|wave| names(&self.gone, *wave, vm)).collect();
         for wave in &missed {
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -37,7 +37,13 @@
         let resumed = self.pools.waves.done.contains_key(&number);
         let passed = if resumed { request.within / 2 } else { Duration::ZERO };
         let begun = now.checked_sub(passed).unwrap_or(now);
-        let progress = Progress { wave: request, begun, known_since: now, complete: false };
+        let progress = Progress {
+            wave: request,
+            begun,
+            known_since: now,
+            settled_since: None,
+            complete: false,
+        };
         self.pools.waves.known.insert(number, progress);
         if !self.remaining_vms(number).is_empty() {
             self.effects.push(Effect::ReportWave(number, false));
@@ -94,6 +100,9 @@
         if remaining.is_empty() {
             return self.complete_wave(now, number);
         }
+        if let Some(progress) = self.pools.waves.known.get_mut(&number) {
+            progress.settled_since = None;
+        }
         for vm in &remaining {
             if self.pools.waves.may_have_begun(number, vm) && !self.has_plan(vm) {
                 let vm = vm.clone();
@@ -136,9 +145,18 @@
         })
     }
 
-    /// Marks a wave as complete and reports it.
+    /// Marks a wave with no maintenance due as complete and reports it. If VMs of it were gone, a list
+    /// that was asked for since then must have left them out, as they may have been added meanwhile.
     fn complete_wave(&mut self, now: Instant, number: Number) {
+        let is_listed = |vm: &VmId| self.pools.vms.get(vm).is_some_and(|record| !record.unlisted);
+        let has_gone = self.pools.waves.gone(number).next().is_some();
+        let shown = self.pools.waves.gone(number).any(is_listed);
         let Some(progress) = self.pools.waves.known.get_mut(&number) else { return };
+        let since = *progress.settled_since.get_or_insert(now);
+        let outdated = self.pools.listed_at.is_none_or(|listed_at| listed_at < since);
+        if shown || has_gone && outdated {
+            return;
+        }
         let ms = now.saturating_duration_since(progress.begun).as_millis();
         info!("wave: number={number} complete=true ms={ms}");
         progress.complete = true;
