Forget the maintenance of a VM that is removed meanwhile

What operators would see: two waves that name a VM never end.

Cause: the record of a VM that no list has shown kept the state of its maintenance for good when the VM was removed in it, and so one of the VMs that may be down at once was never free again.

Measured: an_unlisted_vm_that_is_removed_in_maintenance_holds_up_no_wave fails without the change.

--- a/src/job/cell/vm.rs
+++ b/src/job/cell/vm.rs
@@ -236,11 +236,15 @@
         }
     }
 
-    /// Forgets the last action once the VM is up again; returns whether it did.
+    /// Forgets the last action once the VM is up again; returns whether it did. No list will tell so of a
+    /// VM that none shows.
     pub(super) fn finish_last_action(&mut self, now: Instant) -> bool {
         let is_over = self.last_action.as_ref().is_some_and(|last| last.is_over(now, &self.listed));
         if is_over {
             self.last_action = None;
+            if self.unlisted {
+                self.listed.state = State::Down;
+            }
         }
         is_over
     }
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -347,3 +347,21 @@
     sim.run_with_lists(seconds(12.0));
     assert!(is_complete(&sim, 1));
 }
+
+/// Guards against a VM that counts as down for good, as it was removed during its maintenance and no list
+/// has ever shown it; another wave still has to learn that it is gone.
+#[test]
+fn an_unlisted_vm_that_is_removed_in_maintenance_holds_up_no_wave() {
+    let mut sim = simulation(3);
+    sim.unlisted_vms.insert("m0".into());
+    sim.update_vms();
+    sim.order_wave(wave(1, &["m0", "m1"]));
+    sim.order_wave(wave(2, &["m0", "m2"]));
+    while calls(&sim, 1, "m0") + calls(&sim, 2, "m0") == 0 {
+        sim.run_with_lists(seconds(0.1));
+    }
+    sim.remove_vm("m0");
+    sim.run_with_lists(END_TIME);
+    finish(&mut sim, 1);
+    finish(&mut sim, 2);
+}
