Follow the operators' changes of a wave

What operators would see: a wave stays complete although they have added a VM to it, until another entry owns the cell (MIXED).

Cause: a wave whose number was known was ignored, whatever it says.

Change: a changed request replaces the former one; what the platform has answered for its VMs stays.

Measured: a_wave_that_the_operators_extend_is_open_again fails without the change (the VM is never asked for).

--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -21,11 +21,12 @@
 const AVERAGE_DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
 impl Cell {
-    /// Adds a wave that the operators have ordered; one that is known already is ignored. Of a wave
-    /// that a previous owner has worked on, half of the allowed time counts as passed.
+    /// Adds a wave that the operators have ordered, or changes it; one that is known already is ignored.
+    /// Of a wave that was worked on before, half of the allowed time counts as passed.
     pub fn add_wave(&mut self, now: Instant, request: Request) {
         let number = request.number;
-        if self.pools.waves.known.contains_key(&number) {
+        let known = self.pools.waves.known.get(&number);
+        if known.is_some_and(|progress| progress.wave == request) {
             return;
         }
         info!(
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -365,3 +365,18 @@
     finish(&mut sim, 1);
     finish(&mut sim, 2);
 }
+
+/// Guards against a complete wave to which the operators have added a VM.
+#[test]
+fn a_wave_that_the_operators_extend_is_open_again() {
+    let mut sim = simulation(3);
+    sim.order_wave(wave(1, &["m0"]));
+    finish(&mut sim, 1);
+    sim.order_wave(wave(1, &["m0", "m1"]));
+    sim.run(seconds(0.1));
+    assert!(!is_complete(&sim, 1) || calls(&sim, 1, "m1") == 1);
+    finish(&mut sim, 1);
+    sim.order_wave(wave(1, &["m0", "m1"]));
+    finish(&mut sim, 1);
+    assert_eq!((calls(&sim, 1, "m0"), calls(&sim, 1, "m1")), (1, 1));
+}
