--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -21,6 +21,7 @@
 mod commit;
 mod crash;
 mod detector;
+mod drain;
 mod forecast;
 mod former;
 mod gang;
