--- a/standin/src/job/vms.rs
+++ b/standin/src/job/vms.rs
@@ -26,6 +26,8 @@
     /// VMs that the list leaves out.
     unlisted: IndexSet<String>,
     outage_until: Option<Instant>,
+    /// Whether VMs that are not there are called busy.
+    removed_are_busy: bool,
 }
 
 impl Vms {
@@ -63,6 +65,16 @@
         lock(&self.0).outage_until = Some(Instant::now() + duration);
     }
 
+    /// Whether there is such a VM.
+    pub fn contains(&self, id: &str) -> bool {
+        lock(&self.0).vms.contains_key(id)
+    }
+
+    /// Has calls for VMs that were removed answered as for ones that are busy.
+    pub fn call_removed_busy(&self) {
+        lock(&self.0).removed_are_busy = true;
+    }
+
     /// Whether a VM had its maintenance in a wave.
     pub fn is_maintained(&self, id: &str, wave: u64) -> bool {
         lock(&self.0).vms.get(id).is_some_and(|waves| waves.contains(&wave))
@@ -78,6 +90,9 @@
         }
         let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
         let Some(waves) = body["machine"].as_str().and_then(|id| state.vms.get_mut(id)) else {
+            if state.removed_are_busy {
+                return Reply::json(409, &json!({ "reason": "busy" }));
+            }
             return Reply::json(400, &json!({}));
         };
         match body["wave"].as_u64() {
--- a/standin/tests/waves.rs
+++ b/standin/tests/waves.rs
@@ -54,6 +54,7 @@
     let mut site = Site::start("removed", 3, 1);
     ["m-7", "m-8", "m-9"].iter().for_each(|vm| site.vms.add(vm));
     sleep(Duration::from_secs(1));
+    site.vms.call_removed_busy();
     site.vms.set_unlisted("m-8", true);
     site.vms.remove("m-9");
     order(&site, 1, &["m-7", "m-8", "m-9", "m-none"]);
