--- a/src/job/cell/missing.rs
+++ b/src/job/cell/missing.rs
@@ -10,7 +10,7 @@
 use {
     super::{
         Cell, Effect, RunnerId, Worker,
-        progress::Missing,
+        progress::{Missing, Refusals},
         vm::{LIST_LAG, Record},
     },
     crate::{id::VmId, job::upkeep::Number},
@@ -19,7 +19,7 @@
     std::time::{Duration, Instant},
 };
 
-/// Interval between two calls for the maintenance of a VM that lists leave out and that is busy.
+/// Shortest interval between two calls for the maintenance of a VM that lists leave out and that is busy.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of a wave's allowed time, as a divisor, after which such a VM is gone.
 const REFUSED_PART: f64 = 3.0;
@@ -74,8 +74,8 @@
         let least = self.longest_upkeep();
         let waves = &mut self.pools.waves;
         let Some(missing) = waves.missing.get_mut(vm) else { return };
-        let first = missing.refused.map_or(now, |(first, _)| first);
-        missing.refused = Some((first, now));
+        let first = missing.refused.map_or(now, |refused| refused.first);
+        missing.refused = Some(Refusals { first, last: now });
         let within = waves.known.get(&wave).map_or(least, |progress| progress.wave.within);
         let limit = within.div_f64(REFUSED_PART).clamp(least, least.max(MAX_REFUSED_TIME));
         if missing.until.saturating_duration_since(first) >= limit {
@@ -87,7 +87,7 @@
     /// Whether the platform has just found a VM busy that lists leave out.
     pub(super) fn was_missing_vm_refused(&self, now: Instant, vm: &str) -> bool {
         let refused = self.pools.waves.missing.get(vm).and_then(|missing| missing.refused);
-        refused.is_some_and(|(_, last)| now.saturating_duration_since(last) < ASK_INTERVAL)
+        refused.is_some_and(|refused| now.saturating_duration_since(refused.last) < ASK_INTERVAL)
     }
 
     /// Newest runner that has registered from a VM.
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
     pub(super) wave: Request,
-    /// When its allowed time began.
+    /// When its allowed time began, as this owner counts it.
     pub(super) begun: Instant,
     /// When this owner learned of it.
     pub(super) known_since: Instant,
@@ -58,9 +58,15 @@
     pub(super) since: Instant,
     /// When the last of them was asked for.
     pub(super) until: Instant,
-    /// When the platform first and last refused the VM's maintenance as the VM is busy, that is not up or
-    /// leaving.
-    pub(super) refused: Option<(Instant, Instant)>,
+    /// Refusals of the VM's maintenance as the VM is busy, that is not up or leaving.
+    pub(super) refused: Option<Refusals>,
+}
+
+/// When the platform has refused something.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refusals {
+    pub(super) first: Instant,
+    pub(super) last: Instant,
 }
 
 impl Waves {
