Report no wave as complete that is open again by now

What operators would see: a wave said to be complete after a list has shown a VM of it that was not there before (MIXED), and then running again.

Cause: the report waits until the ledger has stored what it rests on. While the ledger is away, a list may show the VM, so that the wave is open again; the old report went out all the same, just before the new one.

Change: a report that a wave is complete goes out only if it still is.

--- a/src/job/cell/commit.rs
+++ b/src/job/cell/commit.rs
@@ -173,7 +173,10 @@
             Effect::ActivateManifest(manifest) => self.activate_manifest(now, *manifest),
             Effect::ChangeVm(action) => self.actions.push(Action::ChangeVm(action)),
             Effect::ReportWave(number, complete) => {
-                self.actions.push(Action::ReportWave(number, complete))
+                // A wave may be open again by now; that is reported next.
+                if !complete || self.is_wave_complete(number) {
+                    self.actions.push(Action::ReportWave(number, complete));
+                }
             }
         }
     }
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -171,6 +171,11 @@
         self.effects.push(Effect::ReportWave(number, true));
     }
 
+    /// Whether a wave is complete, as far as this owner knows.
+    pub(super) fn is_wave_complete(&self, number: Number) -> bool {
+        self.pools.waves.known.get(&number).is_some_and(|progress| progress.complete)
+    }
+
     fn has_plan(&self, vm: &str) -> bool {
         self.pools.vms.get(vm).is_some_and(|record| record.plan.is_some())
     }
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -380,3 +380,20 @@
     finish(&mut sim, 1);
     assert_eq!((calls(&sim, 1, "m0"), calls(&sim, 1, "m1")), (1, 1));
 }
+
+/// Guards against a report that waits for the ledger until a list has shown that it is no longer true.
+#[test]
+fn a_wave_that_is_open_again_before_it_was_reported_is_not_called_complete() {
+    let mut sim = simulation(2);
+    sim.order_wave(wave(1, &["m9"]));
+    while calls(&sim, 1, "m9") == 0 {
+        sim.run_with_lists(seconds(0.1));
+    }
+    sim.store_down = true;
+    sim.run_with_lists(seconds(1.0));
+    sim.add_runner("r9", "desk", "m9", 1);
+    sim.update_vms();
+    sim.store_down = false;
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m9"), 2);
+}
