Simulated VMs that are not up refuse actions as busy

The simulation carried maintenance out on a VM that was in maintenance already, and gave it two runners, of which only one ended with it. The platform answers `busy` for a VM that is not up. The check is stricter than before: an action is carried out in fewer states, and all other assertions stay.

--- a/tests/simulation/vms.rs
+++ b/tests/simulation/vms.rs
@@ -117,8 +117,12 @@
         }
         let is_done = match action {
             upkeep::Action::Move { vm, pool } => self.vms[vm].pool == *pool,
-            upkeep::Action::Upkeep { vm, wave } => !self.maintained.insert((*wave, vm.clone())),
+            upkeep::Action::Upkeep { vm, wave } => self.maintained.contains(&(*wave, vm.clone())),
         };
+        if !is_done && self.vms[action.vm()].state != State::Up {
+            let now = self.instant();
+            return self.cell.vm_action_answered(now, action, Err(upkeep::Refusal::Busy));
+        }
         if !is_done {
             self.carry_out_vm_action(action);
         }
@@ -159,6 +163,7 @@
         if let upkeep::Action::Upkeep { vm, wave } = action {
             self.check_vms_down(*wave, vm);
             self.upkeep_waves.insert(vm.clone(), *wave);
+            self.maintained.insert((*wave, vm.clone()));
         }
         let vm = self.vms.get_mut(action.vm()).unwrap();
         match action {
