--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -419,3 +419,20 @@
         assert!(is_complete(&sim, 1), "not after 20 s, with new owners after {changed_after:?}");
     }
 }
+
+/// Guards against a call at each tick for a VM that is gone, once a call for it got no answer.
+#[test]
+fn a_missing_vm_is_asked_for_once_a_second_at_most() {
+    let mut sim = simulation(2);
+    sim.missing_vms_busy = true;
+    sim.vm_answer_delay = seconds(5.0);
+    sim.order_wave(wave(1, &["m0"]));
+    sim.run(seconds(0.3));
+    assert_eq!(calls(&sim, 1, "m0"), 1);
+    sim.remove_vm("m0");
+    sim.run_with_lists(seconds(2.5));
+    let before = calls(&sim, 1, "m0");
+    sim.run_with_lists(seconds(4.0));
+    let asked = calls(&sim, 1, "m0") - before;
+    assert!(asked <= 5, "asked {asked} times in 4 s");
+}
