Show the owner's maintenance waves in the metrics

carobhitch_waves has open waves, VMs whose maintenance is due, those of these that lists leave out, and VMs that the platform does not have; until now only log lines told of them. It is shown at the owner only, as the accounts are.

Measured: standin/tests/waves.rs reads it at a real owner after a wave with two VMs that are gone.

--- a/src/job/cell/mod.rs
+++ b/src/job/cell/mod.rs
@@ -65,6 +65,7 @@
     load::Load,
     overload::{Backlog, Demand, Refusal},
     pools::Pools,
+    progress::Counts as WaveCounts,
     sizes::Sizes,
     throttle::Throttle,
     workers::Worker,
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -40,6 +40,27 @@
     pub(super) changed: bool,
 }
 
+/// Numbers of maintenance waves and of VMs in them, for the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Waves that are not complete.
+    pub open: usize,
+    /// VMs whose maintenance in them is due.
+    pub due: usize,
+    /// Those of the due ones that the platform's lists leave out.
+    pub missing: usize,
+    /// VMs of waves that the platform does not have.
+    pub gone: usize,
+}
+
+impl Counts {
+    /// Name and value of each count.
+    pub fn all(&self) -> [(&'static str, usize); 4] {
+        let Self { open, due, missing, gone } = *self;
+        [("open", open), ("due", due), ("missing", missing), ("gone", gone)]
+    }
+}
+
 /// Progress of a maintenance wave that the operators have ordered.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
@@ -111,6 +132,20 @@
         names(&self.done, wave, vm)
     }
 
+    /// Numbers for the metrics.
+    pub(super) fn counts(&self) -> Counts {
+        let open = || self.known.iter().filter(|(_, progress)| !progress.complete);
+        let due = |(number, progress): (&Number, &Progress)| {
+            progress.wave.vms.iter().filter(|vm| self.is_due(*number, vm)).count()
+        };
+        Counts {
+            open: open().count(),
+            due: open().map(due).sum(),
+            missing: self.missing.len(),
+            gone: self.gone.values().map(IndexSet::len).sum(),
+        }
+    }
+
     /// Whether a VM's maintenance in this wave is due.
     pub(super) fn is_due(&self, wave: Number, vm: &str) -> bool {
         !self.is_done(wave, vm) && !names(&self.gone, wave, vm)
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -5,7 +5,11 @@
 //! once than it needs to be complete early enough, so that more of each pool is left for bursts.
 
 use {
-    super::{Cell, Effect, progress::Progress, vm::LIST_LAG},
+    super::{
+        Cell, Effect,
+        progress::{Counts, Progress},
+        vm::LIST_LAG,
+    },
     crate::{
         id::VmId,
         job::upkeep::{Action, Number, Request},
@@ -60,6 +64,11 @@
         now.checked_sub(passed).unwrap_or(now)
     }
 
+    /// Numbers of waves and of their VMs.
+    pub fn wave_counts(&self) -> Counts {
+        self.pools.waves.counts()
+    }
+
     /// Number of VMs of a wave that are or may be down for their maintenance.
     pub(super) fn count_down(&self, now: Instant, wave: Number) -> usize {
         let Some(progress) = self.pools.waves.known.get(&wave) else { return 0 };
--- a/src/job/daemon/meter.rs
+++ b/src/job/daemon/meter.rs
@@ -5,7 +5,7 @@
     crate::{
         intake::Guard,
         job::{
-            cell::{Accounts, Counts, Sizes},
+            cell::{Accounts, Counts, Sizes, WaveCounts},
             claim::claim_timeout,
         },
     },
@@ -39,6 +39,7 @@
     store_delay: IntGauge,
     claim_timeout: IntGauge,
     intake: IntGaugeVec,
+    waves: IntGaugeVec,
 }
 
 impl Meter {
@@ -69,6 +70,10 @@
                 opts!("carobhitch_intake", "What callers hold, and what they were denied"),
                 &["value"],
             )?,
+            waves: IntGaugeVec::new(
+                opts!("carobhitch_waves", "Maintenance waves at the owner"),
+                &["value"],
+            )?,
         };
         meter.registry.register(Box::new(meter.answers.clone()))?;
         meter.registry.register(Box::new(meter.calls.clone()))?;
@@ -77,6 +82,7 @@
         meter.registry.register(Box::new(meter.store_delay.clone()))?;
         meter.registry.register(Box::new(meter.claim_timeout.clone()))?;
         meter.registry.register(Box::new(meter.intake.clone()))?;
+        meter.registry.register(Box::new(meter.waves.clone()))?;
         Ok(meter)
     }
 
@@ -157,9 +163,18 @@
         }
     }
 
-    /// Hides the accounts of organisations once this entry no longer owns the cell.
-    pub fn hide_accounts(&self) {
+    /// Shows the owner's maintenance waves.
+    pub fn show_waves(&self, counts: &WaveCounts) {
+        for (value, amount) in counts.all() {
+            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+            self.waves.with_label_values(&[value]).set(amount);
+        }
+    }
+
+    /// Hides what only the owner shows once this entry no longer owns the cell.
+    pub fn hide_owner(&self) {
         self.organisations.reset();
+        self.waves.reset();
     }
 
     fn text(&self) -> Vec<u8> {
--- a/src/job/daemon/owner.rs
+++ b/src/job/daemon/owner.rs
@@ -141,7 +141,7 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        self.shared.meter.hide_accounts();
+        self.shared.meter.hide_owner();
     }
 }
 
@@ -178,6 +178,7 @@
                 shown = now;
                 self.show_accounts();
                 self.shared.meter.show_sizes(self.cell.sizes());
+                self.shared.meter.show_waves(&self.cell.wave_counts());
                 self.hand_over_if_due(now);
             }
             if self.cell.is_superseded() {
--- a/standin/tests/clients_jobs.rs
+++ b/standin/tests/clients_jobs.rs
@@ -9,7 +9,7 @@
 use {
     crowd::{BODY_BYTES, CLIENTS, Crowd, HEAD_BYTES, LOG_BYTES, chunks},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    site::{Site, job, wait},
+    site::{Site, job, scrape, wait},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
@@ -98,15 +98,6 @@
     site.wait_complete([id]);
 }
 
-/// Text of an entry's metrics.
-fn scrape(metrics: SocketAddr) -> String {
-    let mut client = TcpStream::connect(metrics).unwrap();
-    client.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
-    let mut text = String::new();
-    client.read_to_string(&mut text).unwrap();
-    text
-}
-
 /// Sends a request in pieces over a new connection, and returns the status of the answer.
 fn status(entry: SocketAddr, pieces: &[&[u8]]) -> Option<u16> {
     answer(entry, pieces)?.split(' ').nth(1)?.parse().ok()
--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -113,6 +113,15 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Text of an entry's metrics.
+pub fn scrape(metrics: SocketAddr) -> String {
+    let mut client = TcpStream::connect(metrics).unwrap();
+    client.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+    let mut text = String::new();
+    client.read_to_string(&mut text).unwrap();
+    text
+}
+
 /// Waits until `condition` holds, or panics with `what` after [`TIMEOUT`].
 pub fn wait(what: &str, mut condition: impl FnMut() -> bool) {
     let until = Instant::now() + TIMEOUT;
--- a/standin/tests/waves.rs
+++ b/standin/tests/waves.rs
@@ -6,7 +6,7 @@
 
 use {
     serde_json::{Value, json},
-    site::{Site, wait},
+    site::{Site, scrape, wait},
     std::{thread::sleep, time::Duration},
 };
 
@@ -59,6 +59,12 @@
     site.vms.remove("m-9");
     order(&site, 1, &["m-7", "m-8", "m-9", "m-none"]);
     wait_complete(&site, 1, &["m-7", "m-8"]);
+    let metrics = site.entries[site.owner()].metrics();
+    wait("the metrics to show what has gone", || {
+        let text = scrape(metrics);
+        let shows = |line: &str| text.contains(&format!("carobhitch_waves{{value={line}"));
+        shows("\"gone\"} 2") && shows("\"open\"} 0") && shows("\"due\"} 0")
+    });
     site.vms.start_outage(Duration::from_secs(60));
     let owner = site.owner();
     site.kill(owner);
