Give up a list of VMs whose pages never end

What operators would see: no VM moves or is maintained, no wave ends, and the owner's memory grows, without a line in the log, if a page of the platform's list names itself as the next one.

Cause: only a page without a token ended the read.

Evidence: a_list_whose_pages_never_end_is_given_up waits 30 s in vain for the line without the change.

Why this works: such a page, and more than 1,000 pages, are an error like an answer that is missing: the read ends, the log tells it, and it is tried again.

--- a/src/job/daemon/follow.rs
+++ b/src/job/daemon/follow.rs
@@ -22,6 +22,8 @@
 const RUNNERS_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval between two reads of the list of VMs.
 const VMS_INTERVAL: Duration = Duration::from_millis(500);
+/// Largest number of pages of the list of VMs.
+const MAX_PAGES: usize = 1_000;
 /// Timeout of a call to the platform's list of VMs or of an action on a VM.
 pub const FLEET_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before the next call after the store failed to answer one.
@@ -174,19 +176,24 @@
     }
 }
 
-/// Reads all pages of the list of VMs.
+/// Reads all pages of the list of VMs. Fails if a page refers to itself as the next one, or if there are too
+/// many.
 async fn list(channel: &Channel) -> Result<Listing, String> {
     let sent = clock::now();
     let mut vms = Vec::new();
     let mut token: Option<String> = None;
-    loop {
+    for _ in 0..MAX_PAGES {
         let call = adapter::fleet::list(token.as_deref());
         let reply = channel.call(call, FLEET_TIMEOUT).await.map_err(|e| e.to_string())?;
         let page = adapter::fleet::page(&reply)?;
         vms.extend(page.vms);
         match page.next {
+            Some(next) if token.as_ref() == Some(&next) => {
+                return Err(format!("the page after {next} is that page"));
+            }
             Some(next) => token = Some(next),
             None => return Ok(Listing { vms, sent }),
         }
     }
+    Err(format!("it has more than {MAX_PAGES} pages"))
 }
--- a/standin/src/job/vms.rs
+++ b/standin/src/job/vms.rs
@@ -26,6 +26,8 @@
     /// VMs that the list leaves out.
     unlisted: IndexSet<String>,
     outage_until: Option<Instant>,
+    /// Whether the list has the same page again and again.
+    repeats_page: bool,
     /// Whether VMs that are not there are called busy.
     removed_are_busy: bool,
 }
@@ -65,6 +67,11 @@
         lock(&self.0).outage_until = Some(Instant::now() + duration);
     }
 
+    /// Sets whether the list has the same page again and again.
+    pub fn repeat_page(&self, repeats: bool) {
+        lock(&self.0).repeats_page = repeats;
+    }
+
     /// Whether there is such a VM.
     pub fn contains(&self, id: &str) -> bool {
         lock(&self.0).vms.contains_key(id)
@@ -113,6 +120,7 @@
                 "id": null })
         };
         let machines: Vec<Value> = listed.map(row).collect();
-        Reply::json(200, &json!({ "machines": machines, "nextToken": null }))
+        let next = self.repeats_page.then_some("again");
+        Reply::json(200, &json!({ "machines": machines, "nextToken": next }))
     }
 }
--- a/standin/tests/waves.rs
+++ b/standin/tests/waves.rs
@@ -85,3 +85,19 @@
     sleep(Duration::from_secs(1));
     assert_eq!(state(&site, 1), "complete");
 }
+
+/// Guards against a list whose pages never end, of which an owner would read more and more.
+#[test]
+fn a_list_whose_pages_never_end_is_given_up() {
+    let site = Site::start("pages", 3, 1);
+    site.vms.add("m-9");
+    site.vms.repeat_page(true);
+    let given_up =
+        |number: usize| site.log(&format!("front-{number}")).contains("fleet: answers=false");
+    wait("the list to be given up", || (0..3).any(given_up));
+    order(&site, 1, &["m-9"]);
+    sleep(Duration::from_secs(1));
+    assert_eq!(state(&site, 1), "running");
+    site.vms.repeat_page(false);
+    wait_complete(&site, 1, &["m-9"]);
+}
