Random waves: owners that have not read a registration; one place for the seeds of soaks

A new owner may not know a runner's registration at first, as when it expired while the store was away.

--- a/standin/tests/site/mod.rs
+++ b/standin/tests/site/mod.rs
@@ -15,9 +15,10 @@
     },
     serde_json::{Value, json},
     std::{
-        fs,
+        env, fs,
         io::{self, Read, Write},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+        ops::Range,
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::{
@@ -113,6 +114,14 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Seeds of a soak: those that `CAROBHITCH_SOAK_SEEDS=FIRST..END` names, or the default ones.
+pub fn seeds(default: &[u64]) -> Vec<u64> {
+    let Ok(range) = env::var("CAROBHITCH_SOAK_SEEDS") else { return default.to_vec() };
+    let (first, end) = range.split_once("..").expect("a range of seeds such as 100..150");
+    let range: Range<u64> = first.parse().unwrap()..end.parse().unwrap();
+    range.collect()
+}
+
 /// Text of an entry's metrics.
 pub fn scrape(metrics: SocketAddr) -> String {
     let mut client = TcpStream::connect(metrics).unwrap();
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -16,9 +16,8 @@
     carobhitch_standin::job::Limit,
     indexmap::IndexSet,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    site::{Site, exchange, grow, job, keyed_manifest, wait},
+    site::{Site, exchange, grow, job, keyed_manifest, seeds, wait},
     std::{
-        env,
         ops::Range,
         thread::sleep,
         time::{Duration, Instant},
@@ -380,16 +379,9 @@
     }
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(range) = env::var("CAROBHITCH_SOAK_SEEDS") else { return SEEDS.to_vec() };
-    let (first, end) = range.split_once("..").expect("a range of seeds such as 100..150");
-    let range: Range<u64> = first.parse().unwrap()..end.parse().unwrap();
-    range.collect()
-}
-
 #[test]
 fn invariants_hold_under_random_faults() {
-    for seed in seeds() {
+    for seed in seeds(&SEEDS) {
         let mut soak = Soak::new(seed);
         soak.run();
         let (accepted, refused) = (soak.accepted.len(), soak.refused.len());
--- a/standin/tests/waves_soak.rs
+++ b/standin/tests/waves_soak.rs
@@ -14,10 +14,8 @@
     indexmap::IndexSet,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde_json::{Value, json},
-    site::{Site, wait},
+    site::{Site, seeds, wait},
     std::{
-        env,
-        ops::Range,
         thread::sleep,
         time::{Duration, Instant},
     },
@@ -156,16 +154,9 @@
     format!("m-{}", 100 + number)
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(range) = env::var("CAROBHITCH_SOAK_SEEDS") else { return SEEDS.to_vec() };
-    let (first, end) = range.split_once("..").expect("a range of seeds such as 100..150");
-    let range: Range<u64> = first.parse().unwrap()..end.parse().unwrap();
-    range.collect()
-}
-
 #[test]
 fn no_wave_is_complete_early_and_each_ends_under_random_faults() {
-    for seed in seeds() {
+    for seed in seeds(&SEEDS) {
         let mut soak = Soak::new(seed);
         soak.run();
         println!("seed {seed}: {} waves", soak.waves.len());
--- a/tests/job_random_waves.rs
+++ b/tests/job_random_waves.rs
@@ -52,8 +52,9 @@
     Ledger(bool),
     /// The owner is paused, in milliseconds.
     Pause(u64),
-    /// Another owner takes over, and the batch in flight was stored or not.
-    Takeover(bool),
+    /// Another owner takes over, and the batch in flight was stored or not. It does not read the registration
+    /// of a VM's runner at first, if there is one.
+    Takeover(bool, Option<usize>),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -72,7 +73,8 @@
         1 => (1u32..9).prop_map(Event::Submit),
         1 => any::<bool>().prop_map(Event::Ledger),
         1 => (500u64..8_000).prop_map(Event::Pause),
-        2 => any::<bool>().prop_map(Event::Takeover),
+        2 => (any::<bool>(), prop::option::of(name()))
+            .prop_map(|(stored, unread)| Event::Takeover(stored, unread)),
     ]
 }
 
@@ -113,6 +115,7 @@
         match event {
             Event::Pass(ms, list) => {
                 self.sim.run(Duration::from_millis(*ms));
+                self.register();
                 if *list {
                     self.sim.update_vms();
                 }
@@ -142,7 +145,7 @@
             Event::Submit(tasks) => self.submit(step(*tasks, 2_000)),
             Event::Ledger(away) => self.sim.store_down = *away,
             Event::Pause(ms) => self.sim.pause_owner(Duration::from_millis(*ms)),
-            Event::Takeover(stored) => self.take_over(*stored),
+            Event::Takeover(stored, unread) => self.take_over(*stored, *unread),
         }
     }
 
@@ -172,20 +175,33 @@
         self.sim.submit(self.jobs, spec(vec![step]));
     }
 
-    fn take_over(&mut self, stored: bool) {
+    fn take_over(&mut self, stored: bool, unread: Option<usize>) {
         if stored && let Some(batch) = self.sim.pending_batch.take() {
             let records = batch.into_iter().map(|record| (record.key, record.value));
             self.sim.ledger.extend(records);
         }
+        let unread = unread.and_then(|name| self.runner(name));
+        self.sim.unregistered = unread.into_iter().collect();
         self.sim.take_over();
     }
 
+    /// Has the owner read the registrations that it has not read yet.
+    fn register(&mut self) {
+        for id in std::mem::take(&mut self.sim.unregistered) {
+            if self.sim.runners.contains_key(&id) {
+                let (now, own) = (self.sim.instant(), self.sim.registration(&id));
+                self.sim.cell.update_registration(now, &id, Some(own));
+            }
+        }
+    }
+
     /// Ends all faults, adds a VM as room for endless tasks, and lets the waves end.
     fn calm_down(&mut self) {
         self.sim.store_down = false;
         self.sim.vm_actions_down = false;
         self.sim.vm_answer_delay = Duration::ZERO;
         self.sim.unlisted_vms.clear();
+        self.register();
         for runner in self.sim.runners.values_mut() {
             runner.partitioned = false;
         }
