A new owner completes no wave by one list; the pace after a takeover stays

What callers would see: a wave said to be complete though a VM of it was added and is left out of one list, just after the owner has changed (MIXED).

Cause: the former owner's stored answer that there is no such VM and one list were enough; what the former owner had read since and not stored was lost with it.

The simulation counts a VM that was added after the order from the first list to the present owner on, as no owner knows what another one has read and not stored; that each VM is maintained in the end is checked as before.

Also: the pace of a wave after a takeover is again that of one of which half has passed at least.

Evidence: a_new_owner_does_not_complete_a_wave_by_one_list fails without the change.

--- a/src/job/cell/missing.rs
+++ b/src/job/cell/missing.rs
@@ -81,7 +81,7 @@
         let first = missing.refused.map_or(now, |refused| refused.first);
         missing.refused = Some(Refusals { first, last: now });
         let (within, left) = waves.known.get(&wave).map_or_else(Default::default, |progress| {
-            let passed = now.saturating_duration_since(progress.begun);
+            let passed = now.saturating_duration_since(progress.ordered_at);
             (progress.wave.within, progress.wave.within.saturating_sub(passed))
         });
         let limit = within.div_f64(REFUSED_PART).min(left.saturating_sub(REPORT_TIME));
--- a/src/job/cell/progress.rs
+++ b/src/job/cell/progress.rs
@@ -65,7 +65,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
     pub(super) wave: Request,
-    /// When its allowed time began, as this owner counts it.
+    /// When it was ordered, as far as is known.
+    pub(super) ordered_at: Instant,
+    /// When its allowed time began, by which its pace is set.
     pub(super) begun: Instant,
     /// When this owner learned of it.
     pub(super) known_since: Instant,
@@ -112,9 +114,9 @@
         }
     }
 
-    /// Whether an owner has worked on a wave that did not store when it was ordered.
-    pub(super) fn is_of_former_release(&self, wave: Number) -> bool {
-        !self.ordered_ms.contains_key(&wave) && self.done.contains_key(&wave)
+    /// Whether the maintenance of a VM of this wave was carried out.
+    pub(super) fn has_begun(&self, wave: Number) -> bool {
+        self.done.contains_key(&wave)
     }
 
     /// Time that has passed since a wave was ordered, at the time of day `wall_ms`. One that is new or changed
--- a/src/job/cell/wave.rs
+++ b/src/job/cell/wave.rs
@@ -26,6 +26,7 @@
 
 impl Cell {
     /// Adds a wave that the operators have ordered, or changes it; one that is known already is ignored.
+    /// One that was worked on before goes on as if half of its time had passed at least.
     pub fn add_wave(&mut self, now: Instant, request: Request) {
         let number = request.number;
         let known = self.pools.waves.known.get(&number);
@@ -38,10 +39,14 @@
             request.max_at_once,
             request.within.as_secs_f64()
         );
-        let begun = self.beginning_of(now, &request);
+        let passed = self.time_passed(now, &request);
+        let resumed = self.pools.waves.has_begun(number);
+        let paced = if resumed { passed.max(request.within / 2) } else { passed };
+        let before = |time: Duration| now.checked_sub(time).unwrap_or(now);
         let progress = Progress {
             wave: request,
-            begun,
+            ordered_at: before(passed),
+            begun: before(paced),
             known_since: now,
             settled_since: None,
             complete: false,
@@ -52,16 +57,13 @@
         }
     }
 
-    /// When the allowed time of a wave began. Of one that an owner of a former release has worked on, half
-    /// counts as passed.
-    fn beginning_of(&mut self, now: Instant, request: &Request) -> Instant {
+    /// Time that has passed since a wave was ordered, at most all of its time; none if the time of day is not
+    /// known.
+    fn time_passed(&mut self, now: Instant, request: &Request) -> Duration {
         let wall_ms = self.wall_ms(now);
         let waves = &mut self.pools.waves;
-        let of_former_release = waves.is_of_former_release(request.number);
         let passed = wall_ms.map(|wall_ms| waves.time_passed(request.number, wall_ms));
-        let half = if of_former_release { request.within / 2 } else { Duration::ZERO };
-        let passed = passed.unwrap_or_default().max(half).min(request.within);
-        now.checked_sub(passed).unwrap_or(now)
+        passed.unwrap_or_default().min(request.within)
     }
 
     /// Numbers of waves and of their VMs.
@@ -172,18 +174,20 @@
     }
 
     /// Marks a wave with no maintenance due as complete and reports it. If VMs of it were gone, a list
-    /// that was asked for since then must have left them out, as they may have been added meanwhile.
+    /// that was asked for since then must have left them out, as they may have been added meanwhile, and one
+    /// that a former owner may have read shows nothing.
     fn complete_wave(&mut self, now: Instant, number: Number) {
         let is_listed = |vm: &VmId| self.pools.vms.get(vm).is_some_and(|record| !record.unlisted);
         let has_gone = self.pools.waves.gone(number).next().is_some();
         let shown = self.pools.waves.gone(number).any(is_listed);
         let Some(progress) = self.pools.waves.known.get_mut(&number) else { return };
         let since = *progress.settled_since.get_or_insert(now);
+        let since = since.max(self.pools.owned_since + LIST_LAG);
         let outdated = self.pools.listed_at.is_none_or(|listed_at| listed_at < since);
         if shown || has_gone && outdated {
             return;
         }
-        let ms = now.saturating_duration_since(progress.begun).as_millis();
+        let ms = now.saturating_duration_since(progress.ordered_at).as_millis();
         info!("wave: number={number} complete=true ms={ms}");
         progress.complete = true;
         self.effects.push(Effect::ReportWave(number, true));
--- a/tests/job_waves.rs
+++ b/tests/job_waves.rs
@@ -203,9 +203,8 @@
         let again = calls(&sim, 1, "m7");
         assert!(sim.missing_vms_busy || again <= gone.max(1), "the answer was stored");
         sim.take_over();
-        sim.update_vms();
-        sim.run(seconds(0.2));
-        assert!(is_complete(&sim, 1), "the next owner needs one list");
+        sim.run_with_lists(seconds(2.0));
+        assert!(is_complete(&sim, 1), "the next owner needs lists only");
         assert_eq!(calls(&sim, 1, "m7"), again);
     }
 }
@@ -436,3 +435,24 @@
     let asked = calls(&sim, 1, "m0") - before;
     assert!(asked <= 5, "asked {asked} times in 4 s");
 }
+
+/// Guards against a new owner that takes a former owner's answer and one list in part for the end of a VM that was
+/// added just before.
+#[test]
+fn a_new_owner_does_not_complete_a_wave_by_one_list() {
+    let mut sim = simulation(2);
+    sim.order_wave(wave(1, &["m9"]));
+    while calls(&sim, 1, "m9") == 0 {
+        sim.update_vms();
+        sim.run(seconds(0.1));
+    }
+    assert!(!is_complete(&sim, 1), "no list was read since");
+    sim.add_runner("r9", "desk", "m9", 1);
+    sim.unlisted_vms.insert("m9".into());
+    sim.take_over();
+    sim.run_with_lists(seconds(0.6));
+    assert!(!is_complete(&sim, 1));
+    sim.unlisted_vms.clear();
+    finish(&mut sim, 1);
+    assert_eq!(calls(&sim, 1, "m9"), 2);
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -110,7 +110,7 @@
     pub waves: IndexMap<u64, Request>,
     /// When each wave was ordered.
     ordered_at: IndexMap<u64, Duration>,
-    /// When each VM was added, and whether a list has shown it since.
+    /// When each VM was added, and whether a list has shown it to the present owner since.
     added: IndexMap<String, (Duration, bool)>,
     /// Whether each wave was last reported as complete.
     pub wave_reports: IndexMap<u64, bool>,
@@ -445,6 +445,7 @@
         for id in self.runners.keys().filter(|id| !self.unregistered.contains(*id)) {
             cell.update_registration(now, id, Some(self.registration(id)));
         }
+        self.added.values_mut().for_each(|(_, listed)| *listed = false);
         for wave in self.waves.values() {
             cell.add_wave(now, wave.clone());
         }
--- a/tests/simulation/vms.rs
+++ b/tests/simulation/vms.rs
@@ -79,7 +79,7 @@
     }
 
     /// Takes note of a report on a wave. When it is said to be complete, all of its VMs that there are must
-    /// have had their maintenance, but for those that were added after it was ordered and never listed.
+    /// have had their maintenance, but for those that were added after it was ordered and not listed to this owner.
     pub(super) fn report_wave(&mut self, number: u64, complete: bool) {
         self.wave_reports.insert(number, complete);
         let Some(wave) = self.waves.get(&number).filter(|_| complete) else { return };
